--- /dev/null
+++ b/internal/back/backend/doc.go
@@ -0,0 +1,2 @@
+// Package backend is one backend server as one node sees it.
+package backend
--- /dev/null
+++ b/internal/bench/scenario/scenario.go
@@ -0,0 +1,84 @@
+// Package scenario is the shape of one experiment of the bench tool.
+//
+// # Usage
+//
+//	var Steady = scenario.Scenario{Name: "steady", Help: "plain load", Run: run}
+package scenario
+
+import (
+	"context"
+	"time"
+)
+
+// Options are the choices that every scenario understands.
+type Options struct {
+	// Seed drives every random choice of the scenario.
+	Seed uint64
+	// Duration of the measured part of each arm.
+	Duration time.Duration
+	// Nodes is the number of nodes; 0 leaves it to the scenario.
+	Nodes int
+	// Replicas a shard; 0 leaves it to the scenario.
+	Replicas int
+	// Rate of arrivals in queries a second; 0 leaves it to the scenario.
+	Rate float64
+	// Baseline names a policy to run interleaved with the current one.
+	Baseline string
+}
+
+// Wrong counts answers that break a promise, by the oracle of the stand-ins.
+type Wrong struct {
+	MixedSnapshots    int `json:"mixed_snapshots"`
+	FalseCompleteness int `json:"false_completeness"`
+	ForeignAnswers    int `json:"foreign_answers"`
+	DoubleRuns        int `json:"double_runs"`
+	FalseNotRun       int `json:"false_not_run"`
+	FalseOK           int `json:"false_ok"`
+	Reverts           int `json:"reverts"`
+}
+
+// Total is the number of wrong answers of every sort.
+func (w Wrong) Total() int {
+	return w.MixedSnapshots + w.FalseCompleteness + w.ForeignAnswers + w.DoubleRuns + w.FalseNotRun + w.FalseOK + w.Reverts
+}
+
+// Figure is one measured value with its unit in its name, such as p99_ms.
+type Figure struct {
+	Name  string  `json:"name"`
+	Value float64 `json:"value"`
+	// Target is what the figure was asked to be at most (or, if AtLeast, at
+	// least); nil when nothing was asked.
+	Target  *float64 `json:"target,omitempty"`
+	AtLeast bool     `json:"at_least,omitempty"`
+}
+
+// Arm is one policy or size within a scenario.
+type Arm struct {
+	Name    string   `json:"name"`
+	Figures []Figure `json:"figures"`
+	Wrong   Wrong    `json:"wrong"`
+	// LatencyMS is a distribution for plots: quantile and milliseconds.
+	LatencyMS []Point `json:"latency_ms,omitempty"`
+}
+
+// Point is one point of a plot.
+type Point struct {
+	X float64 `json:"x"`
+	Y float64 `json:"y"`
+}
+
+// Report is what a scenario measured.
+type Report struct {
+	Scenario string   `json:"scenario"`
+	Seed     uint64   `json:"seed"`
+	Arms     []Arm    `json:"arms"`
+	Ratios   []Figure `json:"ratios,omitempty"`
+	Notes    []string `json:"notes,omitempty"`
+}
+
+// Scenario is one experiment.
+type Scenario struct {
+	Name string
+	Help string
+	Run  func(ctx context.Context, o Options) (Report, error)
+}
--- /dev/null
+++ b/internal/observe/event/number.go
@@ -0,0 +1,110 @@
+package event
+
+// The events. Each area has a hundred numbers; a number is never reused.
+const (
+	NodeStarted     Number = 100
+	NodeReady       Number = 101
+	NodeNotReady    Number = 102
+	NodeDraining    Number = 103
+	NodeStopped     Number = 104
+	SettingsRefused Number = 105
+	ListenerFailed  Number = 106
+	InvariantBroken Number = 107
+
+	QueryIncomplete Number = 200
+	QueryRestarted  Number = 201
+	AnswerDropped   Number = 202
+	QueryRefused    Number = 203
+	BudgetSpent     Number = 204
+
+	SearcherFound     Number = 300
+	SearcherGone      Number = 301
+	SearcherDraining  Number = 302
+	SearcherReturned  Number = 303
+	SearcherEjected   Number = 304
+	LinkSilent        Number = 305
+	LinkLost          Number = 306
+	LinkRefused       Number = 307
+	PoisonSuspected   Number = 308
+	PoisonQuarantined Number = 309
+	LimitLowered      Number = 310
+	ContractChanged   Number = 311
+	VersionAppeared   Number = 312
+	VersionRetired    Number = 313
+
+	PlatformDown      Number = 400
+	PlatformBack      Number = 401
+	PlatformThrottled Number = 402
+	PlatformUnsure    Number = 403
+	VMListStale       Number = 404
+
+	ConfigAdopted  Number = 500
+	ConfigRefused  Number = 501
+	ConfigAccepted Number = 502
+	ConfigConflict Number = 503
+	ConfigUnsure   Number = 504
+	ConfigFromPeer Number = 505
+	WatcherStarted Number = 506
+	WatcherStopped Number = 507
+
+	PeerJoined    Number = 600
+	PeerSuspected Number = 601
+	PeerRefuted   Number = 602
+	PeerDead      Number = 603
+	PeerLeft      Number = 604
+	PeerRefused   Number = 605
+
+	WriteClaimed  Number = 700
+	WriteRepeated Number = 701
+	WriteRefused  Number = 702
+	WriteUnknown  Number = 703
+	WriteRecorded Number = 704
+	BucketDeleted Number = 705
+
+	HealthChanged Number = 800
+	CanaryFailed  Number = 801
+
+	OperatorChanged Number = 900
+	OperatorRefused Number = 901
+)
+
+// names is the catalogue: the snake-case name of each number.
+var names = map[Number]string{
+	NodeStarted: "node_started", NodeReady: "node_ready", NodeNotReady: "node_not_ready",
+	NodeDraining: "node_draining", NodeStopped: "node_stopped", SettingsRefused: "settings_refused",
+	ListenerFailed: "listener_failed", InvariantBroken: "invariant_broken",
+
+	QueryIncomplete: "query_incomplete", QueryRestarted: "query_restarted",
+	AnswerDropped: "answer_dropped", QueryRefused: "query_refused", BudgetSpent: "budget_spent",
+
+	SearcherFound: "searcher_found", SearcherGone: "searcher_gone", SearcherDraining: "searcher_draining",
+	SearcherReturned: "searcher_returned", SearcherEjected: "searcher_ejected", LinkSilent: "link_silent",
+	LinkLost: "link_lost", LinkRefused: "link_refused", PoisonSuspected: "poison_suspected",
+	PoisonQuarantined: "poison_quarantined", LimitLowered: "limit_lowered",
+	ContractChanged: "contract_changed", VersionAppeared: "version_appeared", VersionRetired: "version_retired",
+
+	PlatformDown: "platform_down", PlatformBack: "platform_back", PlatformThrottled: "platform_throttled",
+	PlatformUnsure: "platform_unsure", VMListStale: "vm_list_stale",
+
+	ConfigAdopted: "config_adopted", ConfigRefused: "config_refused", ConfigAccepted: "config_accepted",
+	ConfigConflict: "config_conflict", ConfigUnsure: "config_unsure", ConfigFromPeer: "config_from_peer",
+	WatcherStarted: "watcher_started", WatcherStopped: "watcher_stopped",
+
+	PeerJoined: "peer_joined", PeerSuspected: "peer_suspected", PeerRefuted: "peer_refuted",
+	PeerDead: "peer_dead", PeerLeft: "peer_left", PeerRefused: "peer_refused",
+
+	WriteClaimed: "write_claimed", WriteRepeated: "write_repeated", WriteRefused: "write_refused",
+	WriteUnknown: "write_unknown", WriteRecorded: "write_recorded", BucketDeleted: "bucket_deleted",
+
+	HealthChanged: "health_changed", CanaryFailed: "canary_failed",
+
+	OperatorChanged: "operator_changed", OperatorRefused: "operator_refused",
+}
+
+// Name returns the snake-case name of n, or "unknown".
+func (n Number) Name() string {
+	if s, ok := names[n]; ok {
+		return s
+	}
+	return "unknown"
+}
--- /dev/null
+++ b/internal/platform/kv/doc.go
@@ -0,0 +1,2 @@
+// Package kv is the client of the platform's key-value service.
+package kv
--- /dev/null
+++ b/internal/state/config/doc.go
@@ -0,0 +1,2 @@
+// Package config keeps the operators' configuration in force on one node.
+package config
