--- /dev/null
+++ b/internal/peer/rpc/socket.go
@@ -0,0 +1,48 @@
+package rpc
+
+import (
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcstream"
+	"storj.io/drpc/drpcwire"
+)
+
+const (
+	// userTimeout is how long sent bytes may stay without acknowledgement.
+	userTimeout = 5 * time.Second
+	// keepBuffer is the largest message buffer that a connection keeps
+	// between calls, in bytes.
+	keepBuffer = 64 << 10
+	// softCancelGrace is how long a cancelled call may take to finish a send
+	// before its connection is closed.
+	softCancelGrace = 2 * time.Millisecond
+)
+
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 15 * time.Second, Interval: 5 * time.Second, Count: 3}
+
+// setUserTimeout bounds how long the kernel waits for acknowledgements.
+func setUserTimeout(_, _ string, c syscall.RawConn) error {
+	var err error
+	e := c.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+	if e != nil {
+		return e
+	}
+	return err
+}
+
+// manager returns drpc's options for messages of at most limit bytes.
+func manager(limit int) drpcmanager.Options {
+	return drpcmanager.Options{
+		WriterBufferSize: 1 << 10,
+		Reader:           drpcwire.ReaderOptions{MaximumBufferSize: limit},
+		Stream:           drpcstream.Options{MaximumBufferSize: keepBuffer},
+		SoftCancel:       true,
+		SoftCancelGrace:  softCancelGrace,
+	}
+}
