Read settings and search definitions from INI, all problems at once

Change: packages problem, inifile, field, settings; search.Parse, Check and Format; example settings and the definitions of both deployments.

--- /dev/null
+++ b/internal/state/field/field.go
@@ -0,0 +1,118 @@
+// Package field reads the keys of an INI section into a struct, each by one
+// row of a table that also documents it.
+//
+// # Usage
+//
+//	var fields = []field.Field[Settings]{
+//		field.Duration(field.About{Section: "platform", Key: "timeout", Default: "2s", Help: "..."},
+//			50*time.Millisecond, 30*time.Second, func(s *Settings) *time.Duration { return &s.Platform.Timeout }),
+//	}
+//	ps := field.Read(fields, "node.ini", section, &s)
+package field
+
+import (
+	"fmt"
+	"slices"
+
+	"egrethaven/internal/state/inifile"
+	"egrethaven/internal/state/problem"
+)
+
+// About describes one key.
+type About struct {
+	// Section is the kind of section that the key belongs to.
+	Section string
+	Key     string
+	Unit    string
+	// Default is used when the key is not given; empty for the zero value.
+	Default string
+	// Allowed is the range in words.
+	Allowed  string
+	Help     string
+	Required bool
+	// Secret values are kept out of messages.
+	Secret bool
+}
+
+// Field is one key of a struct T.
+type Field[T any] struct {
+	About
+	// parse sets the value from text, false when the type is wrong.
+	parse func(*T, string) bool
+	// valid tells whether the value that is set is in range.
+	valid func(*T) bool
+}
+
+// Read sets the fields of t that belong to s, defaults included, and returns
+// every problem of the section.
+func Read[T any](fs []Field[T], file string, s inifile.Section, t *T) []problem.Problem {
+	var ps []problem.Problem
+	for _, k := range s.Keys {
+		known := func(f Field[T]) bool { return f.Section == s.Kind && f.Key == k.Name }
+		if !slices.ContainsFunc(fs, known) {
+			ps = append(ps, problem.Problem{File: file, Line: k.Line, Section: s.Header, Key: k.Name,
+				What: "key is not known", Allowed: Keys(fs, s.Kind)})
+		}
+	}
+	for _, f := range fs {
+		if f.Section != s.Kind {
+			continue
+		}
+		if p, ok := f.read(file, s, t); !ok {
+			ps = append(ps, p)
+		}
+	}
+	return ps
+}
+
+// read sets one field of t from s.
+func (f Field[T]) read(file string, s inifile.Section, t *T) (problem.Problem, bool) {
+	p := problem.Problem{File: file, Line: s.Line, Section: s.Header, Key: f.Key, Allowed: f.Allowed}
+	i := slices.IndexFunc(s.Keys, func(k inifile.Key) bool { return k.Name == f.Key })
+	if i < 0 && f.Required {
+		p.What = "key is missing"
+		return p, false
+	}
+	if i < 0 {
+		return p, f.Default == "" || f.parse(t, f.Default)
+	}
+	k := s.Keys[i]
+	p.Line = k.Line
+	shown := fmt.Sprintf("%q", k.Value)
+	if f.Secret {
+		shown = "the value"
+	}
+	if !f.parse(t, k.Value) {
+		p.What = shown + " cannot be read"
+		return p, false
+	}
+	p.What = shown + " is not allowed"
+	return p, f.valid(t)
+}
+
+// Check returns a problem for each field of t, in the section kind, whose
+// value is not allowed.
+func Check[T any](fs []Field[T], header string, t *T) []problem.Problem {
+	var ps []problem.Problem
+	for _, f := range fs {
+		if !f.valid(t) {
+			ps = append(ps, problem.Problem{Section: header, Key: f.Key, What: "the value is not allowed", Allowed: f.Allowed})
+		}
+	}
+	return ps
+}
+
+// Keys lists the keys of a kind of section in words.
+func Keys[T any](fs []Field[T], kind string) string {
+	var s string
+	for _, f := range fs {
+		if f.Section != kind {
+			continue
+		}
+		if s != "" {
+			s += ", "
+		}
+		s += f.Key
+	}
+	return s
+}
--- /dev/null
+++ b/internal/state/problem/problem.go
@@ -0,0 +1,70 @@
+// Package problem describes what is wrong in a file or value that an operator
+// wrote: where it is, what was found and what is allowed.
+//
+// # Usage
+//
+//	p := problem.Problem{File: "node.ini", Line: 7, Section: "limits", Key: "max_body",
+//		What: `"many" is not a whole number`, Allowed: "1024 to 1048576"}
+//	fmt.Println(p)
+package problem
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Problem is one thing that is wrong.
+type Problem struct {
+	File string `json:"file,omitempty"`
+	// Line counts from 1; 0 when the problem is in no single line.
+	Line    int    `json:"line,omitempty"`
+	Section string `json:"section,omitempty"`
+	Key     string `json:"key,omitempty"`
+	// What was found.
+	What string `json:"what"`
+	// Allowed says what would be right.
+	Allowed string `json:"allowed,omitempty"`
+}
+
+// String returns the problem on one line, led by its place.
+func (p Problem) String() string {
+	var b strings.Builder
+	if p.File != "" {
+		b.WriteString(p.File + ":")
+	}
+	if p.Line > 0 {
+		fmt.Fprintf(&b, "%d:", p.Line)
+	}
+	if b.Len() > 0 {
+		b.WriteByte(' ')
+	}
+	if p.Section != "" {
+		fmt.Fprintf(&b, "[%s] ", p.Section)
+	}
+	if p.Key != "" {
+		b.WriteString(p.Key + ": ")
+	}
+	b.WriteString(p.What)
+	if p.Allowed != "" {
+		b.WriteString("; allowed: " + p.Allowed)
+	}
+	return b.String()
+}
+
+// Sort orders problems by line, section and key.
+func Sort(ps []Problem) {
+	slices.SortStableFunc(ps, func(a, b Problem) int {
+		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Section, b.Section), cmp.Compare(a.Key, b.Key))
+	})
+}
+
+// Strings returns each problem in text.
+func Strings(ps []Problem) []string {
+	ss := make([]string, len(ps))
+	for i, p := range ps {
+		ss[i] = p.String()
+	}
+	return ss
+}
--- a/internal/state/search/definition.go
+++ b/internal/state/search/definition.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	d := search.Definition{Name: "warranty", Services: []string{"claims_desk", "old_ledger"}, ...}
+//	d := search.Definition{Name: "warranty", Service: "claims_desk", SchemaVersions: []int{1, 2}, ...}
 //	ps := d.Check()
 package search
 
--- /dev/null
+++ b/internal/state/search/fields.go
@@ -0,0 +1,149 @@
+package search
+
+import (
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"egrethaven/internal/state/field"
+)
+
+// kind is the first word of a definition's section header.
+const kind = "search"
+
+// The bounds of a definition.
+const (
+	maxVersions   = 8                     // schema versions
+	maxVersion    = 1 << 20               // number of a schema version
+	leastDeadline = 10 * time.Millisecond // shortest deadline
+	mostDeadline  = 60 * time.Second      // longest deadline
+	mostExtraLoad = 0.5                   // fraction of primary calls
+	mostLimit     = 10000                 // hits
+	mostShares    = 64                    // callers
+	longestText   = 200                   // bytes of canary text
+)
+
+// fields is the table of all keys of a definition.
+var fields = []field.Field[Definition]{
+	field.Name(field.About{Section: kind, Key: "service", Required: true,
+		Help: "service of backend servers that hold the index"},
+		func(d *Definition) *string { return &d.Service }),
+	field.Custom(field.About{Section: kind, Key: "schema_versions", Required: true,
+		Help: "schema versions of a record that are accepted, side by side"},
+		"1 to 8 different whole numbers from 1 to 1048576, parted by commas", parseVersions, validVersions),
+	field.OneOf(field.About{Section: kind, Key: "reconcile", Default: string(NewestRevision),
+		Help: "which record is kept when one key is found in several accepted schema versions"},
+		[]Reconcile{NewestRevision, NewestSchema}, func(d *Definition) *Reconcile { return &d.Reconcile }),
+	field.OneOf(field.About{Section: kind, Key: "prefer", Required: true,
+		Help: "what wins when the deadline nears"},
+		[]Preference{Coverage, Latency}, func(d *Definition) *Preference { return &d.Prefer }),
+	field.Duration(field.About{Section: kind, Key: "deadline", Required: true,
+		Help: "longest time for an answer; callers may ask for less"},
+		leastDeadline, mostDeadline, func(d *Definition) *time.Duration { return &d.Deadline }),
+	field.Float(field.About{Section: kind, Key: "extra_load", Unit: "fraction", Default: "0.02",
+		Help: "bound on hedges and retries as a fraction of primary calls"},
+		0, mostExtraLoad, func(d *Definition) *float64 { return &d.ExtraLoad }),
+	field.Int(field.About{Section: kind, Key: "max_limit", Unit: "hits", Default: "100",
+		Help: "largest number of hits that a caller may ask for"},
+		1, mostLimit, func(d *Definition) *int { return &d.MaxLimit }),
+	field.Bool(field.About{Section: kind, Key: "writes", Default: "false",
+		Help: "whether records can be registered"},
+		func(d *Definition) *bool { return &d.Writes }),
+	field.Custom(field.About{Section: kind, Key: "canary_text",
+		Help: "text of the tier's own query when there is no traffic"},
+		"at most 200 bytes on one line, without spaces at its ends, quotes, # or ;", parseCanary, validCanary),
+	field.Custom(field.About{Section: kind, Key: "shares", Unit: "fraction",
+		Help: "part of the search's capacity that a caller may use when callers compete"},
+		"caller:fraction, parted by commas; up to 64 different callers; fractions above 0, together at most 1",
+		parseShares, validShares),
+}
+
+// Reference returns the description of every key, in the order of the table.
+func Reference() []field.About {
+	out := make([]field.About, len(fields))
+	for i, f := range fields {
+		out[i] = f.About
+	}
+	return out
+}
+
+func parseVersions(d *Definition, s string) bool {
+	d.SchemaVersions = nil
+	for w := range strings.SplitSeq(s, ",") {
+		n, err := strconv.Atoi(strings.TrimSpace(w))
+		if err != nil {
+			return false
+		}
+		d.SchemaVersions = append(d.SchemaVersions, n)
+	}
+	return true
+}
+
+func validVersions(d *Definition) bool {
+	vs := slices.Sorted(slices.Values(d.SchemaVersions))
+	if len(vs) == 0 || len(vs) > maxVersions || vs[0] < 1 || vs[len(vs)-1] > maxVersion {
+		return false
+	}
+	return len(slices.Compact(vs)) == len(d.SchemaVersions)
+}
+
+func joinVersions(vs []int) string {
+	ws := make([]string, len(vs))
+	for i, v := range vs {
+		ws[i] = strconv.Itoa(v)
+	}
+	return strings.Join(ws, ", ")
+}
+
+func parseCanary(d *Definition, s string) bool {
+	d.CanaryText = s
+	return true
+}
+
+// validCanary keeps to texts that the INI form can carry.
+func validCanary(d *Definition) bool {
+	s := d.CanaryText
+	odd := strings.ContainsFunc(s, func(r rune) bool {
+		return r < ' ' || r == 0x7f || strings.ContainsRune("\"'`#;\\\u0085\u2028\u2029\ufeff", r)
+	})
+	return len(s) <= longestText && s == strings.TrimSpace(s) && !odd && strings.ToValidUTF8(s, "") == s
+}
+
+func parseShares(d *Definition, s string) bool {
+	d.Shares = nil
+	for w := range strings.SplitSeq(s, ",") {
+		caller, fraction, found := strings.Cut(strings.TrimSpace(w), ":")
+		f, err := strconv.ParseFloat(fraction, 64)
+		if !found || err != nil {
+			return false
+		}
+		d.Shares = append(d.Shares, Share{Caller: caller, Fraction: f})
+	}
+	return true
+}
+
+func validShares(d *Definition) bool {
+	if len(d.Shares) > mostShares {
+		return false
+	}
+	sum := 0.0
+	seen := make(map[string]bool, len(d.Shares))
+	for _, s := range d.Shares {
+		if !field.IsName(s.Caller) || seen[s.Caller] || math.IsNaN(s.Fraction) || s.Fraction <= 0 {
+			return false
+		}
+		seen[s.Caller] = true
+		sum += s.Fraction
+	}
+	return sum <= 1
+}
+
+func joinShares(ss []Share) string {
+	ws := make([]string, len(ss))
+	for i, s := range ss {
+		ws[i] = s.Caller + ":" + strconv.FormatFloat(s.Fraction, 'g', -1, 64)
+	}
+	return strings.Join(ws, ", ")
+}
--- /dev/null
+++ b/internal/state/search/parse_test.go
@@ -0,0 +1,87 @@
+package search_test
+
+import (
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+
+	"egrethaven/internal/state/problem"
+	"egrethaven/internal/state/search"
+)
+
+const good = `[search "a"]
+service = s
+schema_versions = 1, 2
+prefer = coverage
+deadline = 1s
+`
+
+func TestParseProblems(t *testing.T) {
+	for _, c := range []struct{ old, new, want string }{
+		{`"a"`, `"A b"`, "1: [search \"A b\"] section is not known"},
+		{"[search", "[serch", "1: [serch \"a\"] section is not known"},
+		{"1, 2", "1, 1", `3: [search "a"] schema_versions: "1, 1" is not allowed`},
+		{"1, 2", "1, x", `3: [search "a"] schema_versions: "1, x" cannot be read`},
+		{"prefer = coverage\n", "", `1: [search "a"] prefer: key is missing; allowed: coverage, latency`},
+		{"coverage", "both", `4: [search "a"] prefer: "both" is not allowed; allowed: coverage, latency`},
+		{"1s", "1h", `5: [search "a"] deadline: "1h" is not allowed`},
+		{"1s\n", "1s\nextra_load = 0.6\n", `6: [search "a"] extra_load: "0.6" is not allowed; allowed: a number from 0 to 0.5`},
+		{"1s\n", "1s\nextra_load = NaN\n", `6: [search "a"] extra_load: "NaN" cannot be read`},
+		{"1s\n", "1s\nshares = x:0.6, y:0.6\n", `6: [search "a"] shares:`},
+		{"1s\n", "1s\nwrites = yes\n", `6: [search "a"] writes: "yes" cannot be read; allowed: true or false`},
+	} {
+		_, ps := search.Parse("f", []byte(strings.Replace(good, c.old, c.new, 1)))
+		got := strings.Join(problem.Strings(ps), "\n")
+		if len(ps) != 1 || !strings.HasPrefix(got, "f:"+c.want) {
+			t.Errorf("%q: got %q, want %q", c.new, got, c.want)
+		}
+	}
+	if _, ps := search.Parse("f", nil); len(ps) != 1 {
+		t.Error("an empty file must be a problem")
+	}
+}
+
+func TestCheckIsAsStrict(t *testing.T) {
+	var d search.Definition
+	if got := len(d.Check()); got != 7 {
+		t.Errorf("%d problems: %v", got, d.Check())
+	}
+}
+
+func TestExamples(t *testing.T) {
+	for file, prefer := range map[string]search.Preference{"takasago": search.Coverage, "moisi": search.Latency} {
+		b, err := os.ReadFile("../../../examples/" + file + ".ini")
+		if err != nil {
+			t.Fatal(err)
+		}
+		ds, ps := search.Parse(file, b)
+		if len(ps) > 0 || len(ds) != 4 || ds[0].Prefer != prefer {
+			t.Error(file, ps, ds)
+		}
+	}
+}
+
+// FuzzParse holds that what is accepted passes Check and survives Format.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(good))
+	f.Add([]byte(good + "canary_text = \"x # y\"\nshares = a:0.5,b:1e-9\n"))
+	f.Add([]byte("[search \"a\"\n= ]\n`"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		ds, ps := search.Parse("f", b)
+		if len(ps) > 0 {
+			return
+		}
+		text := ""
+		for _, d := range ds {
+			if ps := d.Check(); len(ps) > 0 {
+				t.Fatal(ps)
+			}
+			text += d.Format()
+		}
+		again, ps := search.Parse("f", []byte(text))
+		if len(ps) > 0 || !reflect.DeepEqual(ds, again) {
+			t.Fatalf("%v\n%+v\n%+v", ps, ds, again)
+		}
+	})
+}
