--- /dev/null
+++ b/internal/query/admit/gate_test.go
@@ -0,0 +1,98 @@
+package admit
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"egrethaven/internal/query/outcome"
+	"egrethaven/internal/state/search"
+)
+
+// learn runs queries until the gate knows the mean elapsed time.
+func learn(g *Gate, mean time.Duration) {
+	for range windowQueries {
+		g.Enter(context.Background(), "other", time.Now().Add(time.Hour))
+		g.Leave("other", Feedback{Elapsed: mean})
+	}
+}
+
+func TestRefusesWhatCannotBeInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := New(Config{})
+		learn(g, 100*time.Millisecond)
+		deadline := time.Now().Add(200 * time.Millisecond)
+		for range initialLimit {
+			if o := g.Enter(context.Background(), "a", deadline); !o.OK() {
+				t.Fatalf("below the limit: %v", o)
+			}
+		}
+		if o := g.Enter(context.Background(), "b", time.Now().Add(90*time.Millisecond)); o != outcome.NotRun(outcome.Shed) {
+			t.Fatalf("hopeless query: %v", o)
+		}
+		if o := g.Enter(context.Background(), "b", deadline); o != outcome.NotRun(outcome.Shed) {
+			t.Fatalf("query that waited to its deadline: %v", o)
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+		defer cancel()
+		if o := g.Enter(ctx, "b", time.Now().Add(time.Hour)); o != outcome.NotRun(outcome.Canceled) {
+			t.Fatalf("canceled query: %v", o)
+		}
+		if _, n := g.Limit(); n != initialLimit || len(g.waiting) != 0 {
+			t.Fatalf("%d in flight, %d waiting", n, len(g.waiting))
+		}
+	})
+}
+
+func TestCallerOverItsShareStandsBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := New(Config{Shares: []search.Share{{Caller: "night_job", Fraction: 0.25}}})
+		learn(g, time.Millisecond)
+		for range initialLimit {
+			g.Enter(context.Background(), "night_job", time.Now().Add(time.Hour))
+		}
+		var order []string
+		enter := func(caller string, d time.Duration) {
+			if g.Enter(context.Background(), caller, time.Now().Add(d)).OK() {
+				order = append(order, caller)
+				g.Leave(caller, Feedback{Elapsed: time.Millisecond})
+			}
+		}
+		go enter("night_job", time.Hour)
+		synctest.Wait()
+		go enter("claims_desk", 2*time.Hour)
+		synctest.Wait()
+		g.Leave("night_job", Feedback{Elapsed: time.Millisecond})
+		synctest.Wait()
+		if len(order) != 2 || order[0] != "claims_desk" {
+			t.Fatalf("order of admission %v", order)
+		}
+	})
+}
+
+func TestLimitFallsUnderCongestionAndRecovers(t *testing.T) {
+	g := New(Config{})
+	run := func(elapsed time.Duration, congested bool, windows int) int {
+		for range windows * windowQueries {
+			g.m.Lock()
+			g.limit.observe(Feedback{Elapsed: elapsed, Congested: congested}, g.limit.current())
+			g.m.Unlock()
+		}
+		n, _ := g.Limit()
+		return n
+	}
+	grown := run(time.Second, false, 20)
+	if grown <= initialLimit {
+		t.Fatalf("limit %d after quiet windows", grown)
+	}
+	if n := run(3*time.Second, false, 20); n >= grown/2 {
+		t.Fatalf("limit %d with three times the elapsed time, was %d", n, grown)
+	}
+	if n := run(time.Second, true, 50); n != lowestLimit {
+		t.Fatalf("limit %d under congestion", n)
+	}
+	if n := run(time.Second, false, 50); n < grown {
+		t.Fatalf("limit %d after recovery, was %d", n, grown)
+	}
+}
