Add the way to a searcher: link, pool, backend, directory

Cause: the query engine needs the searchers and what they hold. Change: a link is one counted connection; a pool keeps the links of one searcher; a backend turns a call into an outcome; a directory reads the status pages and makes immutable maps whose versions are complete only if their ranges tile. Conclusion: the engine can be built on Search, Write, Map and Writers.

--- /dev/null
+++ b/internal/back/backend/backend.go
@@ -0,0 +1,215 @@
+package backend
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"egrethaven/internal/back/link"
+	"egrethaven/internal/back/pool"
+	"egrethaven/internal/back/searcher"
+	"egrethaven/internal/observe/event"
+	"egrethaven/internal/query/outcome"
+	"egrethaven/internal/world/vm"
+	"egrethaven/internal/world/zone"
+)
+
+// DefaultMaxLinks is the number of links when none is set.
+const DefaultMaxLinks = 4
+
+// Config describes a backend.
+type Config struct {
+	// VM is the searcher.
+	VM vm.VM
+	// MaxLinks is how many connections this node may use.
+	MaxLinks int
+	// WarmLinks is how many are kept open ahead of need.
+	WarmLinks int
+	// Link tells how links are opened; its Addr is taken from VM.
+	Link link.Config
+	// Events takes what happens; nil discards it.
+	Events event.Sink
+	// OnMapRevision is called when an answer shows that the searcher's
+	// shards changed. It must not block.
+	OnMapRevision func(id string)
+}
+
+// Backend is one searcher as this node sees it.
+type Backend struct {
+	c        Config
+	pool     *pool.Pool
+	wg       sync.WaitGroup
+	inFlight atomic.Int64
+	revision atomic.Uint64
+	dropped  atomic.Int64
+	mu       sync.Mutex
+	status   searcher.Status
+	draining bool
+	closed   bool
+	load     searcher.Load
+	loadAt   time.Time
+	latency  time.Duration
+}
+
+// New returns a backend and begins to open its warm links.
+func New(c Config) *Backend {
+	if c.MaxLinks <= 0 {
+		c.MaxLinks = DefaultMaxLinks
+	}
+	if c.Events == nil {
+		c.Events = event.Discard{}
+	}
+	c.Link.Addr = c.VM.Addr
+	b := &Backend{c: c}
+	b.pool = pool.New(pool.Config{Link: c.Link, Max: c.MaxLinks, Warm: c.WarmLinks})
+	return b
+}
+
+// ID returns the id of the searcher's VM.
+func (b *Backend) ID() string { return b.c.VM.ID }
+
+// Domain returns the searcher's failure domain.
+func (b *Backend) Domain() zone.Domain { return b.c.VM.Domain }
+
+// VM returns the searcher's VM.
+func (b *Backend) VM() vm.VM { return b.c.VM }
+
+// Dropped returns how many answers were dropped because they belonged to no
+// call of this node.
+func (b *Backend) Dropped() int64 { return b.dropped.Load() }
+
+// Links returns the counts of the searcher's links.
+func (b *Backend) Links() pool.Stats { return b.pool.Stats() }
+
+// SetMaxLinks changes how many connections this node may use.
+func (b *Backend) SetMaxLinks(n int) { b.pool.SetMax(n) }
+
+// Standing returns what is known of the searcher.
+func (b *Backend) Standing() Standing {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := Standing{Usable: true, InFlight: int(b.inFlight.Load()), Limit: b.c.MaxLinks,
+		Reported: aged(b.load, time.Since(b.loadAt)), Latency: b.latency, Weight: 1}
+	if b.draining {
+		s.Usable, s.Reason = false, outcome.Draining
+	}
+	return s
+}
+
+// Status returns what the searcher last said of itself.
+func (b *Backend) Status() searcher.Status {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.status
+}
+
+// SetStatus takes the searcher's status page. It lags, so it does not clear
+// what the searcher's own answers have shown.
+func (b *Backend) SetStatus(s searcher.Status) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.status = s
+	b.revision.Store(s.Load.MapRevision)
+	if s.Load.Draining {
+		b.draining = true
+	}
+}
+
+// Drain takes no new work and waits until the calls in progress have ended,
+// or ctx has.
+func (b *Backend) Drain(ctx context.Context) {
+	b.mu.Lock()
+	b.draining = true
+	b.mu.Unlock()
+	t := time.NewTicker(drainTick)
+	defer t.Stop()
+	for b.inFlight.Load() > 0 {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// drainTick is the time between two looks at the calls in progress.
+const drainTick = 10 * time.Millisecond
+
+// Close ends the calls in progress and waits for them.
+func (b *Backend) Close() {
+	b.mu.Lock()
+	b.closed = true
+	b.mu.Unlock()
+	b.pool.Close()
+	b.wg.Wait()
+}
+
+// begin counts a call in, unless the searcher takes no new work.
+func (b *Backend) begin() outcome.Reason {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch {
+	case b.closed:
+		return outcome.ShuttingDown
+	case b.draining:
+		return outcome.Draining
+	}
+	b.wg.Add(1)
+	b.inFlight.Add(1)
+	return outcome.None
+}
+
+// end counts a call out.
+func (b *Backend) end() {
+	b.inFlight.Add(-1)
+	b.wg.Done()
+}
+
+// take learns from the load that came with an answer or a refusal.
+func (b *Backend) take(l searcher.Load) {
+	b.mu.Lock()
+	b.load, b.loadAt = l, time.Now()
+	turned := l.Draining && !b.draining
+	if l.Draining {
+		b.draining = true
+	}
+	b.mu.Unlock()
+	if turned {
+		b.c.Events.Emit(event.SearcherDraining, b.ID(), "its own answer")
+	}
+	if b.revision.Swap(l.MapRevision) != l.MapRevision && b.c.OnMapRevision != nil {
+		b.c.OnMapRevision(b.ID())
+	}
+}
+
+// served learns from the service time of an answer.
+func (b *Backend) served(d time.Duration) {
+	const gain = 8
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.latency == 0 {
+		b.latency = d
+		return
+	}
+	b.latency += (d - b.latency) / gain
+}
+
+// loadHalfLife is how long it takes for a reported load to count half.
+const loadHalfLife = 100 * time.Millisecond
+
+// aged returns the load that l reported, less the longer ago it was.
+func aged(l searcher.Load, age time.Duration) float64 {
+	n := float64(l.InFlight + l.Queued)
+	return n / (1 + float64(age)/float64(loadHalfLife))
+}
+
+// remaining returns the time to the deadline of ctx in milliseconds, at
+// least 1.
+func remaining(ctx context.Context) int64 {
+	d, ok := ctx.Deadline()
+	if !ok {
+		return 0
+	}
+	return max(time.Until(d).Milliseconds(), 1)
+}
--- /dev/null
+++ b/internal/back/backend/backend_test.go
@@ -0,0 +1,136 @@
+package backend
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"egrethaven/internal/back/searcher"
+	"egrethaven/internal/query/keyrange"
+	"egrethaven/internal/query/outcome"
+	"egrethaven/internal/world/vm"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// serve returns a backend whose searcher answers with h.
+func serve(t *testing.T, h http.HandlerFunc) *Backend {
+	t.Helper()
+	s := httptest.NewServer(h)
+	b := New(Config{VM: vm.VM{ID: "s-1", Addr: s.Listener.Addr().String()}, MaxLinks: 2})
+	t.Cleanup(func() { b.Close(); s.Close() })
+	return b
+}
+
+// reply writes v as the answer.
+func reply(w http.ResponseWriter, status int, v any) {
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func query(attempt string) searcher.Query {
+	return searcher.Query{QueryID: "q", AttemptID: attempt, Version: 3, Range: keyrange.Whole, Limit: 1}
+}
+
+func within(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func TestSearchOutcomes(t *testing.T) {
+	b := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		var q searcher.Query
+		if json.NewDecoder(r.Body).Decode(&q) != nil || q.DeadlineMS <= 0 {
+			t.Error("bad request on the wire")
+		}
+		a := searcher.Answer{QueryID: q.QueryID, AttemptID: q.AttemptID, Version: q.Version, Range: q.Range, Total: 7}
+		switch q.AttemptID {
+		case "crossed":
+			a.AttemptID = "other"
+		case "newer":
+			a.Version++
+		case "narrower":
+			a.Range.Last--
+		case "shed":
+			reply(w, http.StatusServiceUnavailable, searcher.Refusal{AttemptID: q.AttemptID, Reason: outcome.Shed})
+			return
+		case "foreign refusal":
+			reply(w, http.StatusServiceUnavailable, searcher.Refusal{AttemptID: "other", Reason: outcome.Shed})
+			return
+		case "cut":
+			panic(http.ErrAbortHandler)
+		}
+		reply(w, http.StatusOK, a)
+	})
+	for attempt, want := range map[string]outcome.Outcome{
+		"good":            outcome.OK(),
+		"crossed":         outcome.Unknown(outcome.BadAnswer),
+		"newer":           outcome.Unknown(outcome.BadAnswer),
+		"narrower":        outcome.Unknown(outcome.BadAnswer),
+		"shed":            outcome.NotRun(outcome.Shed),
+		"foreign refusal": outcome.Unknown(outcome.BadAnswer),
+		"cut":             outcome.Unknown(outcome.ConnectionLost),
+	} {
+		r := b.Search(within(t), query(attempt))
+		if r.Outcome != want {
+			t.Errorf("%s: %v, want %v", attempt, r.Outcome, want)
+		}
+		if (r.Answer.Total == 7) != want.OK() {
+			t.Errorf("%s: answer handed on: %+v", attempt, r.Answer)
+		}
+	}
+	if n := b.Dropped(); n != 4 {
+		t.Errorf("%d answers dropped, want 4", n)
+	}
+}
+
+func TestCancelClosesTheConnection(t *testing.T) {
+	arrived, canceled := make(chan bool, 1), make(chan bool, 1)
+	b := serve(t, func(_ http.ResponseWriter, r *http.Request) {
+		_ = json.NewDecoder(r.Body).Decode(&searcher.Query{})
+		arrived <- true
+		<-r.Context().Done()
+		canceled <- true
+	})
+	ctx, cancel := context.WithCancel(within(t))
+	go func() { <-arrived; cancel() }()
+	if r := b.Search(ctx, query("a")); r.Outcome != outcome.Unknown(outcome.Canceled) {
+		t.Fatalf("outcome %v", r.Outcome)
+	}
+	<-canceled
+	if s := b.Links(); s.Used != 0 {
+		t.Fatalf("links after cancel: %+v", s)
+	}
+}
+
+func TestDrainingTakesNoNewWork(t *testing.T) {
+	b := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		var q searcher.Query
+		_ = json.NewDecoder(r.Body).Decode(&q)
+		reply(w, http.StatusOK, searcher.Answer{QueryID: q.QueryID, AttemptID: q.AttemptID, Version: q.Version,
+			Range: q.Range, Load: searcher.Load{Draining: true}})
+	})
+	if r := b.Search(within(t), query("a")); !r.Outcome.OK() {
+		t.Fatalf("outcome %v", r.Outcome)
+	}
+	b.SetStatus(searcher.Status{ID: "s-1"})
+	if r := b.Search(within(t), query("b")); r.Outcome != outcome.NotRun(outcome.Draining) {
+		t.Fatalf("outcome %v after the searcher said that it drains", r.Outcome)
+	}
+}
+
+func TestRefusedConnectionIsNotRun(t *testing.T) {
+	s := httptest.NewServer(http.NotFoundHandler())
+	s.Close()
+	b := New(Config{VM: vm.VM{ID: "s-1", Addr: s.Listener.Addr().String()}})
+	defer b.Close()
+	if r := b.Search(within(t), query("a")); r.Outcome != outcome.NotRun(outcome.ConnectionRefused) {
+		t.Fatalf("outcome %v", r.Outcome)
+	}
+}
--- /dev/null
+++ b/internal/back/backend/outcome.go
@@ -0,0 +1,60 @@
+package backend
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/juju/errors"
+
+	"egrethaven/internal/back/link"
+	"egrethaven/internal/back/pool"
+	"egrethaven/internal/back/searcher"
+	"egrethaven/internal/query/outcome"
+)
+
+// reasonOf returns why no link was had.
+func reasonOf(err error) outcome.Reason {
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
+		return outcome.Timeout
+	case errors.Is(err, context.Canceled):
+		return outcome.Canceled
+	case errors.Is(err, link.ErrSilent):
+		return outcome.ConnectionSilent
+	case errors.Is(err, link.ErrTooLarge):
+		return outcome.BadAnswer
+	case errors.Is(err, pool.ErrRefused):
+		return outcome.ConnectionRefused
+	}
+	return outcome.ConnectionLost
+}
+
+// lost returns the outcome of a call without an answer: not_run if no byte
+// of it left, else unknown.
+func lost(res link.Result) outcome.Outcome {
+	if !res.Sent {
+		return outcome.NotRun(reasonOf(res.Err))
+	}
+	return outcome.Unknown(reasonOf(res.Err))
+}
+
+// readRefusal reads the searcher's word that a request did not run. It is
+// believed only if it names the attempt and a known reason.
+func (b *Backend) readRefusal(attempt string, res link.Result) outcome.Outcome {
+	var f searcher.Refusal
+	if err := json.Unmarshal(res.Body, &f); err != nil || f.AttemptID != attempt || !refusing(f.Reason) {
+		return outcome.Unknown(outcome.BadAnswer)
+	}
+	b.take(f.Load)
+	return outcome.NotRun(f.Reason)
+}
+
+// refusing tells whether r is a reason with which a searcher may refuse.
+func refusing(r outcome.Reason) bool {
+	switch r {
+	case outcome.Shed, outcome.VersionGone, outcome.NoReplica, outcome.Draining, outcome.DeadlinePast,
+		outcome.BadRequest, outcome.Quarantined, outcome.ShuttingDown, outcome.NotReady, outcome.OverShare:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/back/backend/search.go
@@ -0,0 +1,79 @@
+package backend
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"egrethaven/internal/back/link"
+	"egrethaven/internal/back/searcher"
+	"egrethaven/internal/observe/event"
+	"egrethaven/internal/query/outcome"
+)
+
+// Search asks the searcher for the matches in one range. It waits for a link
+// while the deadline of ctx allows. When ctx ends first, the connection of
+// the call is closed, which cancels it at the searcher.
+func (b *Backend) Search(ctx context.Context, q searcher.Query) Reply {
+	start := time.Now()
+	var r Reply
+	if no := b.begin(); no != outcome.None {
+		r.Outcome = outcome.NotRun(no)
+		return r
+	}
+	defer b.end()
+	l, err := b.pool.Get(ctx)
+	if err != nil {
+		r.Outcome = outcome.NotRun(reasonOf(err))
+		r.Elapsed = time.Since(start)
+		return r
+	}
+	q.DeadlineMS = remaining(ctx)
+	body, err := json.Marshal(q)
+	if err != nil {
+		b.pool.Put(l)
+		return Reply{Outcome: outcome.NotRun(outcome.BadRequest)}
+	}
+	res := l.Call(ctx, http.MethodPost, searcher.SearchPath, body)
+	r.Outcome = b.readSearch(q, res, &r.Answer)
+	r.Service = res.Service
+	b.finish(l, r.Outcome, res)
+	r.Elapsed = time.Since(start)
+	return r
+}
+
+// readSearch turns the result of a call into an outcome and an answer.
+func (b *Backend) readSearch(q searcher.Query, res link.Result, a *searcher.Answer) outcome.Outcome {
+	if res.Err != nil {
+		return lost(res)
+	}
+	if res.Status != http.StatusOK {
+		return b.readRefusal(q.AttemptID, res)
+	}
+	if err := json.Unmarshal(res.Body, a); err != nil || !echoes(q, a) {
+		*a = searcher.Answer{}
+		return outcome.Unknown(outcome.BadAnswer)
+	}
+	b.take(a.Load)
+	b.served(res.Service)
+	return outcome.OK()
+}
+
+// echoes tells whether a is the answer to q.
+func echoes(q searcher.Query, a *searcher.Answer) bool {
+	return a.QueryID == q.QueryID && a.AttemptID == q.AttemptID && a.Version == q.Version && a.Range == q.Range
+}
+
+// finish gives the link back. A link that brought a wrong answer is closed.
+func (b *Backend) finish(l *link.Link, o outcome.Outcome, res link.Result) {
+	if o.Reason == outcome.BadAnswer {
+		b.dropped.Add(1)
+		b.c.Events.Emit(event.AnswerDropped, b.ID(), "answer to no call of this node")
+		l.Close()
+	}
+	if o.Reason == outcome.ConnectionLost {
+		b.c.Events.Emit(event.LinkLost, b.ID(), res.Err.Error())
+	}
+	b.pool.Put(l)
+}
--- /dev/null
+++ b/internal/back/directory/directory.go
@@ -0,0 +1,303 @@
+package directory
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"egrethaven/internal/back/backend"
+	"egrethaven/internal/back/searcher"
+	"egrethaven/internal/observe/event"
+	"egrethaven/internal/world/vm"
+	"egrethaven/internal/world/zone"
+)
+
+const (
+	// DefaultInterval is the mean time between two reads of a status page.
+	DefaultInterval = time.Second
+	// DefaultListInterval is the time between two looks at the VM list.
+	DefaultListInterval = 200 * time.Millisecond
+	// leastInterval is the shortest time between two reads of one page.
+	leastInterval = 20 * time.Millisecond
+	// pollTimeout bounds one read of a status page.
+	pollTimeout = 2 * time.Second
+	// drainTimeout is how long the calls on a removed searcher may go on.
+	drainTimeout = 5 * time.Second
+)
+
+// Config describes a directory.
+type Config struct {
+	// VMs returns the platform's list and its age.
+	VMs func() ([]vm.VM, time.Duration)
+	// Self is the failure domain of this node.
+	Self zone.Domain
+	// Events takes what happens; nil discards it.
+	Events event.Sink
+	// Backend is the pattern for new backends; VM and the hooks are filled in.
+	Backend backend.Config
+	// Interval is the mean time between two reads of a status page.
+	Interval time.Duration
+	// ListInterval is the time between two looks at the VM list.
+	ListInterval time.Duration
+	// Seed drives the jitter.
+	Seed uint64
+}
+
+// Directory knows the searchers and what they hold.
+type Directory struct {
+	c        Config
+	ctx      context.Context
+	stop     context.CancelFunc
+	wg       sync.WaitGroup
+	maps     atomic.Pointer[map[string]*Map]
+	byID     atomic.Pointer[map[string]*backend.Backend]
+	statuses chan report
+	changed  chan string
+	rand     *rand.Rand
+	entries  map[string]*entry
+}
+
+// entry is one searcher as the control goroutine keeps it.
+type entry struct {
+	b       *backend.Backend
+	status  searcher.Status
+	known   bool
+	polling bool
+	again   bool
+	due     time.Time
+	last    time.Time
+}
+
+// report is the end of one read of a status page.
+type report struct {
+	id     string
+	status searcher.Status
+	err    error
+}
+
+// New returns a directory and begins to read the list and the status pages.
+func New(c Config) *Directory {
+	if c.Events == nil {
+		c.Events = event.Discard{}
+	}
+	if c.Interval <= 0 {
+		c.Interval = DefaultInterval
+	}
+	if c.ListInterval <= 0 {
+		c.ListInterval = DefaultListInterval
+	}
+	d := &Directory{c: c, statuses: make(chan report), changed: make(chan string, 256),
+		rand: rand.New(rand.NewPCG(c.Seed, 0)), entries: map[string]*entry{}}
+	d.maps.Store(&map[string]*Map{})
+	d.byID.Store(&map[string]*backend.Backend{})
+	d.ctx, d.stop = context.WithCancel(context.Background())
+	d.wg.Go(d.run)
+	return d
+}
+
+// Map returns what is known of a service's index. It is never nil.
+func (d *Directory) Map(service string) *Map {
+	if m, ok := (*d.maps.Load())[service]; ok {
+		return m
+	}
+	return &Map{}
+}
+
+// Writers returns the searchers of a service that take records.
+func (d *Directory) Writers(service string) []*backend.Backend {
+	return d.Map(service).writers
+}
+
+// Backend returns the searcher with the given id, or nil.
+func (d *Directory) Backend(id string) *backend.Backend {
+	return (*d.byID.Load())[id]
+}
+
+// Backends returns all searchers, in the order of their ids.
+func (d *Directory) Backends() []*backend.Backend {
+	m := *d.byID.Load()
+	bs := make([]*backend.Backend, 0, len(m))
+	for _, b := range m {
+		bs = append(bs, b)
+	}
+	slices.SortFunc(bs, byID)
+	return bs
+}
+
+// Close ends all calls, closes all backends and waits for every goroutine.
+func (d *Directory) Close() {
+	d.stop()
+	d.wg.Wait()
+}
+
+// run is the control goroutine.
+func (d *Directory) run() {
+	t := time.NewTimer(0)
+	defer t.Stop()
+	var nextList time.Time
+	for {
+		select {
+		case <-d.ctx.Done():
+			d.closeAll()
+			return
+		case r := <-d.statuses:
+			d.take(r)
+		case id := <-d.changed:
+			d.hurry(id)
+		case <-t.C:
+		}
+		now := time.Now()
+		if !now.Before(nextList) {
+			d.list()
+			nextList = now.Add(d.c.ListInterval)
+		}
+		t.Reset(time.Until(d.poll(now, nextList)))
+	}
+}
+
+// list reconciles the backends with the platform's list.
+func (d *Directory) list() {
+	vms, _ := d.c.VMs()
+	seen := make(map[string]bool, len(vms))
+	turned := false
+	for _, v := range vms {
+		if v.Role != vm.Searcher {
+			continue
+		}
+		seen[v.ID] = true
+		turned = d.ensure(v) || turned
+	}
+	for id, e := range d.entries {
+		if !seen[id] {
+			d.remove(id, e)
+			turned = true
+		}
+	}
+	if turned {
+		d.rebuild()
+	}
+}
+
+// ensure adds the searcher of v if it is new or has moved.
+func (d *Directory) ensure(v vm.VM) bool {
+	e, ok := d.entries[v.ID]
+	if ok && e.b.VM().Addr == v.Addr {
+		return false
+	}
+	if ok {
+		d.remove(v.ID, e)
+	}
+	c := d.c.Backend
+	c.VM, c.Events, c.OnMapRevision = v, d.c.Events, d.wake
+	d.entries[v.ID] = &entry{b: backend.New(c)}
+	d.c.Events.Emit(event.SearcherFound, v.ID, v.Addr)
+	return true
+}
+
+// remove takes a searcher out of the maps, and closes it once its calls have
+// ended.
+func (d *Directory) remove(id string, e *entry) {
+	delete(d.entries, id)
+	d.c.Events.Emit(event.SearcherGone, id, "no longer listed")
+	d.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(d.ctx, drainTimeout)
+		defer cancel()
+		e.b.Drain(ctx)
+		e.b.Close()
+	})
+}
+
+// wake asks for an early read of a searcher's status page.
+func (d *Directory) wake(id string) {
+	select {
+	case d.changed <- id:
+	default:
+	}
+}
+
+// hurry makes the status page of a searcher due.
+func (d *Directory) hurry(id string) {
+	e, ok := d.entries[id]
+	if !ok {
+		return
+	}
+	if e.polling {
+		e.again = true
+		return
+	}
+	e.due = e.last.Add(leastInterval)
+}
+
+// poll starts the reads that are due, and returns when the next one is.
+func (d *Directory) poll(now, next time.Time) time.Time {
+	for id, e := range d.entries {
+		if e.polling {
+			continue
+		}
+		if now.Before(e.due) {
+			if e.due.Before(next) {
+				next = e.due
+			}
+			continue
+		}
+		e.polling, e.last = true, now
+		d.wg.Go(func() { d.read(id, e.b) })
+	}
+	return next
+}
+
+// read reads one status page.
+func (d *Directory) read(id string, b *backend.Backend) {
+	ctx, cancel := context.WithTimeout(d.ctx, pollTimeout)
+	defer cancel()
+	s, err := b.Poll(ctx)
+	select {
+	case d.statuses <- report{id: id, status: s, err: err}:
+	case <-d.ctx.Done():
+	}
+}
+
+// take keeps a status and builds new maps if it changed the shards.
+func (d *Directory) take(r report) {
+	e, ok := d.entries[r.id]
+	if !ok {
+		return
+	}
+	e.polling = false
+	e.due = e.last.Add(d.jittered())
+	if e.again {
+		e.again = false
+		e.due = e.last.Add(leastInterval)
+	}
+	if r.err != nil {
+		return
+	}
+	was := e.status
+	e.status, e.known = r.status, true
+	if !sameShards(was, r.status) {
+		d.rebuild()
+	}
+}
+
+// jittered returns the interval, a quarter more or less.
+func (d *Directory) jittered() time.Duration {
+	return time.Duration(float64(d.c.Interval) * (0.75 + d.rand.Float64()/2))
+}
+
+// sameShards tells whether two statuses lead to the same map.
+func sameShards(a, b searcher.Status) bool {
+	return a.Service == b.Service && a.Writes == b.Writes && a.Load.Draining == b.Load.Draining &&
+		slices.EqualFunc(a.Holdings, b.Holdings, func(x, y searcher.Holding) bool {
+			return x.Version == y.Version && slices.Equal(x.Ranges, y.Ranges)
+		})
+}
+
+// closeAll closes every backend.
+func (d *Directory) closeAll() {
+	for _, e := range d.entries {
+		e.b.Close()
+	}
+}
