--- /dev/null
+++ b/internal/standin/dataset/truth.go
@@ -0,0 +1,183 @@
+package dataset
+
+import (
+	"slices"
+	"sync"
+
+	"egrethaven/internal/query/keyrange"
+	"egrethaven/internal/query/record"
+)
+
+// Config describes the first version of an index.
+type Config struct {
+	Records []record.Record
+	// Ranges are the shards; they have to tile the key space.
+	Ranges []keyrange.Range
+}
+
+// Truth is what an index held and what ran against it. It is safe for use by
+// many goroutines.
+type Truth struct {
+	mu       sync.RWMutex
+	versions []*version // the version numbered n is at n-1
+	pending  []record.Record
+	runs     map[string]int
+	double   int
+	revision uint64
+	ran      sync.Map // query id -> struct{}
+}
+
+// version is the content of an index at one time.
+type version struct {
+	ranges []keyrange.Range
+	groups []group
+}
+
+// group holds the records of one key, in every schema version.
+type group struct {
+	point   uint64
+	key     string
+	records []record.Record
+}
+
+// New returns the truth of an index whose version 1 holds c.Records.
+func New(c Config) *Truth {
+	if !keyrange.Tile(c.Ranges) {
+		panic("dataset: ranges do not tile the key space")
+	}
+	t := &Truth{runs: map[string]int{}}
+	for _, r := range c.Records {
+		t.revision = max(t.revision, r.Revision)
+	}
+	t.versions = []*version{{ranges: slices.Clone(c.Ranges), groups: groups(c.Records)}}
+	return t
+}
+
+// Newest returns the number of the newest version.
+func (t *Truth) Newest() uint64 {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return uint64(len(t.versions))
+}
+
+// Ranges returns the shards of a version.
+func (t *Truth) Ranges(number uint64) []keyrange.Range {
+	if v := t.version(number); v != nil {
+		return slices.Clone(v.ranges)
+	}
+	return nil
+}
+
+// Publish makes a version with other shards (nil keeps them), which holds
+// the records registered since the last one. With touch, every record gets a
+// higher revision, so that records of two versions can be told apart.
+func (t *Truth) Publish(ranges []keyrange.Range, touch bool) uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	last := t.versions[len(t.versions)-1]
+	if ranges == nil {
+		ranges = last.ranges
+	}
+	if !keyrange.Tile(ranges) {
+		panic("dataset: ranges do not tile the key space")
+	}
+	v := &version{ranges: slices.Clone(ranges), groups: last.groups}
+	if touch || len(t.pending) > 0 {
+		v.groups = groups(append(last.all(touch), t.pending...))
+	}
+	if touch {
+		t.revision++
+	}
+	t.pending = nil
+	t.versions = append(t.versions, v)
+	return uint64(len(t.versions))
+}
+
+// Pending returns the number of records registered since the newest version.
+func (t *Truth) Pending() int {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return len(t.pending)
+}
+
+// version returns the version with the given number, or nil.
+func (t *Truth) version(number uint64) *version {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	if number == 0 || number > uint64(len(t.versions)) {
+		return nil
+	}
+	return t.versions[number-1]
+}
+
+// all returns the records of v, with a revision one higher if touch is set.
+func (v *version) all(touch bool) []record.Record {
+	var rs []record.Record
+	for _, g := range v.groups {
+		for _, r := range g.records {
+			if touch {
+				r.Revision++
+			}
+			rs = append(rs, r)
+		}
+	}
+	return rs
+}
+
+// in returns the groups of v whose points lie in r.
+func (v *version) in(r keyrange.Range) []group {
+	byPoint := func(g group, p uint64) int {
+		if g.point < p {
+			return -1
+		}
+		return 1
+	}
+	first, _ := slices.BinarySearchFunc(v.groups, r.First, byPoint)
+	last := len(v.groups)
+	if r.Last+1 != 0 {
+		last, _ = slices.BinarySearchFunc(v.groups, r.Last+1, byPoint)
+	}
+	return v.groups[first:last]
+}
+
+// find returns the group of a key.
+func (v *version) find(key string) (group, bool) {
+	p := keyrange.Point(key)
+	for _, g := range v.in(keyrange.Range{First: p, Last: p}) {
+		if g.key == key {
+			return g, true
+		}
+	}
+	return group{}, false
+}
+
+// groups sorts records into groups by key. Of several records of a key with
+// one schema version it keeps the newest.
+func groups(rs []record.Record) []group {
+	byKey := map[string]*group{}
+	for _, r := range rs {
+		g := byKey[r.Key]
+		if g == nil {
+			g = &group{point: keyrange.Point(r.Key), key: r.Key}
+			byKey[r.Key] = g
+		}
+		i := slices.IndexFunc(g.records, func(o record.Record) bool { return o.SchemaVersion == r.SchemaVersion })
+		switch {
+		case i < 0:
+			g.records = append(g.records, r)
+		case g.records[i].Revision < r.Revision:
+			g.records[i] = r
+		}
+	}
+	gs := make([]group, 0, len(byKey))
+	for _, g := range byKey {
+		gs = append(gs, *g)
+	}
+	slices.SortFunc(gs, func(a, b group) int {
+		if a.point != b.point {
+			return keyrange.Range{First: a.point}.Compare(keyrange.Range{First: b.point})
+		}
+		return slices.Compare([]byte(a.key), []byte(b.key))
+	})
+	return gs
+}
--- /dev/null
+++ b/internal/standin/searcher/searcher_test.go
@@ -0,0 +1,201 @@
+package searcher_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"testing"
+	"time"
+
+	back "egrethaven/internal/back/searcher"
+	"egrethaven/internal/query/keyrange"
+	"egrethaven/internal/query/outcome"
+	"egrethaven/internal/query/record"
+	"egrethaven/internal/standin/dataset"
+	"egrethaven/internal/standin/searcher"
+
+	"go.uber.org/goleak"
+)
+
+// giveUp bounds the wait for an event.
+const giveUp = 20 * time.Second
+
+func start(t *testing.T, c searcher.Config) (*searcher.Searcher, *http.Client) {
+	t.Helper()
+	goleak.VerifyNone(t)
+	c.Truth = dataset.New(dataset.Config{Records: dataset.Jobs(), Ranges: keyrange.Split(1)})
+	c.Writes = true
+	c.Poison = "poison"
+	s, err := searcher.New(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &http.Client{Transport: &http.Transport{}, Timeout: giveUp}
+	t.Cleanup(func() {
+		h.CloseIdleConnections()
+		s.Close()
+		goleak.VerifyNone(t)
+	})
+	s.Hold(back.Holding{Version: 1, Ranges: keyrange.Split(1)})
+	return s, h
+}
+
+func post(h *http.Client, s *searcher.Searcher, path string, in, out any) (int, error) {
+	b, err := json.Marshal(in)
+	if err != nil {
+		return 0, err
+	}
+	r, err := h.Post("http://"+s.Addr()+path, "application/json", bytes.NewReader(b))
+	if err != nil {
+		return 0, err
+	}
+	defer r.Body.Close()
+	return r.StatusCode, json.NewDecoder(r.Body).Decode(out)
+}
+
+func query(text string) back.Query {
+	return back.Query{
+		QueryID: "q", AttemptID: "a", Version: 1, Range: keyrange.Whole,
+		SchemaVersions: []int{2}, Text: text, Limit: 3, DeadlineMS: giveUp.Milliseconds(),
+	}
+}
+
+func until(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(giveUp); !f(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("gave up waiting: " + what)
+		}
+	}
+}
+
+func TestSearchAndRefusals(t *testing.T) {
+	s, h := start(t, searcher.Config{Slots: 2})
+	var a back.Answer
+	if code, err := post(h, s, back.SearchPath, query("Otaru"), &a); code != http.StatusOK || err != nil {
+		t.Fatal(code, err)
+	}
+	if len(a.Hits) != 3 || a.Total <= 3 || a.AttemptID != "a" || a.Hits[0].Score != 1 {
+		t.Fatalf("answer %+v", a)
+	}
+	q := query("Otaru")
+	q.Version = 2
+	var r back.Refusal
+	if code, _ := post(h, s, back.SearchPath, q, &r); code != http.StatusConflict || r.Reason != outcome.VersionGone {
+		t.Fatalf("%d %+v", code, r)
+	}
+	s.Drain(0)
+	if code, _ := post(h, s, back.SearchPath, query(""), &r); code != http.StatusServiceUnavailable || r.Reason != outcome.Draining || !r.Load.Draining {
+		t.Fatalf("%d %+v", code, r)
+	}
+	if st := s.Stats(); st.Requests != 3 || st.Refused != 2 {
+		t.Fatalf("%+v", st)
+	}
+}
+
+func TestQueueIsBounded(t *testing.T) {
+	s, h := start(t, searcher.Config{Slots: 1, Queue: 1, Time: searcher.Time{Median: time.Hour}})
+	h.Timeout = 0
+	codes := make(chan int, 3)
+	for range 3 {
+		go func() {
+			var r back.Refusal
+			code, _ := post(h, s, back.SearchPath, query(""), &r)
+			codes <- code
+		}()
+	}
+	if code := <-codes; code != http.StatusServiceUnavailable {
+		t.Fatal(code)
+	}
+	until(t, "one in a slot, one queued", func() bool { l := s.Load(); return l.InFlight == 1 && l.Queued == 1 })
+	h.Transport.(*http.Transport).CloseIdleConnections()
+	s.Crash(0)
+	<-codes
+	<-codes
+	until(t, "slot freed by lost connection", func() bool { return s.Load().InFlight == 0 })
+}
+
+func TestConnectionLimit(t *testing.T) {
+	s, h := start(t, searcher.Config{Slots: 1, MaxConnections: 1})
+	if code, err := post(h, s, back.SearchPath, query(""), &back.Answer{}); code != http.StatusOK {
+		t.Fatal(err)
+	}
+	other := &http.Client{Transport: &http.Transport{}}
+	defer other.CloseIdleConnections()
+	var r back.Refusal
+	if code, _ := post(other, s, back.SearchPath, query(""), &r); code != http.StatusServiceUnavailable || r.Reason != outcome.ConnectionRefused {
+		t.Fatalf("%d %+v", code, r)
+	}
+	h.CloseIdleConnections()
+	until(t, "connection given back", func() bool {
+		code, _ := post(other, s, back.SearchPath, query(""), &back.Answer{})
+		return code == http.StatusOK
+	})
+}
+
+func TestPoisonCrashesAndReturns(t *testing.T) {
+	s, h := start(t, searcher.Config{Slots: 1, PoisonDown: time.Millisecond})
+	if code, err := post(h, s, back.SearchPath, query("poison"), &back.Answer{}); err == nil {
+		t.Fatal("answered", code)
+	}
+	until(t, "back after the crash", func() bool {
+		code, _ := post(h, s, back.SearchPath, query(""), &back.Answer{})
+		return code == http.StatusOK
+	})
+	if st := s.Stats(); st.Crashes != 1 {
+		t.Fatalf("%+v", st)
+	}
+}
+
+func TestSilenceAndFreeze(t *testing.T) {
+	s, h := start(t, searcher.Config{Slots: 1})
+	if code, err := post(h, s, back.SearchPath, query(""), &back.Answer{}); code != http.StatusOK {
+		t.Fatal(err)
+	}
+	s.Silence()
+	silent := make(chan error, 1)
+	go func() {
+		_, err := post(h, s, back.SearchPath, query(""), &back.Answer{})
+		silent <- err
+	}()
+	other := &http.Client{Transport: &http.Transport{}, Timeout: giveUp}
+	defer other.CloseIdleConnections()
+	if code, err := post(other, s, back.SearchPath, query(""), &back.Answer{}); code != http.StatusOK {
+		t.Fatal(err)
+	}
+	s.Freeze(true)
+	frozen := make(chan int, 1)
+	go func() {
+		code, _ := post(other, s, back.SearchPath, query(""), &back.Answer{})
+		frozen <- code
+	}()
+	select {
+	case <-silent:
+		t.Fatal("silent connection answered")
+	case <-frozen:
+		t.Fatal("frozen searcher answered")
+	case <-time.After(20 * time.Millisecond):
+	}
+	s.Freeze(false)
+	if code := <-frozen; code != http.StatusOK {
+		t.Fatal(code)
+	}
+	s.Crash(0)
+	if err := <-silent; err == nil {
+		t.Fatal("silent connection answered")
+	}
+}
+
+func TestWriteCountsRuns(t *testing.T) {
+	s, h := start(t, searcher.Config{Slots: 1})
+	w := back.Write{AttemptID: "a", IdempotencyKey: "k", Record: record.Record{Key: "J-1"}, DeadlineMS: giveUp.Milliseconds()}
+	var a back.WriteAnswer
+	for range 2 {
+		if code, err := post(h, s, back.WritePath, w, &a); code != http.StatusOK || !a.Accepted || a.Revision == 0 {
+			t.Fatalf("%d %v %+v", code, err, a)
+		}
+	}
+	if st := s.Stats(); st.Writes != 2 {
+		t.Fatalf("%+v", st)
+	}
+}
