--- a/internal/standin/searcher/handler.go
+++ b/internal/standin/searcher/handler.go
@@ -52,7 +52,7 @@
 	}
 	s.c.Truth.MarkRan(q.QueryID)
 	if s.poisoned(q.Text) || !s.work(ctx) {
-		gone(w, ctx)
+		gone(ctx, w)
 		return
 	}
 	hits, total := s.c.Truth.Search(q.Version, q.Range, dataset.Request{
@@ -89,7 +89,7 @@
 		poison = poison || s.poisoned(v)
 	}
 	if poison || !s.work(ctx) {
-		gone(w, ctx)
+		gone(ctx, w)
 		return
 	}
 	a := back.WriteAnswer{AttemptID: q.AttemptID, Accepted: ok, Revision: rev, Load: s.Load()}
@@ -169,7 +169,7 @@
 
 // gone ends a request that ran without an answer: past its deadline, or
 // because the searcher stopped.
-func gone(w http.ResponseWriter, ctx context.Context) {
+func gone(ctx context.Context, w http.ResponseWriter) {
 	if ctx.Err() == context.DeadlineExceeded {
 		http.Error(w, "deadline passed while the request ran", http.StatusGatewayTimeout)
 		return
