--- /dev/null
+++ b/internal/node/source/source.go
@@ -0,0 +1,93 @@
+// Package source shows the directory of backend servers to the query engine.
+//
+// The directory's maps are immutable, so each is converted once and kept
+// until the next one replaces it.
+//
+// # Usage
+//
+//	s := source.New(source.Config{Map: d.Map})
+//	e := scatter.New(scatter.Config{Source: s, ...})
+package source
+
+import (
+	"sync"
+
+	"egrethaven/internal/back/directory"
+	"egrethaven/internal/query/scatter"
+)
+
+// Config describes a Source.
+type Config struct {
+	// Map returns the current map of a service.
+	Map func(service string) *directory.Map
+}
+
+// Source is a scatter.Source over a directory. It is safe for concurrent use.
+type Source struct {
+	c     Config
+	m     sync.Mutex
+	views map[string]*view
+}
+
+// view is one map as the engine sees it.
+type view struct {
+	m      *directory.Map
+	newest uint64
+	once   sync.Mutex
+	shards map[uint64][]scatter.Shard
+}
+
+// New returns a source.
+func New(c Config) *Source {
+	return &Source{c: c, views: make(map[string]*view)}
+}
+
+// Index returns the current index of a service.
+func (s *Source) Index(service string) scatter.Index {
+	m := s.c.Map(service)
+	s.m.Lock()
+	defer s.m.Unlock()
+	v := s.views[service]
+	if v == nil || v.m != m {
+		v = newView(m)
+		s.views[service] = v
+	}
+	return v
+}
+
+// newView returns the view of a map.
+func newView(m *directory.Map) *view {
+	v := &view{m: m, shards: make(map[uint64][]scatter.Shard)}
+	if len(m.Versions) > 0 {
+		v.newest = m.Versions[0]
+	}
+	if len(m.Incomplete) > 0 {
+		v.newest = max(v.newest, m.Incomplete[0])
+	}
+	return v
+}
+
+// Versions whose ranges tile the key space, newest first.
+func (v *view) Versions() []uint64 { return v.m.Versions }
+
+// Newest is the newest version seen, complete or not.
+func (v *view) Newest() uint64 { return v.newest }
+
+// Shards of a version, in order of their ranges.
+func (v *view) Shards(version uint64) []scatter.Shard {
+	v.once.Lock()
+	defer v.once.Unlock()
+	if ss, ok := v.shards[version]; ok {
+		return ss
+	}
+	ds := v.m.Shards(version)
+	ss := make([]scatter.Shard, len(ds))
+	for i, d := range ds {
+		ss[i] = scatter.Shard{Range: d.Range, Replicas: make([]scatter.Replica, len(d.Replicas))}
+		for k, b := range d.Replicas {
+			ss[i].Replicas[k] = b
+		}
+	}
+	v.shards[version] = ss
+	return ss
+}
--- /dev/null
+++ b/internal/query/scatter/call.go
@@ -0,0 +1,332 @@
+package scatter
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"egrethaven/internal/back/backend"
+	"egrethaven/internal/back/searcher"
+	"egrethaven/internal/observe/event"
+	"egrethaven/internal/query/outcome"
+)
+
+// result is the end of one call.
+type result struct {
+	shard   int
+	replica int
+	attempt int
+	reply   backend.Reply
+}
+
+// pick chooses a replica of a shard that was not tried in this round, or -1.
+func (r *run) pick(i int) int {
+	s := &r.shards[i]
+	if r.e.c.Policy.Random {
+		return r.pickRandom(s)
+	}
+	return r.pickBest(s)
+}
+
+// pickRandom chooses uniformly among the replicas that were not tried.
+func (r *run) pickRandom(s *shardState) int {
+	best, n := -1, 0
+	for i := range s.Replicas {
+		if s.wasTried(i) {
+			continue
+		}
+		n++
+		if r.rand.IntN(n) == 0 {
+			best = i
+		}
+	}
+	return best
+}
+
+// pickBest chooses the better of two random usable replicas of this failure
+// domain, or of another one when the range is uncovered at home.
+func (r *run) pickBest(s *shardState) int {
+	if i := r.pickWhere(s, true); i >= 0 {
+		return i
+	}
+	return r.pickWhere(s, false)
+}
+
+// pickWhere chooses at home or elsewhere.
+func (r *run) pickWhere(s *shardState, home bool) int {
+	best, bestLoad := -1, 0.0
+	offset := r.rand.IntN(len(s.Replicas) + 1)
+	seen := 0
+	for k := range s.Replicas {
+		i := (k + offset) % len(s.Replicas)
+		p := s.Replicas[i]
+		if s.wasTried(i) || (p.Domain() == r.e.c.Home) != home {
+			continue
+		}
+		st := p.Standing()
+		if !st.Usable || st.Weight < 1 && r.rand.Float64() >= st.Weight {
+			s.last = cmpReason(s.last, st.Reason)
+			continue
+		}
+		load := float64(st.InFlight) + st.Reported
+		if best < 0 || load < bestLoad {
+			best, bestLoad = i, load
+		}
+		if seen++; seen == 2 {
+			break
+		}
+	}
+	return best
+}
+
+// cmpReason keeps the first reason that was named.
+func cmpReason(a, b outcome.Reason) outcome.Reason {
+	if a != outcome.None {
+		return a
+	}
+	return b
+}
+
+// call sends the next call of a shard. It reports false when no replica is
+// left.
+func (r *run) call(i int, what string) bool {
+	k := r.pick(i)
+	if k < 0 {
+		return false
+	}
+	r.callReplica(i, k, what)
+	return true
+}
+
+// callReplica sends a call to one replica.
+func (r *run) callReplica(i, k int, what string) {
+	s := &r.shards[i]
+	p := s.Replicas[k]
+	s.tried |= 1 << uint(k%64)
+	s.attempts++
+	q := r.query(i, s)
+	c, cancel := context.WithCancel(r.ctx)
+	s.flights = append(s.flights, flight{attempt: s.attempts, began: time.Now(), cancel: cancel})
+	r.step(what, p.ID(), s.Range.String(), "")
+	res := result{shard: i, replica: k, attempt: s.attempts}
+	out, over := r.results, r.ctx.Done()
+	r.e.calls.Add(1)
+	go func() {
+		defer r.e.calls.Done()
+		res.reply = p.Search(c, q)
+		select {
+		case out <- res:
+		case <-over:
+		}
+	}()
+}
+
+// query is the message for the next call of a shard.
+func (r *run) query(i int, s *shardState) searcher.Query {
+	attempt := r.ask.QueryID + "." + strconv.Itoa(r.restarts) + "." + strconv.Itoa(i) + "." + strconv.Itoa(s.attempts)
+	return searcher.Query{
+		QueryID:        r.ask.QueryID,
+		AttemptID:      attempt,
+		Version:        r.version,
+		Range:          s.Range,
+		SchemaVersions: r.def.SchemaVersions,
+		Text:           r.ask.Text,
+		Filters:        r.ask.Filters,
+		Limit:          r.ask.Limit * max(1, len(r.def.SchemaVersions)),
+		DeadlineMS:     max(1, time.Until(r.ask.Deadline).Milliseconds()),
+	}
+}
+
+// take handles the end of a call. It reports true when the query should
+// restart on a newer version.
+func (r *run) take(res result) bool {
+	s := &r.shards[res.shard]
+	if s.done() {
+		return false
+	}
+	r.land(res)
+	o := res.reply.Outcome
+	id := s.Replicas[res.replica].ID()
+	if o.OK() && !r.fits(s, &res.reply.Answer) {
+		o = outcome.Unknown(outcome.BadAnswer)
+		r.cost.Dropped++
+		r.e.c.Events.Emit(event.AnswerDropped, id, r.ask.QueryID)
+	}
+	r.step("answer", id, s.Range.String(), o.String())
+	if o.OK() {
+		r.accept(res.shard, &res.reply.Answer)
+		return false
+	}
+	return r.failed(res, o)
+}
+
+// land counts a call that has ended.
+func (r *run) land(res result) {
+	r.shards[res.shard].land(res.attempt)
+	r.samples = append(r.samples, res.reply.Elapsed)
+	r.sent = r.sent || res.reply.Outcome.Kind != outcome.KindNotRun
+}
+
+// fits tells whether an answer is to this query, version and range.
+func (r *run) fits(s *shardState, a *searcher.Answer) bool {
+	return a.QueryID == r.ask.QueryID && a.Version == r.version && a.Range == s.Range
+}
+
+// accept takes the answer of a shard.
+func (r *run) accept(i int, a *searcher.Answer) {
+	s := &r.shards[i]
+	s.answer = a
+	r.samples = s.cancel(time.Now(), r.samples)
+	r.open--
+}
+
+// failed decides what follows a call that gave no answer.
+func (r *run) failed(res result, o outcome.Outcome) bool {
+	s := &r.shards[res.shard]
+	s.last = o.Reason
+	switch o.Reason {
+	case outcome.ConnectionLost:
+		r.lost(s, s.Replicas[res.replica])
+	case outcome.Shed:
+		s.shed = true
+		r.shed++
+	}
+	if len(s.flights) > 0 || r.ctx.Err() != nil {
+		return false
+	}
+	if o.Reason == outcome.VersionGone && !s.untried() {
+		return r.versionGone(res.shard)
+	}
+	if !r.e.c.Policy.Retry {
+		r.giveUp(res.shard, o.Reason)
+		return false
+	}
+	r.retry(res.shard, o)
+	return false
+}
+
+// lost tells the guard when a call and the one made in its place both died
+// with their connections. Calls of other shards that died with the same
+// machines say nothing of the request.
+func (r *run) lost(s *shardState, p Replica) {
+	s.lost = append(s.lost, p.ID())
+	if len(s.lost) < 2 {
+		return
+	}
+	for _, id := range s.lost {
+		r.e.c.Guard.Lost(r.print, id, p.Standing().InFlight)
+	}
+	r.e.c.Guard.Settle(r.ctx, r.print)
+}
+
+// retry calls another replica of a shard, at once where one is left and the
+// budget allows, later otherwise.
+func (r *run) retry(i int, o outcome.Outcome) {
+	if r.suspect() {
+		r.giveUp(i, outcome.Quarantined)
+		return
+	}
+	r.retryNow(i, o)
+}
+
+// retryNow is retry of a request that is not suspect, or on trial.
+func (r *run) retryNow(i int, o outcome.Outcome) {
+	if k := r.pick(i); k >= 0 && r.pay(o) {
+		r.countRetry(o)
+		r.callReplica(i, k, "retry")
+		r.schedule(i, time.Now())
+		return
+	}
+	r.later(i)
+}
+
+// pay spends the budget for a repeated call. A call that placed no load on a
+// backend server is repeated for nothing.
+func (r *run) pay(o outcome.Outcome) bool {
+	return unplaced(o) || r.lane.budget.Spend(1)
+}
+
+// countRetry counts a repeated call, unless the first placed no load.
+func (r *run) countRetry(o outcome.Outcome) {
+	if !unplaced(o) {
+		r.cost.Retries++
+	}
+}
+
+// unplaced tells that a call ended before it reached a backend server.
+func unplaced(o outcome.Outcome) bool {
+	return o.Kind == outcome.KindNotRun && (o.Reason == outcome.ConnectionRefused || o.Reason == outcome.Draining)
+}
+
+// later asks for another round over the replicas of a shard after a pause
+// that doubles with each round.
+func (r *run) later(i int) {
+	s := &r.shards[i]
+	s.rounds++
+	pause := max(leastPause, r.delay/4) << s.rounds
+	at := time.Now().Add(pause)
+	if s.rounds >= mostRounds || !at.Before(r.ask.Deadline) {
+		r.giveUp(i, s.why())
+		return
+	}
+	r.push(due{at: at, shard: i, retry: true})
+}
+
+// again begins the next round over the replicas of a shard.
+func (r *run) again(i int) {
+	s := &r.shards[i]
+	if s.done() || len(s.flights) > 0 {
+		return
+	}
+	s.tried = 0
+	s.shed = false
+	k := r.pick(i)
+	if k < 0 || !r.lane.budget.Spend(1) {
+		r.later(i)
+		return
+	}
+	r.cost.Retries++
+	r.callReplica(i, k, "retry")
+	r.schedule(i, time.Now())
+}
+
+// suspect tells whether the query may have crashed a searcher.
+func (r *run) suspect() bool {
+	v := r.e.c.Guard.Judge(r.print)
+	return v == Suspect || v == Quarantined
+}
+
+// versionGone restarts the query on a newer version where there is one that
+// the budget can pay for, and gives the shard up otherwise.
+func (r *run) versionGone(i int) bool {
+	vs := r.e.c.Source.Index(r.def.Service).Versions()
+	newer := len(vs) > 0 && vs[0] > r.version
+	if newer && r.restarts < r.e.c.Policy.Restarts && r.lane.budget.Spend(r.answered()) {
+		return true
+	}
+	r.giveUp(i, outcome.VersionGone)
+	return false
+}
+
+// answered counts the shards whose answer a restart throws away.
+func (r *run) answered() int {
+	return len(r.shards) - r.open
+}
+
+// giveUp names a shard missing.
+func (r *run) giveUp(i int, why outcome.Reason) {
+	s := &r.shards[i]
+	s.gap = why
+	r.samples = s.cancel(time.Now(), r.samples)
+	r.open--
+	r.gaveUp = true
+	r.step("give up", "", s.Range.String(), string(why))
+}
+
+// push adds a decision in order of time.
+func (r *run) push(d due) {
+	r.due = append(r.due, d)
+	for k := len(r.due) - 1; k > 0 && r.due[k].at.Before(r.due[k-1].at); k-- {
+		r.due[k], r.due[k-1] = r.due[k-1], r.due[k]
+	}
+}
--- /dev/null
+++ b/internal/query/scatter/engine_test.go
@@ -0,0 +1,197 @@
+package scatter
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"egrethaven/internal/back/searcher"
+	"egrethaven/internal/query/outcome"
+	"egrethaven/internal/state/search"
+)
+
+const ms = time.Millisecond
+
+func TestHedgeOvertakesStraggler(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newIndex(10, 3, func(shard, _ int, q searcher.Query) behaviour {
+			if shard == 3 && q.AttemptID == "q1.0.3.1" {
+				return ok(900 * ms)
+			}
+			return ok(10 * ms)
+		})
+		e := engine(t, x, Current(), nil, search.Definition{ExtraLoad: 0.02})
+		a := e.Ask(context.Background(), question(false))
+		checkWhole(t, a, 10)
+		if a.Cost.Hedges != 1 || a.ElapsedMS > 150 {
+			t.Fatalf("cost %+v, %v ms", a.Cost, a.ElapsedMS)
+		}
+	})
+}
+
+func TestBudgetBoundsHedges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newIndex(50, 3, func(int, int, searcher.Query) behaviour { return ok(300 * ms) })
+		e := engine(t, x, Current(), nil, search.Definition{ExtraLoad: 0.02})
+		primaries, extra := 0, 0
+		for range 20 {
+			a := e.Ask(context.Background(), question(false))
+			checkWhole(t, a, 50)
+			primaries += a.Cost.Primaries
+			extra += a.Cost.Hedges + a.Cost.Retries
+		}
+		if float64(extra) > 0.02*float64(primaries)+4 {
+			t.Fatalf("%d extra calls for %d primaries", extra, primaries)
+		}
+	})
+}
+
+func TestAnswerOfAnotherVersionIsDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newIndex(4, 2, func(shard, replica int, _ searcher.Query) behaviour {
+			if shard == 2 && replica == 0 {
+				return behaviour{delay: ms, outcome: outcome.OK(), version: 9}
+			}
+			return ok(ms)
+		})
+		e := engine(t, x, Current(), nil, search.Definition{ExtraLoad: 0.5})
+		dropped := 0
+		for range 10 {
+			a := e.Ask(context.Background(), question(false))
+			checkWhole(t, a, 4)
+			dropped += a.Cost.Dropped
+			for _, h := range a.Hits {
+				if h.Revision != a.Coverage.Version {
+					t.Fatalf("hit of version %d in an answer of version %d", h.Revision, a.Coverage.Version)
+				}
+			}
+		}
+		if dropped == 0 {
+			t.Fatal("no answer was dropped: the check was not reached")
+		}
+	})
+}
+
+func TestRestartOnNewerVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var x *fakeIndex
+		x = newIndex(4, 2, func(shard, _ int, q searcher.Query) behaviour {
+			if shard == 1 && q.Version == 1 {
+				if x.Newest() == 1 {
+					x.publish(2)
+				}
+				return behaviour{delay: 5 * ms, outcome: outcome.NotRun(outcome.VersionGone)}
+			}
+			return ok(ms)
+		})
+		e := engine(t, x, Current(), nil, search.Definition{ExtraLoad: 0.1})
+		a := e.Ask(context.Background(), question(false))
+		checkWhole(t, a, 4)
+		if a.Coverage.Version != 2 || a.Cost.Restarts != 1 {
+			t.Fatalf("version %d, cost %+v", a.Coverage.Version, a.Cost)
+		}
+	})
+}
+
+func TestPartialOnlyForThoseWhoAccept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newIndex(4, 2, func(shard, _ int, _ searcher.Query) behaviour {
+			if shard == 0 {
+				return ok(time.Hour)
+			}
+			return ok(ms)
+		})
+		e := engine(t, x, Current(), nil, search.Definition{ExtraLoad: 0.02, Prefer: search.Coverage})
+		a := e.Ask(context.Background(), question(true))
+		if !a.Outcome.OK() || a.Complete || len(a.Hits) != 3 || len(a.Coverage.Missing) != 1 || a.Coverage.Missing[0].Reason != outcome.Timeout {
+			t.Fatalf("partial answer: %v %+v", a.Outcome, a.Coverage)
+		}
+		a = e.Ask(context.Background(), question(false))
+		if a.Outcome != outcome.Failed(outcome.IncompleteCoverage) || a.Complete {
+			t.Fatalf("caller without partial: %v", a.Outcome)
+		}
+	})
+}
+
+func TestLatencyFirstStopsEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newIndex(40, 1, func(shard, _ int, _ searcher.Query) behaviour {
+			if shard == 0 {
+				return ok(time.Hour)
+			}
+			return ok(ms)
+		})
+		e := engine(t, x, Current(), nil, search.Definition{ExtraLoad: 0.02, Prefer: search.Latency, Deadline: 10 * time.Second})
+		a := e.Ask(context.Background(), question(true))
+		if a.Complete || a.ElapsedMS > 1000 || len(a.Coverage.Missing) != 1 {
+			t.Fatalf("%v ms, missing %v", a.ElapsedMS, a.Coverage.Missing)
+		}
+	})
+}
+
+func TestUnknownSearchAndPastDeadlineRunNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newIndex(2, 1, func(int, int, searcher.Query) behaviour { return ok(0) })
+		e := engine(t, x, Current(), nil, search.Definition{})
+		q := question(true)
+		q.Search = "none"
+		if a := e.Ask(context.Background(), q); a.Outcome != outcome.NotRun(outcome.UnknownSearch) {
+			t.Fatalf("unknown search: %v", a.Outcome)
+		}
+		q = question(true)
+		q.Deadline = time.Now().Add(-time.Second)
+		if a := e.Ask(context.Background(), q); a.Outcome != outcome.NotRun(outcome.DeadlinePast) || x.ran() != 0 {
+			t.Fatalf("past deadline: %v, %d calls ran", a.Outcome, x.ran())
+		}
+	})
+}
+
+// TestAnswersAreTrue checks the promises of an answer under any mix of
+// behaviours: complete only with a hit of every shard, every other shard
+// named, not_run only when nothing ran, the budget kept.
+func TestAnswersAreTrue(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		shards, replicas := rapid.IntRange(1, 6).Draw(rt, "shards"), rapid.IntRange(1, 3).Draw(rt, "replicas")
+		kinds := rapid.Custom(func(t *rapid.T) behaviour {
+			o := rapid.SampledFrom([]outcome.Outcome{outcome.OK(), outcome.OK(), outcome.OK(), outcome.NotRun(outcome.Shed),
+				outcome.NotRun(outcome.ConnectionRefused), outcome.Unknown(outcome.ConnectionLost), outcome.NotRun(outcome.VersionGone),
+				outcome.Failed(outcome.Rejected)}).Draw(t, "outcome")
+			return behaviour{
+				delay:   time.Duration(rapid.SampledFrom([]int{0, 1, 20, 150, 5000}).Draw(t, "delay")) * ms,
+				outcome: o,
+				version: uint64(rapid.SampledFrom([]int{0, 0, 0, 5}).Draw(t, "version")),
+			}
+		})
+		bs := rapid.SliceOfN(kinds, shards*replicas, shards*replicas).Draw(rt, "behaviours")
+		partial := rapid.Bool().Draw(rt, "partial")
+		synctest.Test(t, func(st *testing.T) {
+			x := newIndex(shards, replicas, func(s, k int, _ searcher.Query) behaviour { return bs[s*replicas+k] })
+			e := engine(st, x, Current(), nil, search.Definition{ExtraLoad: 0.05})
+			a := e.Ask(context.Background(), question(partial))
+			if a.Complete && len(a.Hits) != shards {
+				rt.Fatalf("complete with %d hits of %d shards", len(a.Hits), shards)
+			}
+			if a.Outcome.OK() && !a.Complete && !partial {
+				rt.Fatal("partial answer to a caller who accepts none")
+			}
+			if !a.Complete && len(a.Coverage.Missing) == 0 {
+				rt.Fatal("incomplete and nothing missing")
+			}
+			for _, h := range a.Hits {
+				if h.Revision != a.Coverage.Version {
+					rt.Fatal("mixed snapshots")
+				}
+			}
+			if extra := a.Cost.Hedges + a.Cost.Retries; float64(extra) > 0.05*float64(shards)+4 {
+				rt.Fatalf("%d extra calls", extra)
+			}
+			time.Sleep(time.Minute)
+			if a.Outcome.Kind == outcome.KindNotRun && x.ran() > 0 {
+				rt.Fatalf("%v after %d calls ran", a.Outcome, x.ran())
+			}
+		})
+	})
+}
--- /dev/null
+++ b/internal/query/scatter/run.go
@@ -0,0 +1,283 @@
+package scatter
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"egrethaven/internal/observe/event"
+	"egrethaven/internal/query/ask"
+	"egrethaven/internal/query/keyrange"
+	"egrethaven/internal/query/outcome"
+	"egrethaven/internal/state/search"
+)
+
+const (
+	// leastPause is the shortest wait before a shard whose replicas all
+	// failed is tried again.
+	leastPause = 10 * time.Millisecond
+	// mostRounds is how often the replicas of a shard are gone through.
+	mostRounds = 4
+	// patienceDelays is how many hedge delays a latency-first query waits
+	// for its last shards when its caller accepts a partial answer.
+	patienceDelays = 6
+	// resultBuffer is how many ended calls may wait for the query's goroutine.
+	resultBuffer = 16
+	// replyMargin is kept of the deadline to send the answer.
+	replyMargin = 2 * time.Millisecond
+)
+
+// whole is the complete key space.
+var whole = keyrange.Whole
+
+// run is one query on its way. All fields belong to the goroutine that
+// called answer.
+type run struct {
+	e     *Engine
+	lane  *lane
+	def   search.Definition
+	ask   ask.Ask
+	print uint64
+	start time.Time
+	rand  *rand.Rand
+	delay time.Duration
+
+	ctx     context.Context
+	version uint64
+	shards  []shardState
+	results chan result
+	due     []due
+	open    int
+	gaveUp  bool
+
+	cost     ask.Cost
+	steps    []ask.Step
+	samples  []time.Duration
+	restarts int
+	sent     bool
+	shed     int
+	late     bool
+	// ended is why shards without an end of their own are missing.
+	ended outcome.Reason
+}
+
+// noShard marks a due moment that only wakes the query's goroutine.
+const noShard = -1
+
+// due is a moment at which a shard needs a decision.
+type due struct {
+	at    time.Time
+	shard int
+	retry bool
+}
+
+// newRun prepares a query.
+func newRun(e *Engine, l *lane, d search.Definition, a ask.Ask, start time.Time) *run {
+	return &run{e: e, lane: l, def: d, ask: a, print: Fingerprint(a), start: start, rand: e.random(), ended: outcome.Canceled}
+}
+
+// answer runs the query to its end.
+func (r *run) answer(ctx context.Context) ask.Answer {
+	v := r.e.c.Guard.Judge(r.print)
+	if v == Quarantined {
+		return refused(r.ask, outcome.Quarantined, 0, r.start)
+	}
+	r.delay = r.lane.hedgeDelay()
+	for {
+		again := r.attempt(ctx, v)
+		if !again {
+			break
+		}
+		r.restarts++
+		r.cost.Restarts++
+		r.e.c.Events.Emit(event.QueryRestarted, r.ask.Search, r.ask.QueryID)
+		r.step("restart", "", "", "version gone")
+		v = Trusted
+	}
+	a := r.finish(ctx)
+	r.lane.latency.Add(r.samples...)
+	return a
+}
+
+// attempt runs the query on one version. It reports true when the version is
+// gone and the query should move to a newer one.
+func (r *run) attempt(ctx context.Context, v Verdict) bool {
+	if !r.pin() {
+		return false
+	}
+	c, cancel := context.WithDeadline(ctx, r.ask.Deadline.Add(-replyMargin))
+	defer cancel()
+	r.ctx = c
+	r.results = make(chan result, resultBuffer)
+	r.due = r.due[:0]
+	if v != Trusted && !r.e.c.Policy.NoTrial && !r.trial(v) {
+		return false
+	}
+	r.begin()
+	return r.loop()
+}
+
+// pin chooses the version: the newest complete one, or for a caller who
+// accepts a partial answer the newest of all. After a restart only a newer
+// version than before will do.
+func (r *run) pin() bool {
+	x := r.e.c.Source.Index(r.def.Service)
+	vs := x.Versions()
+	v := x.Newest()
+	if len(vs) > 0 {
+		v = vs[0]
+	} else if !r.ask.AcceptPartial {
+		v = 0
+	}
+	if v == 0 || v <= r.version {
+		return false
+	}
+	r.version = v
+	shards := x.Shards(v)
+	r.shards = make([]shardState, len(shards))
+	for i, s := range shards {
+		r.shards[i] = shardState{Shard: s}
+	}
+	r.open = len(shards)
+	r.gaveUp = false
+	return true
+}
+
+// begin makes the first call of every shard that has none.
+func (r *run) begin() {
+	if r.restarts > 0 {
+		r.cost.Retries += r.open
+	}
+	now := time.Now()
+	n := 0
+	for i := range r.shards {
+		if r.shards[i].attempts == 0 && r.first(i, now) {
+			n++
+		}
+	}
+	if r.restarts == 0 {
+		r.lane.budget.Earn(n)
+	}
+}
+
+// first makes the first call of a shard.
+func (r *run) first(i int, now time.Time) bool {
+	if !r.call(i, "call") {
+		r.giveUp(i, r.shards[i].why())
+		return false
+	}
+	if r.restarts == 0 {
+		r.cost.Primaries++
+	}
+	r.schedule(i, now)
+	return true
+}
+
+// schedule asks for a decision on a hedge one hedge delay from now.
+func (r *run) schedule(i int, now time.Time) {
+	if r.e.c.Policy.Hedges > 0 {
+		r.push(due{at: now.Add(r.delay), shard: i})
+	}
+}
+
+// loop takes results and decisions until the query ends. It reports true
+// when the query should restart.
+func (r *run) loop() bool {
+	t := time.NewTimer(time.Hour)
+	defer t.Stop()
+	if r.impatient() {
+		r.push(due{at: r.start.Add(patienceDelays*r.delay + time.Millisecond), shard: noShard})
+	}
+	for r.open > 0 && !r.hopeless() {
+		if len(r.due) > 0 {
+			t.Reset(time.Until(r.due[0].at))
+		}
+		select {
+		case res := <-r.results:
+			if r.take(res) {
+				return true
+			}
+		case <-t.C:
+			r.decideDue(time.Now())
+		case <-r.ctx.Done():
+			r.deadlinePast()
+			return false
+		}
+		if r.patienceOver() {
+			r.ended = outcome.Timeout
+			return false
+		}
+	}
+	return false
+}
+
+// hopeless tells whether a shard was given up and the caller has no use for
+// a partial answer, so that further calls would be wasted.
+func (r *run) hopeless() bool {
+	return r.gaveUp && !r.ask.AcceptPartial
+}
+
+// impatient tells whether the query may end early with a partial answer.
+func (r *run) impatient() bool {
+	return r.def.Prefer == search.Latency && r.ask.AcceptPartial
+}
+
+// patienceOver tells whether a query that may end early has waited long
+// enough for its last shards.
+func (r *run) patienceOver() bool {
+	few := r.open*20 <= len(r.shards)
+	return r.impatient() && r.open > 0 && few && time.Since(r.start) > patienceDelays*r.delay
+}
+
+// deadlinePast notes that the deadline ended the query.
+func (r *run) deadlinePast() {
+	r.late = true
+	r.ended = outcome.Timeout
+}
+
+// decideDue takes the decisions whose time has come.
+func (r *run) decideDue(now time.Time) {
+	for len(r.due) > 0 && !r.due[0].at.After(now) {
+		d := r.due[0]
+		r.due = r.due[1:]
+		switch {
+		case d.shard == noShard:
+		case d.retry:
+			r.again(d.shard)
+		default:
+			r.hedge(d.shard, now)
+		}
+	}
+}
+
+// hedge sends one more call for a slow shard, if the budget allows.
+func (r *run) hedge(i int, now time.Time) {
+	s := &r.shards[i]
+	if s.done() || len(s.flights) == 0 || len(s.flights) > r.e.c.Policy.Hedges || s.shed {
+		return
+	}
+	k := r.pick(i)
+	if k < 0 {
+		return
+	}
+	if !r.lane.budget.Spend(1) {
+		r.schedule(i, now)
+		return
+	}
+	r.cost.Hedges++
+	r.callReplica(i, k, "hedge")
+	r.schedule(i, now)
+}
+
+// congested tells whether the query suffered from too much load.
+func (r *run) congested() bool {
+	return r.late || r.shed*10 > len(r.shards)
+}
+
+// step records one step for an explanation.
+func (r *run) step(what, searcher, rng, detail string) {
+	if !r.ask.Explain {
+		return
+	}
+	r.steps = append(r.steps, ask.Step{At: time.Since(r.start).Microseconds(), What: what, Searcher: searcher, Range: rng, Detail: detail})
+}
--- /dev/null
+++ b/internal/query/scatter/trial_test.go
@@ -0,0 +1,105 @@
+package scatter
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+
+	"egrethaven/internal/back/searcher"
+	"egrethaven/internal/query/outcome"
+	"egrethaven/internal/state/search"
+)
+
+// fakeGuard quarantines a request after it was lost on two searchers.
+type fakeGuard struct {
+	m      sync.Mutex
+	lost   map[string]bool
+	passed bool
+}
+
+func (g *fakeGuard) Judge(uint64) Verdict {
+	g.m.Lock()
+	defer g.m.Unlock()
+	switch {
+	case len(g.lost) >= 2:
+		return Quarantined
+	case len(g.lost) == 1:
+		return Suspect
+	case g.passed:
+		return Trusted
+	}
+	return Unseen
+}
+
+func (g *fakeGuard) Passed(uint64) {
+	g.m.Lock()
+	defer g.m.Unlock()
+	g.passed = true
+	g.lost = nil
+}
+
+func (g *fakeGuard) Lost(_ uint64, id string, _ int) {
+	g.m.Lock()
+	defer g.m.Unlock()
+	if g.lost == nil {
+		g.lost = make(map[string]bool)
+	}
+	g.lost[id] = true
+}
+
+func (g *fakeGuard) Settle(context.Context, uint64) {}
+
+func TestPoisonTakesTwoSearchers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newIndex(20, 3, func(int, int, searcher.Query) behaviour {
+			return behaviour{delay: ms, outcome: outcome.Unknown(outcome.ConnectionLost)}
+		})
+		e := engine(t, x, Current(), &fakeGuard{}, search.Definition{ExtraLoad: 0.02})
+		if a := e.Ask(context.Background(), question(true)); a.Outcome.OK() || x.ran() != 2 {
+			t.Fatalf("%v after %d searchers", a.Outcome, x.ran())
+		}
+		if a := e.Ask(context.Background(), question(true)); a.Outcome != outcome.NotRun(outcome.Quarantined) || x.ran() != 2 {
+			t.Fatalf("sent again: %v after %d searchers", a.Outcome, x.ran())
+		}
+	})
+}
+
+// TestInnocentPassesItsTrial loses the first call of a request to a searcher
+// that dies for another reason.
+func TestInnocentPassesItsTrial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first := true
+		x := newIndex(20, 2, func(int, int, searcher.Query) behaviour {
+			if first {
+				first = false
+				return behaviour{delay: ms, outcome: outcome.Unknown(outcome.ConnectionLost)}
+			}
+			return ok(ms)
+		})
+		g := &fakeGuard{}
+		e := engine(t, x, Current(), g, search.Definition{ExtraLoad: 0.02})
+		checkWhole(t, e.Ask(context.Background(), question(false)), 20)
+		if g.Judge(0) != Trusted {
+			t.Fatal("still suspect after it was answered")
+		}
+	})
+}
+
+// TestRackLossQuarantinesNothing loses the first calls of several shards at
+// once, as when machines die together under load.
+func TestRackLossQuarantinesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newIndex(20, 2, func(shard, replica int, _ searcher.Query) behaviour {
+			if shard < 8 && replica == 0 {
+				return behaviour{delay: ms, outcome: outcome.Unknown(outcome.ConnectionLost)}
+			}
+			return ok(ms)
+		})
+		g := &fakeGuard{passed: true}
+		e := engine(t, x, Current(), g, search.Definition{ExtraLoad: 0.5})
+		for range 5 {
+			checkWhole(t, e.Ask(context.Background(), question(false)), 20)
+		}
+	})
+}
