--- /dev/null
+++ b/internal/standin/faultproxy/proxy_test.go
@@ -0,0 +1,154 @@
+package faultproxy_test
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"egrethaven/internal/standin/faultproxy"
+
+	"go.uber.org/goleak"
+)
+
+// giveUp bounds the wait for an event; quiet is how long nothing is to come.
+const (
+	giveUp = 20 * time.Second
+	quiet  = 30 * time.Millisecond
+)
+
+// start returns a proxy in front of a server that echoes lines.
+func start(t *testing.T) *faultproxy.Proxy {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(c, c); _ = c.Close() }()
+		}
+	}()
+	p, err := faultproxy.New(faultproxy.Config{Target: l.Addr().String()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		p.Close()
+		_ = l.Close()
+		goleak.VerifyNone(t)
+	})
+	return p
+}
+
+func dial(t *testing.T, p *faultproxy.Proxy) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", p.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+// echo sends a line and reads it back within the wait.
+func echo(c net.Conn, wait time.Duration) error {
+	_ = c.SetDeadline(time.Now().Add(wait))
+	if _, err := c.Write([]byte("hello\n")); err != nil {
+		return err
+	}
+	_, err := bufio.NewReader(c).ReadString('\n')
+	return err
+}
+
+func timedOut(err error) bool {
+	var n net.Error
+	return errors.As(err, &n) && n.Timeout()
+}
+
+func TestSilenceOfOpenConnections(t *testing.T) {
+	for name, f := range map[string]faultproxy.Fault{
+		"up":   {Up: faultproxy.Way{Silent: true}},
+		"down": {Down: faultproxy.Way{Silent: true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := start(t)
+			c := dial(t, p)
+			if err := echo(c, giveUp); err != nil {
+				t.Fatal(err)
+			}
+			p.Set(faultproxy.Open, f)
+			if err := echo(c, quiet); !timedOut(err) {
+				t.Error(err)
+			}
+			if err := echo(dial(t, p), giveUp); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+func TestCutResetAndHalfOpen(t *testing.T) {
+	p := start(t)
+	c := dial(t, p)
+	if err := echo(c, giveUp); err != nil {
+		t.Fatal(err)
+	}
+	p.HalfOpen()
+	if err := echo(c, quiet); !timedOut(err) {
+		t.Error("half-open:", err)
+	}
+	p.Reset()
+	if _, err := c.Read(make([]byte, 1)); err == nil {
+		t.Error("reset: read succeeded")
+	}
+	c = dial(t, p)
+	if err := echo(c, giveUp); err != nil {
+		t.Fatal(err)
+	}
+	p.Cut()
+	if _, err := c.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Error("cut:", err)
+	}
+}
+
+func TestDelaySlowAndRefuse(t *testing.T) {
+	p := start(t)
+	c := dial(t, p)
+	p.Set(faultproxy.All, faultproxy.Fault{Up: faultproxy.Way{DelayMS: 20, JitterMS: 5}, Down: faultproxy.Way{BytesPerSecond: 100}})
+	began := time.Now()
+	if err := echo(c, giveUp); err != nil {
+		t.Fatal(err)
+	}
+	if d := time.Since(began); d < 60*time.Millisecond {
+		t.Error("answer after", d)
+	}
+	s := httptest.NewServer(p.Handler())
+	defer s.Close()
+	r, err := http.Post(s.URL+"/fault", "application/json", strings.NewReader(`{"scope":"fresh","fault":{"refuse":true}}`))
+	if err != nil || r.StatusCode != http.StatusNoContent {
+		t.Fatal(err, r)
+	}
+	_ = r.Body.Close()
+	http.DefaultClient.CloseIdleConnections()
+	if err := echo(dial(t, p), giveUp); !errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, io.EOF) {
+		t.Error("refused:", err)
+	}
+	if err := echo(c, giveUp); err != nil {
+		t.Error("open connection:", err)
+	}
+	p.Heal()
+	if err := echo(dial(t, p), giveUp); err != nil {
+		t.Error("healed:", err)
+	}
+}
