Judge health per search and failure domain from evidence with its age

Change: health.Judge and Merge (pure), Collector with canaries and the fleet's view. Figures: rapid holds over 100 cases that ok never rests on evidence of the stated age; with a fake clock a loss, a hang, a recovery and a cut each come to the right verdict within 5 s.

--- /dev/null
+++ b/internal/observe/health/collector.go
@@ -0,0 +1,225 @@
+package health
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"egrethaven/internal/observe/event"
+	"egrethaven/internal/query/ask"
+	"egrethaven/internal/query/outcome"
+	"egrethaven/internal/state/search"
+	"egrethaven/internal/world/zone"
+)
+
+const (
+	// tick is how often a collector looks for verdicts that have changed and
+	// searches that want a canary, and the time that evidence is counted over.
+	tick = 250 * time.Millisecond
+	// maxCanary is the longest that a canary query takes.
+	maxCanary = time.Second
+	// fetchTimeout bounds how long the report of another node is awaited.
+	fetchTimeout = time.Second
+	// perDomain is how many nodes of another failure domain are asked.
+	perDomain = 5
+)
+
+// Config sets up a Collector.
+type Config struct {
+	Node   string
+	Domain zone.Domain
+	// Searches returns the definitions in force.
+	Searches func() map[string]search.Definition
+	// ConfigState returns the revision in force and how long ago the store
+	// or a peer confirmed it, -1 when not known. nil: 0 and -1.
+	ConfigState func() (revision uint64, ageMS int64)
+	// MaxAge is the age from which on evidence does not count.
+	MaxAge time.Duration
+	// CanaryInterval is how long a search may be without evidence before a
+	// canary query is asked.
+	CanaryInterval time.Duration
+	// Ask runs a canary query. nil: none are run.
+	Ask func(context.Context, ask.Ask) ask.Answer
+	// Peers returns the other entry VMs. nil: none.
+	Peers func() []Peer
+	// Domains returns failure domains that are known to hold searchers or
+	// entry VMs, reached or not. nil: those of Peers.
+	Domains func() []zone.Domain
+	// Fetch asks another node for its own report. nil: no peer is reached.
+	Fetch  func(context.Context, Peer) (Report, error)
+	Events event.Sink
+	// Rand draws the peers to ask and spreads canaries.
+	Rand *rand.Rand
+}
+
+// Collector keeps one node's evidence and judges it. It is safe for
+// concurrent use.
+type Collector struct {
+	c      Config
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	mu       sync.Mutex
+	evidence map[string][]Evidence
+	// complete is when a complete answer last came, by search.
+	complete map[string]time.Time
+	// asked is when a canary last began, by search.
+	asked map[string]time.Time
+	// held is the verdict last seen on each search here, and since when.
+	held map[string]held
+	// reached is when a node of a failure domain last answered.
+	reached map[zone.Domain]time.Time
+	// cut is since when a failure domain has not answered.
+	cut map[zone.Domain]time.Time
+}
+
+// held is a verdict with the time it began.
+type held struct {
+	verdict Verdict
+	since   time.Time
+}
+
+// New returns a collector without evidence.
+func New(c Config) *Collector {
+	if c.Events == nil {
+		c.Events = event.Discard{}
+	}
+	if c.Rand == nil {
+		c.Rand = rand.New(rand.NewPCG(1, 2))
+	}
+	k := &Collector{c: c, evidence: map[string][]Evidence{}, complete: map[string]time.Time{}, asked: map[string]time.Time{}, held: map[string]held{},
+		reached: map[zone.Domain]time.Time{}, cut: map[zone.Domain]time.Time{}}
+	k.ctx, k.cancel = context.WithCancel(context.Background())
+	return k
+}
+
+// Start begins to follow verdicts and to ask canary queries.
+func (k *Collector) Start() {
+	k.wg.Go(k.run)
+}
+
+// Close stops the collector and waits for its goroutines.
+func (k *Collector) Close() {
+	k.cancel()
+	k.wg.Wait()
+}
+
+// Observe takes in the answer to a caller's query. Answers that say more of
+// the caller's request than of the search do not count.
+func (k *Collector) Observe(name string, a ask.Answer) {
+	d, ok := k.c.Searches()[name]
+	if !ok || ignored(a, d) {
+		return
+	}
+	k.add(name, a, time.Now())
+}
+
+// add counts an answer in the evidence of the present time.
+func (k *Collector) add(name string, a ask.Answer, now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	es := k.evidence[name]
+	if len(es) == 0 || now.Sub(es[len(es)-1].At) >= tick {
+		es = append(es, Evidence{At: now})
+	}
+	es[len(es)-1].add(a)
+	k.evidence[name] = es
+	if !a.Outcome.OK() || !a.Coverage.Complete() {
+		return
+	}
+	k.complete[name] = now
+}
+
+// ignored tells whether an answer is no evidence of the search's health.
+func ignored(a ask.Answer, d search.Definition) bool {
+	switch a.Outcome.Reason {
+	case outcome.BadRequest, outcome.UnknownSearch, outcome.Canceled, outcome.DeadlinePast, outcome.OverShare, outcome.Quarantined:
+		return true
+	}
+	if a.Outcome.OK() && a.Coverage.Complete() {
+		return false
+	}
+	// A caller who gave little time, or a latency-first search that answered
+	// early, may miss ranges that are there. The canary tells.
+	early := a.ElapsedMS < 0.9*float64(min(d.Deadline, maxCanary).Milliseconds())
+	return early && onlyTimeouts(a)
+}
+
+// onlyTimeouts tells whether time is all that an answer lacked.
+func onlyTimeouts(a ask.Answer) bool {
+	if len(a.Coverage.Missing) == 0 {
+		return a.Outcome.Reason == outcome.Timeout
+	}
+	for _, g := range a.Coverage.Missing {
+		if g.Reason != outcome.Timeout {
+			return false
+		}
+	}
+	return true
+}
+
+// Local judges each search by this node's own evidence.
+func (k *Collector) Local() Report {
+	now := time.Now()
+	r := Report{Node: k.c.Node, Domain: k.c.Domain, At: now, MaxAgeMS: k.c.MaxAge.Milliseconds(), ConfigAgeMS: -1}
+	if k.c.ConfigState != nil {
+		r.ConfigRevision, r.ConfigAgeMS = k.c.ConfigState()
+	}
+	for _, name := range k.names() {
+		r.States = append(r.States, k.state(name, now))
+	}
+	return r
+}
+
+// Search is Local for one search; without states when it is not defined.
+func (k *Collector) Search(name string) Report {
+	r := k.Local()
+	r.States = slices.DeleteFunc(r.States, func(s State) bool { return s.Search != name })
+	return r
+}
+
+// state judges one search and notes when the verdict changed.
+func (k *Collector) state(name string, now time.Time) State {
+	k.mu.Lock()
+	es := k.evidence[name]
+	stale := func(e Evidence) bool { return now.Sub(e.At) >= k.c.MaxAge }
+	es = slices.DeleteFunc(es, stale)
+	k.evidence[name] = es
+	s := Judge(es, now, k.c.MaxAge)
+	h, known := k.held[name]
+	changed := !known || h.verdict != s.Verdict
+	if changed {
+		k.held[name] = held{verdict: s.Verdict, since: now}
+	}
+	s.Since = k.held[name].since
+	k.mu.Unlock()
+	s.Search, s.Domain, s.Nodes = name, k.c.Domain, []string{k.c.Node}
+	if changed && (known || s.Verdict != Unknown) {
+		k.c.Events.Emit(event.HealthChanged, name, string(h.verdict)+" to "+string(s.Verdict))
+	}
+	return s
+}
+
+// names lists the searches in order, and forgets those that are gone.
+func (k *Collector) names() []string {
+	ds := k.c.Searches()
+	names := make([]string, 0, len(ds))
+	for n := range ds {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for n := range k.evidence {
+		if _, ok := ds[n]; !ok {
+			delete(k.evidence, n)
+			delete(k.held, n)
+			delete(k.asked, n)
+			delete(k.complete, n)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/internal/observe/health/health_test.go
@@ -0,0 +1,156 @@
+package health_test
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"egrethaven/internal/observe/health"
+	"egrethaven/internal/query/ask"
+	"egrethaven/internal/query/coverage"
+	"egrethaven/internal/query/keyrange"
+	"egrethaven/internal/query/outcome"
+	"egrethaven/internal/state/search"
+	"egrethaven/internal/world/zone"
+)
+
+const maxAge = 4 * time.Second
+
+// TestJudge holds that ok needs fresh complete evidence and next to no other.
+func TestJudge(t *testing.T) {
+	now := time.Unix(1000, 0)
+	rapid.Check(t, func(t *rapid.T) {
+		var es []health.Evidence
+		fresh, complete, bad, covered := 0, 0, 0, 0
+		for range rapid.IntRange(0, 6).Draw(t, "pieces") {
+			n := rapid.SliceOfN(rapid.IntRange(0, 300), 3, 3).Draw(t, "counts")
+			age := time.Duration(rapid.IntRange(-500, 8000).Draw(t, "age")) * time.Millisecond
+			es = append(es, health.Evidence{At: now.Add(-age), Complete: n[0], Partial: n[1], None: n[2]})
+			if age < 0 || age >= maxAge {
+				continue
+			}
+			fresh += n[0] + n[1] + n[2]
+			complete += n[0]
+			bad += n[1] + n[2]
+			covered += n[0] + n[1]
+		}
+		s := health.Judge(es, now, maxAge)
+		want := health.Degraded
+		switch {
+		case fresh == 0:
+			want = health.Unknown
+		case bad*100 <= complete:
+			want = health.OK
+		case covered == 0:
+			want = health.Down
+		}
+		if s.Verdict != want {
+			t.Fatalf("%s, want %s: %+v", s.Verdict, want, es)
+		}
+	})
+}
+
+// TestMerge holds that a failure domain is ok only by a node's fresh ok, and
+// when none with fresh evidence says otherwise.
+func TestMerge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var states []health.State
+		n := map[health.Verdict]int{}
+		for range rapid.IntRange(0, 4).Draw(t, "nodes") {
+			v := rapid.SampledFrom([]health.Verdict{health.OK, health.Degraded, health.Down, health.Unknown}).Draw(t, "verdict")
+			age := rapid.Int64Range(-1, 8000).Draw(t, "age")
+			states = append(states, health.State{Verdict: v, AgeMS: age})
+			if age < 0 || age >= maxAge.Milliseconds() {
+				v = health.Unknown
+			}
+			n[v]++
+		}
+		got := health.Merge(states, []string{"x"}, maxAge).Verdict
+		if ok := n[health.OK] > 0 && n[health.Degraded]+n[health.Down] == 0; ok != (got == health.OK) {
+			t.Fatalf("%s of %v", got, n)
+		}
+		if none := n[health.OK]+n[health.Degraded]+n[health.Down] == 0; none != (got == health.Unknown) {
+			t.Fatalf("%s of %v", got, n)
+		}
+	})
+}
+
+// TestCollector follows one search through a loss, a hang and a recovery, and
+// a second failure domain through a cut.
+func TestCollector(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var mode atomic.Value
+		mode.Store("whole")
+		answer := func(ctx context.Context, _ ask.Ask) ask.Answer {
+			switch mode.Load() {
+			case "whole":
+				return ask.Answer{Outcome: outcome.OK(), Coverage: coverage.New(1, []keyrange.Range{keyrange.Whole}, nil)}
+			case "half":
+				return ask.Answer{Outcome: outcome.Unknown(outcome.IncompleteCoverage), Coverage: coverage.New(1, keyrange.Split(2)[:1], nil)}
+			}
+			<-ctx.Done()
+			return ask.Answer{Outcome: outcome.NotRun(outcome.NoReplica)}
+		}
+		var cut atomic.Bool
+		far := func(context.Context, health.Peer) (health.Report, error) {
+			if cut.Load() {
+				return health.Report{}, errors.New("cut off")
+			}
+			return health.Report{Node: "b", States: []health.State{{Search: "s", Verdict: health.OK, Since: time.Now()}}}, nil
+		}
+		def := search.Definition{Name: "s", Deadline: 5 * time.Second}
+		k := health.New(health.Config{Node: "a", Domain: "home", MaxAge: maxAge, CanaryInterval: time.Second, Ask: answer, Fetch: far,
+			Searches: func() map[string]search.Definition { return map[string]search.Definition{"s": def} },
+			Peers:    func() []health.Peer { return []health.Peer{{ID: "b", Domain: "far"}} }})
+		verdict := func(d zone.Domain) health.State {
+			t.Helper()
+			for _, s := range k.Fleet(t.Context()).States {
+				if s.Domain == d && s.Search == "s" {
+					return s
+				}
+			}
+			t.Fatal("no state of", d)
+			return health.State{}
+		}
+		if v := verdict("home").Verdict; v != health.Unknown {
+			t.Errorf("before any evidence: %s", v)
+		}
+		k.Start()
+		defer k.Close()
+		for _, step := range []struct {
+			mode string
+			want health.Verdict
+		}{{"whole", health.OK}, {"half", health.Degraded}, {"hang", health.Down}, {"whole", health.OK}} {
+			mode.Store(step.mode)
+			time.Sleep(5 * time.Second)
+			if v := verdict("home"); v.Verdict != step.want {
+				t.Errorf("%s: %+v, want %s", step.mode, v, step.want)
+			}
+		}
+		// A caller in a hurry is no evidence; a caller with time is.
+		hurry := ask.Answer{Outcome: outcome.Unknown(outcome.Timeout), ElapsedMS: 5}
+		k.Observe("s", hurry)
+		if v := verdict("home"); v.Verdict != health.OK {
+			t.Errorf("after a caller in a hurry: %+v", v)
+		}
+		hurry.ElapsedMS = 2000
+		k.Observe("s", hurry)
+		if v := verdict("home"); v.Verdict != health.Degraded {
+			t.Errorf("after a caller with time: %+v", v)
+		}
+		last := time.Now()
+		if v := verdict("far"); v.Verdict != health.OK {
+			t.Errorf("far: %+v", v)
+		}
+		cut.Store(true)
+		time.Sleep(time.Second)
+		if v := verdict("far"); v.Verdict != health.Unknown || !v.Since.Equal(last) || len(v.CutOff) != 1 {
+			t.Errorf("far, cut off: %+v", v)
+		}
+	})
+}
