--- a/internal/back/backend/backend.go
+++ b/internal/back/backend/backend.go
@@ -30,6 +30,8 @@
 	Link link.Config
 	// Events takes what happens; nil discards it.
 	Events event.Sink
+	// NoSilence disables the search for silent connections.
+	NoSilence bool
 	// OnMapRevision is called when an answer shows that the searcher's
 	// shards changed. It must not block.
 	OnMapRevision func(id string)
@@ -39,6 +41,7 @@
 type Backend struct {
 	c        Config
 	pool     *pool.Pool
+	proofAge time.Duration
 	wg       sync.WaitGroup
 	inFlight atomic.Int64
 	revision atomic.Uint64
@@ -61,8 +64,9 @@
 		c.Events = event.Discard{}
 	}
 	c.Link.Addr = c.VM.Addr
-	b := &Backend{c: c}
-	b.pool = pool.New(pool.Config{Link: c.Link, Max: c.MaxLinks, Warm: c.WarmLinks})
+	b := &Backend{c: c, proofAge: proofAge}
+	b.pool = pool.New(pool.Config{Link: c.Link, Max: c.MaxLinks, Warm: c.WarmLinks,
+		Probe: alive, OnSilent: b.silent, NoSilence: c.NoSilence})
 	return b
 }
 
@@ -91,8 +95,11 @@
 	defer b.mu.Unlock()
 	s := Standing{Usable: true, InFlight: int(b.inFlight.Load()), Limit: b.c.MaxLinks,
 		Reported: aged(b.load, time.Since(b.loadAt)), Latency: b.latency, Weight: 1}
-	if b.draining {
+	switch {
+	case b.draining:
 		s.Usable, s.Reason = false, outcome.Draining
+	case b.pool.Dead():
+		s.Usable, s.Reason = false, outcome.ConnectionRefused
 	}
 	return s
 }
@@ -198,6 +205,11 @@
 // loadHalfLife is how long it takes for a reported load to count half.
 const loadHalfLife = 100 * time.Millisecond
 
+// silent notes that a connection was found silent.
+func (b *Backend) silent() {
+	b.c.Events.Emit(event.LinkSilent, b.ID(), "no progress while other connections work")
+}
+
 // aged returns the load that l reported, less the longer ago it was.
 func aged(l searcher.Load, age time.Duration) float64 {
 	n := float64(l.InFlight + l.Queued)
--- a/internal/back/backend/outcome.go
+++ b/internal/back/backend/outcome.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"net/http"
 
 	"github.com/juju/errors"
 
 	"egrethaven/internal/back/link"
 	"egrethaven/internal/back/pool"
 	"egrethaven/internal/back/searcher"
+	"egrethaven/internal/observe/event"
 	"egrethaven/internal/query/outcome"
 )
 
@@ -49,6 +51,22 @@
 	return outcome.NotRun(f.Reason)
 }
 
+// turnedAway tells whether res is the searcher's word that it does not serve
+// the connection, which it says on the first call only and reads nothing.
+func turnedAway(l *link.Link, res link.Result) bool {
+	if res.Err != nil || res.Status != http.StatusServiceUnavailable || l.Calls() != 1 || l.Reusable() {
+		return false
+	}
+	var f searcher.Refusal
+	return json.Unmarshal(res.Body, &f) == nil && f.AttemptID == "" && f.Reason == outcome.ConnectionRefused
+}
+
+// turnedAway gives back a link that the searcher does not serve.
+func (b *Backend) turnedAway(l *link.Link) {
+	b.c.Events.Emit(event.LinkRefused, b.ID(), "above the searcher's limit")
+	b.pool.Refuse(l)
+}
+
 // refusing tells whether r is a reason with which a searcher may refuse.
 func refusing(r outcome.Reason) bool {
 	switch r {
--- a/internal/back/backend/poll.go
+++ b/internal/back/backend/poll.go
@@ -7,6 +7,8 @@
 
 	"github.com/juju/errors"
 
+	"egrethaven/internal/back/link"
+	"egrethaven/internal/back/pool"
 	"egrethaven/internal/back/searcher"
 )
 
@@ -18,6 +20,10 @@
 		return s, errors.Annotatef(err, "read status of %s", b.ID())
 	}
 	res := l.Call(ctx, http.MethodGet, searcher.StatusPath, nil)
+	if turnedAway(l, res) {
+		b.turnedAway(l)
+		return s, errors.Annotatef(pool.ErrRefused, "read status of %s", b.ID())
+	}
 	err = res.Err
 	if err == nil && res.Status != http.StatusOK {
 		err = errors.Errorf("status %d", res.Status)
@@ -32,3 +38,8 @@
 	b.SetStatus(s)
 	return s, nil
 }
+
+// alive asks for the status page; any answer is a sign of life.
+func alive(ctx context.Context, l *link.Link) bool {
+	return l.Call(ctx, http.MethodGet, searcher.StatusPath, nil).Err == nil
+}
--- a/internal/back/backend/search.go
+++ b/internal/back/backend/search.go
@@ -23,24 +23,40 @@
 		return r
 	}
 	defer b.end()
+	for {
+		again := b.search(ctx, q, &r)
+		if !again {
+			break
+		}
+	}
+	r.Elapsed = time.Since(start)
+	return r
+}
+
+// search makes one attempt. It reports true when the searcher turned the
+// connection away: nothing ran then, and another link may serve.
+func (b *Backend) search(ctx context.Context, q searcher.Query, r *Reply) bool {
 	l, err := b.pool.Get(ctx)
 	if err != nil {
 		r.Outcome = outcome.NotRun(reasonOf(err))
-		r.Elapsed = time.Since(start)
-		return r
+		return false
 	}
 	q.DeadlineMS = remaining(ctx)
 	body, err := json.Marshal(q)
 	if err != nil {
 		b.pool.Put(l)
-		return Reply{Outcome: outcome.NotRun(outcome.BadRequest)}
+		r.Outcome = outcome.NotRun(outcome.BadRequest)
+		return false
 	}
 	res := l.Call(ctx, http.MethodPost, searcher.SearchPath, body)
+	if turnedAway(l, res) {
+		b.turnedAway(l)
+		return true
+	}
 	r.Outcome = b.readSearch(q, res, &r.Answer)
 	r.Service = res.Service
 	b.finish(l, r.Outcome, res)
-	r.Elapsed = time.Since(start)
-	return r
+	return false
 }
 
 // readSearch turns the result of a call into an outcome and an answer.
--- /dev/null
+++ b/internal/back/link/link_test.go
@@ -0,0 +1,203 @@
+package link
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// answerBytes and requestBytes are the sizes of a usual call.
+const (
+	answerBytes  = 500
+	requestBytes = 200
+)
+
+func server(t testing.TB) *httptest.Server {
+	body := bytes.Repeat([]byte("a"), answerBytes)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write(body)
+	}))
+	t.Cleanup(s.Close)
+	return s
+}
+
+// raw returns a link whose other end is run by f.
+func raw(t *testing.T, f func(c net.Conn)) *Link {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan bool)
+	go func() {
+		defer close(done)
+		c, err := ln.Accept()
+		if err == nil {
+			f(c)
+			_ = c.Close()
+		}
+	}()
+	l, err := Dial(t.Context(), Config{Addr: ln.Addr().String(), MaxBody: 1000})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close(); _ = ln.Close(); <-done })
+	return l
+}
+
+// read takes one request off c.
+func read(c net.Conn) {
+	b := make([]byte, 4096)
+	_, _ = c.Read(b)
+}
+
+func TestFailures(t *testing.T) {
+	say := func(s string) func(net.Conn) {
+		return func(c net.Conn) { read(c); _, _ = io.WriteString(c, s) }
+	}
+	cases := map[string]struct {
+		far      func(net.Conn)
+		ok       bool
+		reusable bool
+	}{
+		"good":         {say("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"), true, true},
+		"chunked":      {say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n"), true, true},
+		"close":        {say("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi"), true, false},
+		"surplus":      {say("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhiHTTP/1.1 200 OK\r\n"), true, false},
+		"short":        {say("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhi"), false, false},
+		"too large":    {say("HTTP/1.1 200 OK\r\nContent-Length: 1001\r\n\r\n"), false, false},
+		"large chunks": {say("HTTP/1.1 200 OK\r\n\r\n" + string(bytes.Repeat([]byte("a"), 1001))), false, false},
+		"no http":      {say("hello\r\n\r\n"), false, false},
+		"half open":    {func(c net.Conn) { read(c); _ = c.(*net.TCPConn).CloseWrite(); read(c) }, false, false},
+		"reset":        {func(c net.Conn) { read(c); _ = c.(*net.TCPConn).SetLinger(0) }, false, false},
+	}
+	for name, c := range cases {
+		l := raw(t, c.far)
+		r := l.Call(t.Context(), http.MethodPost, "/search", []byte("{}"))
+		if (r.Err == nil) != c.ok || l.Reusable() != c.reusable || !r.Sent {
+			t.Errorf("%s: %+v, reusable %v", name, r, l.Reusable())
+		}
+		if c.ok && string(r.Body) != "hi" {
+			t.Errorf("%s: body %q", name, r.Body)
+		}
+		if !c.reusable && l.Call(t.Context(), http.MethodGet, "/", nil).Err != ErrBroken {
+			t.Errorf("%s: a broken link was used again", name)
+		}
+		l.Close()
+	}
+}
+
+func TestCancelAndAbortEndACall(t *testing.T) {
+	for name, want := range map[string]error{"cancel": context.Canceled, "silent": ErrSilent, "deadline": context.DeadlineExceeded} {
+		arrived := make(chan bool)
+		l := raw(t, func(c net.Conn) { read(c); close(arrived); read(c) })
+		ctx, cancel := context.WithCancel(t.Context())
+		if name == "deadline" {
+			ctx, cancel = context.WithTimeout(t.Context(), time.Millisecond)
+		}
+		go func() {
+			<-arrived
+			switch name {
+			case "cancel":
+				cancel()
+			case "silent":
+				l.Abort(ErrSilent)
+			}
+		}()
+		r := l.Call(ctx, http.MethodPost, "/search", []byte("{}"))
+		cancel()
+		if !errors.Is(r.Err, want) || l.Reusable() {
+			t.Errorf("%s: %+v", name, r)
+		}
+	}
+}
+
+func TestAliveSeesTheClose(t *testing.T) {
+	closed := make(chan bool)
+	l := raw(t, func(c net.Conn) {
+		read(c)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		<-closed
+	})
+	l.Call(t.Context(), http.MethodGet, "/", nil)
+	if !l.Alive() {
+		t.Fatal("an open connection looks closed")
+	}
+	close(closed)
+	for i := 0; l.Alive(); i++ {
+		if i > 1e6 {
+			t.Fatal("a closed connection looks open")
+		}
+	}
+}
+
+// cpu returns the processor time of this process so far.
+func cpu() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// measure reports processor time an operation besides the usual figures.
+func measure(b *testing.B, f func()) {
+	b.ReportAllocs()
+	f()
+	start := cpu()
+	for b.Loop() {
+		f()
+	}
+	b.ReportMetric(float64(cpu()-start)/float64(b.N), "cpu-ns/op")
+}
+
+func BenchmarkLink(b *testing.B) {
+	s := server(b)
+	l, err := Dial(b.Context(), Config{Addr: s.Listener.Addr().String()})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer l.Close()
+	body := bytes.Repeat([]byte("q"), requestBytes)
+	ctx, cancel := context.WithTimeout(b.Context(), time.Hour)
+	defer cancel()
+	measure(b, func() {
+		r := l.Call(ctx, http.MethodPost, "/search", body)
+		if r.Err != nil || len(r.Body) != answerBytes {
+			b.Fatal(fmt.Sprint(r.Err))
+		}
+	})
+}
+
+func BenchmarkTransport(b *testing.B) {
+	s := server(b)
+	c := &http.Client{Transport: &http.Transport{}}
+	defer c.CloseIdleConnections()
+	body := bytes.Repeat([]byte("q"), requestBytes)
+	ctx, cancel := context.WithTimeout(b.Context(), time.Hour)
+	defer cancel()
+	measure(b, func() {
+		q, _ := http.NewRequestWithContext(ctx, http.MethodPost, s.URL+"/search", bytes.NewReader(body))
+		r, err := c.Do(q)
+		if err != nil {
+			b.Fatal(err)
+		}
+		n, _ := io.Copy(io.Discard, r.Body)
+		_ = r.Body.Close()
+		if n != answerBytes {
+			b.Fatal(n)
+		}
+	})
+}
--- /dev/null
+++ b/internal/back/pool/open.go
@@ -0,0 +1,94 @@
+package pool
+
+import (
+	"time"
+
+	"egrethaven/internal/back/link"
+)
+
+const (
+	// backOffFirst is the wait after the first refused connection.
+	backOffFirst = 20 * time.Millisecond
+	// backOffMost bounds the wait after refused connections.
+	backOffMost = time.Second
+)
+
+// backOff is the wait between attempts to open a link.
+type backOff struct {
+	wait  time.Duration
+	until time.Time
+}
+
+// fail doubles the wait.
+func (b *backOff) fail(now time.Time) {
+	b.wait = min(max(2*b.wait, backOffFirst), backOffMost)
+	b.until = now.Add(b.wait)
+}
+
+// failing tells that the last attempt failed.
+func (b *backOff) failing() bool { return b.wait > 0 }
+
+// fill opens as many links as callers wait for, and the warm ones. The lock
+// is held.
+func (p *Pool) fill() {
+	if p.closed || time.Now().Before(p.back.until) {
+		return
+	}
+	most := min(p.c.Max, p.room)
+	if p.back.failing() && p.open() >= most {
+		most = min(p.c.Max, most+1)
+	}
+	for p.open() < most {
+		if p.dialing >= len(p.waiting) && p.open() >= p.c.Warm {
+			return
+		}
+		if p.back.failing() && p.dialing > 0 {
+			return
+		}
+		p.dialing++
+		p.wg.Go(p.dial)
+	}
+}
+
+// dial opens one link.
+func (p *Pool) dial() {
+	l, err := link.Dial(p.ctx, p.c.Link)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dialing--
+	switch {
+	case p.closed && err == nil:
+		l.Close()
+	case p.closed:
+	case err != nil:
+		p.refused()
+	default:
+		p.opened(l)
+	}
+}
+
+// opened takes a new link. The wait between attempts is only forgotten once
+// a call has passed on it. The lock is held.
+func (p *Pool) opened(l *link.Link) {
+	p.s.Opened++
+	p.offer(l)
+	p.fill()
+}
+
+// refused counts a failed attempt and sets when the next may be made. The
+// lock is held.
+func (p *Pool) refused() {
+	p.s.Refused++
+	p.back.fail(time.Now())
+	if p.dead() {
+		p.fail(ErrRefused)
+	}
+	p.wake()
+}
+
+// turnedAway counts a link that the searcher closed before any call. The
+// lock is held.
+func (p *Pool) turnedAway() {
+	p.room = max(min(p.room-1, p.open()), 1)
+	p.refused()
+}
--- a/internal/back/pool/pool.go
+++ b/internal/back/pool/pool.go
@@ -19,12 +19,8 @@
 	ErrClosed = errors.ConstError("pool closed")
 )
 
-const (
-	// backOffFirst is the wait after the first refused connection.
-	backOffFirst = 20 * time.Millisecond
-	// backOffMost bounds the wait after refused connections.
-	backOffMost = time.Second
-)
+// sweepInterval is the time between two looks at the idle links.
+const sweepInterval = time.Second
 
 // Config tells how a pool keeps its links.
 type Config struct {
@@ -32,8 +28,16 @@
 	Link link.Config
 	// Max is how many links may be open at a time.
 	Max int
-	// Warm is how many links are kept open ahead of need.
+	// Warm is how many links are kept open ahead of need, at least 1.
 	Warm int
+	// Probe asks a searcher for a sign of life over a new link. It runs when
+	// a call is late and no other link tells whether the searcher works.
+	// Without it such calls wait for their deadline.
+	Probe func(ctx context.Context, l *link.Link) bool
+	// OnSilent is called when a connection was found silent; nil for none.
+	OnSilent func()
+	// NoSilence disables the search for silent connections.
+	NoSilence bool
 }
 
 // Pool holds the links of one searcher.
@@ -41,14 +45,20 @@
 	ctx     context.Context
 	stop    context.CancelFunc
 	wg      sync.WaitGroup
+	kick    chan struct{}
 	mu      sync.Mutex
 	c       Config
 	idle    []*link.Link
-	used    map[*link.Link]struct{}
+	used    map[*link.Link]time.Time
 	dialing int
 	waiting []chan got
-	backOff time.Duration
-	notTill time.Time
+	back    backOff
+	room    int
+	usual   time.Duration
+	passed  time.Time
+	watched bool
+	swept   time.Time
+	probing bool
 	closed  bool
 	s       Stats
 }
@@ -61,21 +71,28 @@
 
 // Stats are a pool's counts.
 type Stats struct {
-	Open    int
-	Used    int
+	// Open is the number of links open or being opened.
+	Open int
+	// Used is the number of links that carry a call.
+	Used int
+	// Room is how many links the searcher seems to allow this node.
+	Room int
+	// Opened, Refused and Silent count links since the start.
 	Opened  int
 	Refused int
+	Silent  int
 }
 
 // New returns a pool and begins to open its warm links.
 func New(c Config) *Pool {
 	c.Max = max(c.Max, 1)
-	c.Warm = min(c.Warm, c.Max)
-	p := &Pool{c: c, used: map[*link.Link]struct{}{}}
+	c.Warm = min(max(c.Warm, 1), c.Max)
+	p := &Pool{c: c, room: c.Max, used: map[*link.Link]time.Time{}, kick: make(chan struct{}, 1)}
 	p.ctx, p.stop = context.WithCancel(context.Background())
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.fill()
+	p.wg.Go(p.run)
 	return p
 }
 
@@ -87,16 +104,18 @@
 		return nil, ErrClosed
 	}
 	if l := p.pop(); l != nil {
+		p.watch()
 		p.mu.Unlock()
 		return l, nil
 	}
-	if p.open() == 0 && time.Now().Before(p.notTill) {
+	if p.dead() {
 		p.mu.Unlock()
 		return nil, ErrRefused
 	}
 	w := make(chan got, 1)
 	p.waiting = append(p.waiting, w)
 	p.fill()
+	p.watch()
 	p.mu.Unlock()
 	select {
 	case g := <-w:
@@ -112,6 +131,7 @@
 func (p *Pool) Put(l *link.Link) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.learn(l)
 	delete(p.used, l)
 	if !l.Reusable() || p.closed || p.open() >= p.c.Max {
 		l.Close()
@@ -121,12 +141,23 @@
 	p.offer(l)
 }
 
+// Refuse gives back a link that the searcher turned away, and has the pool
+// make do with fewer for a while.
+func (p *Pool) Refuse(l *link.Link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.used, l)
+	l.Close()
+	p.turnedAway()
+}
+
 // SetMax changes how many links may be open. Surplus links close as their
 // calls end.
 func (p *Pool) SetMax(n int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.c.Max = max(n, 1)
+	p.room = p.c.Max
 	for len(p.idle) > 0 && p.open() > p.c.Max {
 		p.idle[0].Close()
 		p.idle = slices.Delete(p.idle, 0, 1)
@@ -134,12 +165,19 @@
 	p.fill()
 }
 
+// Dead tells that no link is open and the last attempt to open one failed.
+func (p *Pool) Dead() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.dead()
+}
+
 // Stats returns the pool's counts.
 func (p *Pool) Stats() Stats {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.s
-	s.Open, s.Used = p.open(), len(p.used)
+	s.Open, s.Used, s.Room = p.open(), len(p.used), p.room
 	return s
 }
 
@@ -161,6 +199,11 @@
 	p.wg.Wait()
 }
 
+// dead is Dead with the lock held.
+func (p *Pool) dead() bool {
+	return len(p.idle)+len(p.used) == 0 && p.back.failing()
+}
+
 // open is the number of links open or being opened. The lock is held.
 func (p *Pool) open() int {
 	return len(p.idle) + len(p.used) + p.dialing
@@ -174,14 +217,22 @@
 		l := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
 		if l.Alive() {
-			p.used[l] = struct{}{}
+			p.used[l] = time.Now()
 			return l
 		}
-		l.Close()
+		p.drop(l)
 	}
 	return nil
 }
 
+// drop closes an idle link that is no longer alive. The lock is held.
+func (p *Pool) drop(l *link.Link) {
+	l.Close()
+	if l.Calls() == 0 {
+		p.turnedAway()
+	}
+}
+
 // offer hands a link to the caller that has waited longest, or keeps it. The
 // lock is held.
 func (p *Pool) offer(l *link.Link) {
@@ -191,7 +242,7 @@
 	}
 	w := p.waiting[0]
 	p.waiting = slices.Delete(p.waiting, 0, 1)
-	p.used[l] = struct{}{}
+	p.used[l] = time.Now()
 	w <- got{l: l}
 }
 
@@ -217,74 +268,3 @@
 	}
 	p.waiting = nil
 }
-
-// fill opens as many links as callers wait for, and the warm ones. The lock
-// is held.
-func (p *Pool) fill() {
-	if p.closed || time.Now().Before(p.notTill) {
-		return
-	}
-	for p.open() < p.c.Max {
-		if p.dialing >= len(p.waiting) && p.open() >= p.c.Warm {
-			return
-		}
-		p.dialing++
-		p.wg.Go(p.dial)
-	}
-}
-
-// dial opens one link.
-func (p *Pool) dial() {
-	l, err := link.Dial(p.ctx, p.c.Link)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.dialing--
-	if err != nil {
-		p.refused()
-		return
-	}
-	if p.closed {
-		l.Close()
-		return
-	}
-	p.s.Opened++
-	p.backOff = 0
-	p.offer(l)
-	p.fill()
-}
-
-// refused counts a failed attempt and sets when the next may be made. The
-// lock is held.
-func (p *Pool) refused() {
-	if p.closed {
-		return
-	}
-	p.s.Refused++
-	p.backOff = min(max(2*p.backOff, backOffFirst), backOffMost)
-	p.notTill = time.Now().Add(p.backOff)
-	if p.open() == 0 {
-		p.fail(ErrRefused)
-	}
-	p.wg.Go(p.again)
-}
-
-// again fills the pool once the wait after a refusal is over.
-func (p *Pool) again() {
-	t := time.NewTimer(time.Until(p.notTillNow()))
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-p.ctx.Done():
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.fill()
-}
-
-// notTillNow returns when the next attempt may be made.
-func (p *Pool) notTillNow() time.Time {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.notTill
-}
--- /dev/null
+++ b/internal/back/pool/watch.go
@@ -0,0 +1,205 @@
+package pool
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"egrethaven/internal/back/link"
+)
+
+// usualGain is the weight of a new service time in the usual one, as a
+// divisor.
+const usualGain = 16
+
+// run opens links after a wait, looks at the idle ones, and searches for
+// silent connections while calls are in progress.
+func (p *Pool) run() {
+	t := time.NewTimer(sweepInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-p.ctx.Done():
+			return
+		case <-p.kick:
+		case <-t.C:
+		}
+		t.Reset(p.look())
+	}
+}
+
+// wake has run look again. The lock is held.
+func (p *Pool) wake() {
+	select {
+	case p.kick <- struct{}{}:
+	default:
+	}
+}
+
+// watch has run search for silent connections. The lock is held.
+func (p *Pool) watch() {
+	if !p.watched && !p.c.NoSilence {
+		p.watched = true
+		p.wake()
+	}
+}
+
+// look does what is due, and returns the time to the next look.
+func (p *Pool) look() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	p.sweep(now)
+	p.fill()
+	next := sweepInterval
+	if w := p.back.until.Sub(now); w > 0 {
+		next = min(next, w)
+	}
+	p.watched = p.watched && len(p.used)+len(p.waiting) > 0
+	if p.watched {
+		p.searchSilent(now)
+		next = min(next, Patience(p.usual)/2)
+	}
+	return next
+}
+
+// sweep drops idle links that the searcher closed. The lock is held.
+func (p *Pool) sweep(now time.Time) {
+	if now.Before(p.swept.Add(sweepInterval)) {
+		return
+	}
+	p.swept = now
+	old := p.idle
+	p.idle = nil
+	for _, l := range old {
+		if l.Alive() {
+			p.idle = append(p.idle, l)
+		}
+	}
+	for _, l := range old {
+		if !slices.Contains(p.idle, l) {
+			p.drop(l)
+		}
+	}
+}
+
+// searchSilent closes the connections that are silent. The lock is held.
+func (p *Pool) searchSilent(now time.Time) {
+	var oldest *link.Link
+	for l, began := range p.used {
+		if _, calling := l.Began(); !calling {
+			continue
+		}
+		e := Evidence{Waited: now.Sub(began), Usual: p.usual, Passed: p.passed.After(began)}
+		switch Judge(e) {
+		case Silent:
+			p.silence(l, began)
+		case Doubtful:
+			if oldest == nil || began.Before(p.used[oldest]) {
+				oldest = l
+			}
+		}
+	}
+	if oldest != nil && p.c.Probe != nil && !p.probing {
+		p.probe(oldest, now)
+	}
+}
+
+// silence ends the call on a silent connection, and drops the idle links that
+// have made no progress since the call began: what made this one silent may
+// have lost track of them too. The lock is held.
+func (p *Pool) silence(l *link.Link, began time.Time) {
+	p.s.Silent++
+	l.Abort(link.ErrSilent)
+	p.idle = slices.DeleteFunc(p.idle, func(o *link.Link) bool {
+		if o.IdleSince().After(began) {
+			return false
+		}
+		o.Close()
+		return true
+	})
+	if p.c.OnSilent != nil {
+		p.c.OnSilent()
+	}
+}
+
+// learn takes the time of the last call on l. The lock is held.
+func (p *Pool) learn(l *link.Link) {
+	began, ok := p.used[l]
+	if !ok || !l.Reusable() || l.Calls() == 0 {
+		return
+	}
+	if began.After(p.passed) {
+		p.passed = began
+	}
+	p.back = backOff{}
+	p.room = min(max(p.room, p.open()+1), p.c.Max)
+	d := l.IdleSince().Sub(began)
+	if p.usual == 0 {
+		p.usual = d
+		return
+	}
+	p.usual += (d - p.usual) / usualGain
+}
+
+// probe opens a new link and asks for a sign of life. If no room is left,
+// the doubtful link makes room once it is twice as late. The lock is held.
+func (p *Pool) probe(doubtful *link.Link, now time.Time) {
+	if p.open() >= p.c.Max && !p.dropIdle() {
+		if now.Sub(p.used[doubtful]) < 2*Patience(p.usual) {
+			return
+		}
+		p.s.Silent++
+		doubtful.Abort(link.ErrSilent)
+		return
+	}
+	p.probing = true
+	p.dialing++
+	p.wg.Go(p.runProbe)
+}
+
+// dropIdle closes the link that has been idle longest. The lock is held.
+func (p *Pool) dropIdle() bool {
+	if len(p.idle) == 0 {
+		return false
+	}
+	p.idle[0].Close()
+	p.idle = slices.Delete(p.idle, 0, 1)
+	return true
+}
+
+// runProbe opens a link and asks for a sign of life on it.
+func (p *Pool) runProbe() {
+	began := time.Now()
+	l, err := link.Dial(p.ctx, p.c.Link)
+	alive := false
+	if err == nil {
+		ctx, cancel := context.WithTimeout(p.ctx, silentMost)
+		alive = p.c.Probe(ctx, l)
+		cancel()
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.probing = false
+	p.dialing--
+	if alive {
+		p.passed = maxTime(p.passed, began)
+		p.wake()
+	}
+	switch {
+	case err == nil && (p.closed || !alive || !l.Reusable()):
+		l.Close()
+	case err == nil:
+		p.opened(l)
+	case !p.closed:
+		p.refused()
+	}
+}
+
+// maxTime returns the later of two times.
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
