Match texts as the tier does: in the key too, without regard to case

Cause: the oracle compared the text exactly; the merger does not. Change: dataset's score follows the same rule, written on its own. Conclusion: a difference is now a fault, not a convention.

--- a/internal/standin/dataset/match.go
+++ b/internal/standin/dataset/match.go
@@ -85,7 +85,8 @@
 	return m, found
 }
 
-// score tells whether r matches q, and how well.
+// score tells whether r matches q, and how well. The text has to occur in
+// the key or in a field, without regard to case.
 func (q Request) score(r record.Record) (float64, bool) {
 	for _, f := range q.Filters {
 		if r.Fields[f.Field] != f.Value {
@@ -95,14 +96,22 @@
 	if q.Text == "" {
 		return 0, true
 	}
-	s, ok := 0.0, false
+	text := strings.ToLower(q.Text)
+	best := scoreOf(r.Key, text)
 	for _, v := range r.Fields {
-		switch {
-		case v == q.Text:
-			return scoreExact, true
-		case strings.Contains(v, q.Text):
-			s, ok = scorePart, true
-		}
+		best = max(best, scoreOf(v, text))
+	}
+	return best, best > 0
+}
+
+// scoreOf returns the score of one value; 0 is no match.
+func scoreOf(value, text string) float64 {
+	value = strings.ToLower(value)
+	switch {
+	case value == text:
+		return scoreExact
+	case strings.Contains(value, text):
+		return scorePart
 	}
-	return s, ok
+	return 0
 }
