Write key ranges without fmt, and only for explanations

Change: hex digits are appended directly; steps format a range only when the question wants an explanation.

--- a/internal/query/keyrange/range.go
+++ b/internal/query/keyrange/range.go
@@ -15,7 +15,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"math"
 	"slices"
 
@@ -70,12 +69,28 @@
 
 // String returns the text form of r.
 func (r Range) String() string {
-	return fmt.Sprintf("%016x-%016x", r.First, r.Last)
+	return string(r.appendText(make([]byte, 0, textLength)))
 }
 
 // MarshalText returns the text form of r.
 func (r Range) MarshalText() ([]byte, error) {
-	return []byte(r.String()), nil
+	return r.appendText(make([]byte, 0, textLength)), nil
+}
+
+// appendText adds the text form of r to b.
+func (r Range) appendText(b []byte) []byte {
+	b = appendHex(b, r.First)
+	b = append(b, '-')
+	return appendHex(b, r.Last)
+}
+
+// appendHex adds the sixteen hexadecimal digits of v to b.
+func appendHex(b []byte, v uint64) []byte {
+	const digits = "0123456789abcdef"
+	for shift := 60; shift >= 0; shift -= 4 {
+		b = append(b, digits[v>>uint(shift)&15])
+	}
+	return b
 }
 
 // UnmarshalText reads the text form of a range. It fails on any other text
--- a/internal/query/scatter/call.go
+++ b/internal/query/scatter/call.go
@@ -107,7 +107,7 @@
 	q := r.query(i, s)
 	c, cancel := context.WithCancel(r.ctx)
 	s.flights = append(s.flights, flight{attempt: s.attempts, began: time.Now(), cancel: cancel})
-	r.step(what, p.ID(), s.Range.String(), "")
+	r.step(what, p.ID(), &s.Range, "")
 	res := result{shard: i, replica: k, attempt: s.attempts}
 	out, over := r.results, r.ctx.Done()
 	r.e.calls.Add(1)
@@ -152,7 +152,7 @@
 		r.cost.Dropped++
 		r.e.c.Events.Emit(event.AnswerDropped, id, r.ask.QueryID)
 	}
-	r.step("answer", id, s.Range.String(), o.String())
+	r.step("answer", id, &s.Range, o.String())
 	if o.OK() {
 		r.accept(res.shard, &res.reply.Answer)
 		return false
@@ -320,7 +320,7 @@
 	r.samples = s.cancel(time.Now(), r.samples)
 	r.open--
 	r.gaveUp = true
-	r.step("give up", "", s.Range.String(), string(why))
+	r.step("give up", "", &s.Range, string(why))
 }
 
 // push adds a decision in order of time.
--- a/internal/query/scatter/run.go
+++ b/internal/query/scatter/run.go
@@ -91,7 +91,7 @@
 		r.restarts++
 		r.cost.Restarts++
 		r.e.c.Events.Emit(event.QueryRestarted, r.ask.Search, r.ask.QueryID)
-		r.step("restart", "", "", "version gone")
+		r.step("restart", "", nil, "version gone")
 		v = Trusted
 	}
 	a := r.finish(ctx)
@@ -275,9 +275,13 @@
 }
 
 // step records one step for an explanation.
-func (r *run) step(what, searcher, rng, detail string) {
+func (r *run) step(what, searcher string, g *keyrange.Range, detail string) {
 	if !r.ask.Explain {
 		return
 	}
-	r.steps = append(r.steps, ask.Step{At: time.Since(r.start).Microseconds(), What: what, Searcher: searcher, Range: rng, Detail: detail})
+	s := ask.Step{At: time.Since(r.start).Microseconds(), What: what, Searcher: searcher, Detail: detail}
+	if g != nil {
+		s.Range = g.String()
+	}
+	r.steps = append(r.steps, s)
 }
--- a/internal/query/scatter/trial.go
+++ b/internal/query/scatter/trial.go
@@ -76,7 +76,7 @@
 	p := s.Replicas[res.replica]
 	r.land(res)
 	s.last = outcome.ConnectionLost
-	r.step("answer", p.ID(), s.Range.String(), res.reply.Outcome.String())
+	r.step("answer", p.ID(), &s.Range, res.reply.Outcome.String())
 	r.e.c.Guard.Lost(r.print, p.ID(), p.Standing().InFlight)
 	r.e.c.Guard.Settle(r.ctx, r.print)
 	if r.e.c.Guard.Judge(r.print) == Quarantined {
