--- /dev/null
+++ b/internal/front/balancer/gate_test.go
@@ -0,0 +1,63 @@
+package balancer_test
+
+import (
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"egrethaven/internal/front/balancer"
+	"egrethaven/internal/query/outcome"
+)
+
+func TestShutdownCutsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := balancer.New(balancer.Config{MaxInFlight: 2})
+		if _, o := g.Enter(); o != outcome.NotRun(outcome.NotReady) {
+			t.Error("before ready:", o)
+		}
+		g.SetReady()
+		first, _ := g.Enter()
+		begin := time.Now()
+		done := make(chan int)
+		go func() { done <- g.Shutdown(t.Context(), 5*time.Second, 30*time.Second) }()
+		time.Sleep(time.Second)
+		w := httptest.NewRecorder()
+		if g.ServeReady(w, nil); w.Code != 503 {
+			t.Error("/ready while draining:", w.Code)
+		}
+		second, o := g.Enter()
+		if !o.OK() {
+			t.Error("within the balancer's lag:", o)
+		}
+		if _, o := g.Enter(); o != outcome.NotRun(outcome.Shed) {
+			t.Error("above the limit:", o)
+		}
+		time.Sleep(5 * time.Second)
+		if _, o := g.Enter(); o != outcome.NotRun(outcome.ShuttingDown) {
+			t.Error("after the lag:", o)
+		}
+		first()
+		time.Sleep(4 * time.Second)
+		second()
+		if left := <-done; left != 0 || time.Since(begin) != 10*time.Second {
+			t.Error(left, time.Since(begin))
+		}
+		g.SetReady()
+		if ok, _ := g.Ready(); ok {
+			t.Error("ready after a shutdown")
+		}
+	})
+}
+
+func TestShutdownLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := balancer.New(balancer.Config{MaxInFlight: 2})
+		g.SetReady()
+		release, _ := g.Enter()
+		if left := g.Shutdown(t.Context(), time.Second, 2*time.Second); left != 1 {
+			t.Error(left)
+		}
+		release()
+	})
+}
--- /dev/null
+++ b/internal/front/caller/caller_test.go
@@ -0,0 +1,226 @@
+package caller_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"egrethaven/internal/front/balancer"
+	"egrethaven/internal/front/caller"
+	"egrethaven/internal/front/problemdetail"
+	"egrethaven/internal/observe/health"
+	"egrethaven/internal/observe/metric"
+	"egrethaven/internal/query/ask"
+	"egrethaven/internal/query/coverage"
+	"egrethaven/internal/query/keyrange"
+	"egrethaven/internal/query/outcome"
+	"egrethaven/internal/query/write"
+	"egrethaven/internal/state/config"
+	"egrethaven/internal/state/search"
+)
+
+// engine answers with fixed values and counts what was dispatched.
+type engine struct {
+	answer     ask.Answer
+	result     write.Result
+	asked      ask.Ask
+	dispatched int
+}
+
+func (e *engine) Ask(_ context.Context, a ask.Ask) ask.Answer {
+	e.dispatched++
+	e.asked = a
+	return e.answer
+}
+
+func (e *engine) Write(context.Context, write.Write) write.Result {
+	e.dispatched++
+	return e.result
+}
+
+func (e *engine) Health(string) health.Report { return health.Report{Node: "a"} }
+
+func snapshot() *config.Snapshot {
+	d := search.Definition{Name: "s", SchemaVersions: []int{1, 2}, Deadline: time.Second, MaxLimit: 50, Writes: true}
+	r := d
+	r.Name, r.Writes = "readonly", false
+	return &config.Snapshot{Searches: map[string]search.Definition{"s": d, "readonly": r}}
+}
+
+func serve(t *testing.T, e *engine) http.Handler {
+	t.Helper()
+	m, err := metric.New(metric.Config{Node: "a"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { m.Close() })
+	g := balancer.New(balancer.Config{MaxInFlight: 1})
+	g.SetReady()
+	return caller.New(caller.Config{Engine: e, Searches: snapshot, Gate: g, MaxBody: 4096, Metrics: m})
+}
+
+func post(h http.Handler, path, body string, headers ...string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
+	r.Header.Set("Content-Type", "application/json")
+	for i := 0; i < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	return w
+}
+
+const key = "0190163d-8694-739b-aea5-966c26f8ad91"
+
+// TestRefusals holds that a request that is not valid gets a 4xx with
+// problem details and is not dispatched.
+func TestRefusals(t *testing.T) {
+	const query, records = "/v1/searches/s/query", "/v1/searches/s/records"
+	const rec = `{"key":"k","schema_version":1,"fields":{"a":"b"}}`
+	for _, c := range []struct {
+		name, path, body string
+		status           int
+		reason           outcome.Reason
+		headers          []string
+	}{
+		{"malformed", query, `{"text":`, 400, "bad_request", nil},
+		{"empty", query, ``, 400, "bad_request", nil},
+		{"array", query, `[]`, 400, "bad_request", nil},
+		{"null", query, `null`, 400, "bad_request", nil},
+		{"unknown member", query, `{"txet":"a"}`, 400, "bad_request", nil},
+		{"wrong type", query, `{"text":1}`, 400, "bad_request", nil},
+		{"trailing data", query, `{"text":"a"} {}`, 400, "bad_request", nil},
+		{"limit 0", query, `{"limit":0}`, 400, "bad_request", nil},
+		{"limit above", query, `{"limit":51}`, 400, "bad_request", nil},
+		{"limit fraction", query, `{"limit":1.5}`, 400, "bad_request", nil},
+		{"long text", query, `{"text":"` + strings.Repeat("a", 1025) + `"}`, 400, "bad_request", nil},
+		{"filter without field", query, `{"filters":[{"value":"x"}]}`, 400, "bad_request", nil},
+		{"deadline past", query, `{"deadline_ms":0}`, 400, "deadline_past", nil},
+		{"deadline at past", query, `{"deadline_at":"2001-01-01T00:00:00Z"}`, 400, "deadline_past", nil},
+		{"deadline above", query, `{"deadline_ms":1001}`, 400, "bad_request", nil},
+		{"two deadlines", query, `{"deadline_ms":1,"deadline_at":"2001-01-01T00:00:00Z"}`, 400, "bad_request", nil},
+		{"too large", query, `{"text":"` + strings.Repeat("a", 5000) + `"}`, 413, "bad_request", nil},
+		{"not JSON", query, `{}`, 415, "bad_request", []string{"Content-Type", "text/plain"}},
+		{"bad caller", query, `{}`, 400, "bad_request", []string{"X-Caller", "A B"}},
+		{"unknown search", "/v1/searches/x/query", `{}`, 404, "unknown_search", nil},
+		{"unknown path", "/v2", `{}`, 404, "bad_request", nil},
+		{"wrong method", "/v1/searches/s/health", `{}`, 405, "bad_request", nil},
+		{"no key", records, rec, 400, "bad_request", nil},
+		{"key not v7", records, rec, 400, "bad_request", []string{"Idempotency-Key", "7b2a4e0e-8f0b-4d62-9d0b-0a53a5c7b7a1"}},
+		{"key in braces", records, rec, 400, "bad_request", []string{"Idempotency-Key", "{" + key + "}"}},
+		{"schema version", records, strings.Replace(rec, "1", "3", 1), 400, "bad_request", []string{"Idempotency-Key", key}},
+		{"no fields", records, `{"key":"k","schema_version":1}`, 400, "bad_request", []string{"Idempotency-Key", key}},
+		{"search without writes", "/v1/searches/readonly/records", rec, 400, "bad_request", []string{"Idempotency-Key", key}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			e := &engine{}
+			w := post(serve(t, e), c.path, c.body, append(c.headers, "X-Request-Id", "r-1")...)
+			var d problemdetail.Detail
+			if err := json.Unmarshal(w.Body.Bytes(), &d); err != nil {
+				t.Fatal(err, w.Body)
+			}
+			if w.Code != c.status || d.Status != c.status || d.Reason != c.reason || d.Outcome != outcome.KindNotRun || d.Detail == "" {
+				t.Errorf("%d %+v", w.Code, d)
+			}
+			if w.Header().Get("Content-Type") != "application/problem+json" || w.Header().Get("X-Request-Id") != "r-1" || d.RequestID != "r-1" {
+				t.Errorf("%v", w.Header())
+			}
+			if e.dispatched != 0 {
+				t.Error("the request was dispatched")
+			}
+		})
+	}
+}
+
+// TestPartial holds that only a caller who accepts it gets a partial answer
+// as a success, whatever the engine's own flag says.
+func TestPartial(t *testing.T) {
+	whole := coverage.New(1, []keyrange.Range{keyrange.Whole}, nil)
+	half := coverage.New(1, keyrange.Split(2)[:1], nil)
+	late := coverage.New(1, keyrange.Split(2)[:1], []coverage.Gap{{Range: keyrange.Split(2)[1], Reason: outcome.Timeout}})
+	for _, c := range []struct {
+		name, body string
+		o          outcome.Outcome
+		coverage   coverage.Coverage
+		status     int
+	}{
+		{"whole", `{}`, outcome.OK(), whole, 200},
+		{"half", `{}`, outcome.OK(), half, 503},
+		{"half for time", `{}`, outcome.OK(), late, 504},
+		{"half accepted", `{"accept_partial":true}`, outcome.OK(), half, 200},
+		{"none accepted", `{"accept_partial":true}`, outcome.OK(), coverage.New(1, nil, nil), 503},
+		{"shed", `{"accept_partial":true}`, outcome.NotRun(outcome.Shed), half, 503},
+		{"over share", `{}`, outcome.NotRun(outcome.OverShare), coverage.Coverage{}, 429},
+		{"timeout", `{}`, outcome.Unknown(outcome.Timeout), half, 504},
+	} {
+		e := &engine{answer: ask.Answer{Outcome: c.o, Coverage: c.coverage, Complete: true, Hits: []ask.Hit{{Score: 1}}}}
+		w := post(serve(t, e), "/v1/searches/s/query", c.body)
+		complete := bytes.Contains(w.Body.Bytes(), []byte(`"complete":true`))
+		hits := bytes.Contains(w.Body.Bytes(), []byte(`"hits"`))
+		if w.Code != c.status || complete != (c.name == "whole") || hits != (c.status == 200) {
+			t.Errorf("%s: %d %s", c.name, w.Code, w.Body)
+		}
+	}
+}
+
+func TestQueryPassesOn(t *testing.T) {
+	e := &engine{answer: ask.Answer{Outcome: outcome.OK(), Coverage: coverage.New(1, []keyrange.Range{keyrange.Whole}, nil)}}
+	begin := time.Now()
+	h := serve(t, e)
+	w := post(h, "/v1/searches/s/query", `{"text":"t","limit":7,"deadline_ms":600,"filters":[{"field":"f","value":"v"}],"accept_partial":true,"explain":true}`, "X-Caller", "desk")
+	a := e.asked
+	left := a.Deadline.Sub(begin)
+	if w.Code != 200 || a.Text != "t" || a.Limit != 7 || a.Caller != "desk" || !a.AcceptPartial || !a.Explain || a.Filters[0].Value != "v" || left < 600*time.Millisecond || a.QueryID == "" {
+		t.Errorf("%d %+v", w.Code, a)
+	}
+	if w.Header().Get("X-Request-Id") == "" {
+		t.Error("no request id")
+	}
+	post(h, "/v1/searches/s/query", `{}`)
+	if e.asked.QueryID == a.QueryID || e.asked.Limit != 20 {
+		t.Errorf("%+v", e.asked)
+	}
+}
+
+func TestRecord(t *testing.T) {
+	for _, c := range []struct {
+		o      outcome.Outcome
+		status int
+	}{
+		{outcome.OK(), 201}, {outcome.NotRun(outcome.StoreDown), 503}, {outcome.NotRun(outcome.InProgress), 409}, {outcome.NotRun(outcome.KeyReused), 422},
+		{outcome.Unknown(outcome.ConnectionLost), 502}, {outcome.Unknown(outcome.InProgress), 409}, {outcome.Failed(outcome.Rejected), 422},
+	} {
+		e := &engine{result: write.Result{Outcome: c.o, Repeated: true}}
+		w := post(serve(t, e), "/v1/searches/s/records", `{"key":"k","schema_version":1,"fields":{"a":"b"}}`, "Idempotency-Key", key)
+		if w.Code != c.status || !strings.Contains(w.Body.String(), `"repeated":true`) || !strings.Contains(w.Body.String(), string(c.o.Kind)) {
+			t.Errorf("%s: %d %s", c.o, w.Code, w.Body)
+		}
+	}
+}
+
+// FuzzQuery holds that no body makes the API fail or dispatch what is out of
+// range.
+func FuzzQuery(f *testing.F) {
+	f.Add(`{"text":"a","limit":3,"deadline_ms":5}`)
+	f.Add(`{"filters":[{"field":"f","value":"v"}],"deadline_at":"2030-01-01T00:00:00Z"}`)
+	e := &engine{answer: ask.Answer{Outcome: outcome.OK(), Coverage: coverage.New(1, []keyrange.Range{keyrange.Whole}, nil)}}
+	g := balancer.New(balancer.Config{MaxInFlight: 1})
+	g.SetReady()
+	h := caller.New(caller.Config{Engine: e, Searches: snapshot, Gate: g, MaxBody: 4096})
+	f.Fuzz(func(t *testing.T, body string) {
+		before := e.dispatched
+		w := post(h, "/v1/searches/s/query", body)
+		sent := e.dispatched > before
+		if sent != (w.Code == 200) || w.Code >= 500 {
+			t.Fatalf("%d, dispatched %v", w.Code, sent)
+		}
+		if left := time.Until(e.asked.Deadline); sent && (e.asked.Limit < 1 || e.asked.Limit > 50 || left > time.Second) {
+			t.Fatalf("%+v", e.asked)
+		}
+	})
+}
--- /dev/null
+++ b/internal/front/httpserver/server.go
@@ -0,0 +1,105 @@
+// Package httpserver runs one HTTP listener with bounds on what a client may
+// hold open.
+//
+// # Usage
+//
+//	s, err := httpserver.New(httpserver.Config{Addr: "127.0.0.1:7800", Handler: h, Events: log})
+//	s.Serve()
+//	defer s.Close()
+package httpserver
+
+import (
+	"context"
+	stdlog "log"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"egrethaven/internal/observe/event"
+)
+
+const (
+	// headerTimeout bounds how long a client may take for its headers.
+	headerTimeout = 5 * time.Second
+	// readTimeout bounds how long a client may take for a whole request.
+	readTimeout = 15 * time.Second
+	// idleTimeout closes a connection that has no request.
+	idleTimeout = 2 * time.Minute
+	// maxHeader bounds the headers of a request, in bytes.
+	maxHeader = 16 << 10
+	// closeTimeout bounds how long Close waits for answers being sent.
+	closeTimeout = 2 * time.Second
+)
+
+// Config sets up a Server.
+type Config struct {
+	// Addr is the IP and port to listen on.
+	Addr    string
+	Handler http.Handler
+	Events  event.Sink
+}
+
+// Server is one HTTP listener.
+type Server struct {
+	c   Config
+	lis net.Listener
+	srv *http.Server
+	wg  sync.WaitGroup
+}
+
+// New listens, but takes no connection before Serve.
+func New(c Config) (*Server, error) {
+	if c.Events == nil {
+		c.Events = event.Discard{}
+	}
+	l, err := net.Listen("tcp", c.Addr)
+	if err != nil {
+		c.Events.Emit(event.ListenerFailed, c.Addr, err.Error())
+		return nil, errors.Annotatef(err, "listening on %s", c.Addr)
+	}
+	return &Server{c: c, lis: l, srv: &http.Server{
+		Handler: c.Handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout,
+		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader, ErrorLog: stdlog.New(sink{c.Events, c.Addr}, "", 0),
+	}}, nil
+}
+
+// sink turns the server's own complaints into events.
+type sink struct {
+	events event.Sink
+	addr   string
+}
+
+// Write emits one line.
+func (s sink) Write(b []byte) (int, error) {
+	s.events.Emit(event.ListenerFailed, s.addr, string(b))
+	return len(b), nil
+}
+
+// Addr is the IP and port that it listens on.
+func (s *Server) Addr() string { return s.lis.Addr().String() }
+
+// Serve starts to take connections and returns at once.
+func (s *Server) Serve() {
+	s.wg.Go(func() {
+		if err := s.srv.Serve(s.lis); !errors.Is(err, http.ErrServerClosed) {
+			s.c.Events.Emit(event.ListenerFailed, s.c.Addr, err.Error())
+		}
+	})
+}
+
+// Close stops listening, lets answers that are being sent end for a short
+// time, ends every connection and waits for the listener.
+func (s *Server) Close() error {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	err := s.srv.Shutdown(ctx)
+	if err != nil {
+		err = s.srv.Close()
+	}
+	s.lis.Close()
+	s.wg.Wait()
+	return errors.Trace(err)
+}
