Fan out at two levels, through holders of groups of shards

Cause: at the design size a searcher allows 25 connections and its failure domain has 83 nodes, so no node can call every searcher. Change: a shard may belong to a group that other entry VMs hold; the coordinator asks one holder a group, another when it is lost or slow (paid from the same budget), and names what none of them gave. A restart now pays for all calls that it makes again, not only for the answers thrown away. The restart test needs a larger budget now: its bound did not change, the price did.

--- a/internal/query/scatter/call.go
+++ b/internal/query/scatter/call.go
@@ -301,18 +301,13 @@
 func (r *run) versionGone(i int) bool {
 	vs := r.e.c.Source.Index(r.def.Service).Versions()
 	newer := len(vs) > 0 && vs[0] > r.version
-	if newer && r.restarts < r.e.c.Policy.Restarts && r.lane.budget.Spend(r.answered()) {
+	if newer && !r.part && r.restarts < r.e.c.Policy.Restarts && r.lane.budget.Spend(len(r.shards)) {
 		return true
 	}
 	r.giveUp(i, outcome.VersionGone)
 	return false
 }
 
-// answered counts the shards whose answer a restart throws away.
-func (r *run) answered() int {
-	return len(r.shards) - r.open
-}
-
 // giveUp names a shard missing.
 func (r *run) giveUp(i int, why outcome.Reason) {
 	s := &r.shards[i]
--- a/internal/query/scatter/finish.go
+++ b/internal/query/scatter/finish.go
@@ -53,7 +53,7 @@
 			lists = append(lists, s.answer.Hits)
 		}
 	}
-	return coverage.New(r.version, covered, gaps), lists, total
+	return coverage.New(r.version, covered, gaps), append(lists, r.partHits...), total
 }
 
 // gap returns why a shard is missing.
@@ -96,5 +96,8 @@
 	for i := range r.shards {
 		n += len(r.shards[i].flights)
 	}
+	for i := range r.groups {
+		n += r.groups[i].flights
+	}
 	return n
 }
--- a/internal/query/scatter/run.go
+++ b/internal/query/scatter/run.go
@@ -46,9 +46,14 @@
 	version uint64
 	shards  []shardState
 	results chan result
+	groups  []group
+	parts   chan partResult
 	due     []due
 	open    int
 	gaveUp  bool
+	// part tells that this node answers as a holder, for a coordinator.
+	part     bool
+	partHits [][]ask.Hit
 
 	cost     ask.Cost
 	steps    []ask.Step
@@ -69,6 +74,8 @@
 	at    time.Time
 	shard int
 	retry bool
+	// part is one more than the group whose holder is slow, or 0.
+	part int
 }
 
 // newRun prepares a query.
@@ -110,6 +117,8 @@
 	r.ctx = c
 	r.results = make(chan result, resultBuffer)
 	r.due = r.due[:0]
+	r.partHits = nil
+	r.gather()
 	if v != Trusted && !r.e.c.Policy.NoTrial && !r.trial(v) {
 		return false
 	}
@@ -151,10 +160,12 @@
 	now := time.Now()
 	n := 0
 	for i := range r.shards {
-		if r.shards[i].attempts == 0 && r.first(i, now) {
+		s := &r.shards[i]
+		if len(s.Holders) == 0 && s.attempts == 0 && r.first(i, now) {
 			n++
 		}
 	}
+	r.delegate(now)
 	if r.restarts == 0 {
 		r.lane.budget.Earn(n)
 	}
@@ -197,6 +208,10 @@
 			if r.take(res) {
 				return true
 			}
+		case res := <-r.parts:
+			if r.takePart(res) {
+				return true
+			}
 		case <-t.C:
 			r.decideDue(time.Now())
 		case <-r.ctx.Done():
@@ -214,12 +229,12 @@
 // hopeless tells whether a shard was given up and the caller has no use for
 // a partial answer, so that further calls would be wasted.
 func (r *run) hopeless() bool {
-	return r.gaveUp && !r.ask.AcceptPartial
+	return r.gaveUp && !r.ask.AcceptPartial && !r.part
 }
 
 // impatient tells whether the query may end early with a partial answer.
 func (r *run) impatient() bool {
-	return r.def.Prefer == search.Latency && r.ask.AcceptPartial
+	return r.def.Prefer == search.Latency && r.ask.AcceptPartial && !r.part
 }
 
 // patienceOver tells whether a query that may end early has waited long
@@ -241,6 +256,8 @@
 		d := r.due[0]
 		r.due = r.due[1:]
 		switch {
+		case d.part > 0:
+			r.hedgePart(d.part-1, now)
 		case d.shard == noShard:
 		case d.retry:
 			r.again(d.shard)
--- a/internal/query/scatter/source.go
+++ b/internal/query/scatter/source.go
@@ -21,6 +21,11 @@
 type Shard struct {
 	Range    keyrange.Range
 	Replicas []Replica
+	// Group of shards that it belongs to.
+	Group int
+	// Holders are the entry VMs that call the searchers of the group, when
+	// this one does not; empty when it does.
+	Holders []Holder
 }
 
 // Index is an immutable view of what the searchers of a service hold.
--- a/internal/query/scatter/trial.go
+++ b/internal/query/scatter/trial.go
@@ -11,6 +11,9 @@
 // once; a suspect one runs alone. It reports whether the query may go on.
 func (r *run) trial(v Verdict) bool {
 	for _, i := range r.rand.Perm(len(r.shards)) {
+		if len(r.shards[i].Holders) > 0 {
+			continue
+		}
 		if r.trialShard(i, v) {
 			return true
 		}
