Choose replicas with back/choice, know requests by the quarantine's fingerprint

Cause: the engine picked replicas and hashed questions on its own, beside the packages that do just that. Change: the engine's copies are gone. Conclusion: one place for each decision.

--- a/internal/query/scatter/call.go
+++ b/internal/query/scatter/call.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"egrethaven/internal/back/backend"
+	"egrethaven/internal/back/choice"
 	"egrethaven/internal/back/searcher"
 	"egrethaven/internal/observe/event"
 	"egrethaven/internal/query/outcome"
@@ -22,69 +23,20 @@
 // pick chooses a replica of a shard that was not tried in this round, or -1.
 func (r *run) pick(i int) int {
 	s := &r.shards[i]
-	if r.e.c.Policy.Random {
-		return r.pickRandom(s)
-	}
-	return r.pickBest(s)
-}
-
-// pickRandom chooses uniformly among the replicas that were not tried.
-func (r *run) pickRandom(s *shardState) int {
-	best, n := -1, 0
-	for i := range s.Replicas {
-		if s.wasTried(i) {
-			continue
-		}
-		n++
-		if r.rand.IntN(n) == 0 {
-			best = i
-		}
-	}
-	return best
-}
-
-// pickBest chooses the better of two random usable replicas of this failure
-// domain, or of another one when the range is uncovered at home.
-func (r *run) pickBest(s *shardState) int {
-	if i := r.pickWhere(s, true); i >= 0 {
-		return i
-	}
-	return r.pickWhere(s, false)
-}
-
-// pickWhere chooses at home or elsewhere.
-func (r *run) pickWhere(s *shardState, home bool) int {
-	best, bestLoad := -1, 0.0
-	offset := r.rand.IntN(len(s.Replicas) + 1)
-	seen := 0
-	for k := range s.Replicas {
-		i := (k + offset) % len(s.Replicas)
-		p := s.Replicas[i]
-		if s.wasTried(i) || (p.Domain() == r.e.c.Home) != home {
-			continue
-		}
+	r.candidates = r.candidates[:0]
+	for _, p := range s.Replicas {
 		st := p.Standing()
-		if !st.Usable || st.Weight < 1 && r.rand.Float64() >= st.Weight {
-			s.last = cmpReason(s.last, st.Reason)
-			continue
-		}
-		load := float64(st.InFlight) + st.Reported
-		if best < 0 || load < bestLoad {
-			best, bestLoad = i, load
+		if !st.Usable && s.last == outcome.None {
+			s.last = st.Reason
 		}
-		if seen++; seen == 2 {
-			break
-		}
-	}
-	return best
-}
-
-// cmpReason keeps the first reason that was named.
-func cmpReason(a, b outcome.Reason) outcome.Reason {
-	if a != outcome.None {
-		return a
+		r.candidates = append(r.candidates, choice.Candidate{
+			Home:   p.Domain() == r.e.c.Home,
+			Usable: st.Usable,
+			Load:   float64(st.InFlight) + st.Reported,
+			Weight: st.Weight,
+		})
 	}
-	return b
+	return r.e.c.Policy.choose()(r.rand, r.candidates, s.tried)
 }
 
 // call sends the next call of a shard. It reports false when no replica is
@@ -102,7 +54,7 @@
 func (r *run) callReplica(i, k int, what string) {
 	s := &r.shards[i]
 	p := s.Replicas[k]
-	s.tried |= 1 << uint(k%64)
+	s.tried = s.tried.With(k)
 	s.attempts++
 	q := r.query(i, s)
 	c, cancel := context.WithCancel(r.ctx)
--- a/internal/query/scatter/engine.go
+++ b/internal/query/scatter/engine.go
@@ -7,8 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"egrethaven/internal/observe/event"
 	"egrethaven/internal/query/admit"
 	"egrethaven/internal/query/ask"
@@ -137,22 +135,6 @@
 	}
 }
 
-// Fingerprint identifies what a question asks, without its ids and times.
-func Fingerprint(a ask.Ask) uint64 {
-	h := xxhash.New()
-	write := func(s string) {
-		_, _ = h.WriteString(s)
-		_, _ = h.Write([]byte{0})
-	}
-	write(a.Search)
-	write(a.Text)
-	for _, f := range a.Filters {
-		write(f.Field)
-		write(f.Value)
-	}
-	return h.Sum64()
-}
-
 // milliseconds converts a duration for reports.
 func milliseconds(d time.Duration) float64 {
 	return float64(d) / float64(time.Millisecond)
--- a/internal/query/scatter/policy.go
+++ b/internal/query/scatter/policy.go
@@ -1,6 +1,10 @@
 package scatter
 
-import "time"
+import (
+	"time"
+
+	"egrethaven/internal/back/choice"
+)
 
 // Policy selects how the engine decides. The bench runs policies against
 // each other.
@@ -36,3 +40,11 @@
 func Naive() Policy {
 	return Policy{Name: "naive", Random: true, FixedAdmission: true, Timeout: naiveTimeout, NoTrial: true}
 }
+
+// choose returns the way to choose a replica.
+func (p Policy) choose() choice.Policy {
+	if p.Random {
+		return choice.Random
+	}
+	return choice.Pick
+}
--- a/internal/query/scatter/run.go
+++ b/internal/query/scatter/run.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"egrethaven/internal/back/choice"
+	"egrethaven/internal/back/quarantine"
 	"egrethaven/internal/observe/event"
 	"egrethaven/internal/query/ask"
 	"egrethaven/internal/query/keyrange"
@@ -55,6 +57,8 @@
 	part     bool
 	partHits [][]ask.Hit
 
+	candidates []choice.Candidate
+
 	cost     ask.Cost
 	steps    []ask.Step
 	samples  []time.Duration
@@ -80,7 +84,7 @@
 
 // newRun prepares a query.
 func newRun(e *Engine, l *lane, d search.Definition, a ask.Ask, start time.Time) *run {
-	return &run{e: e, lane: l, def: d, ask: a, print: Fingerprint(a), start: start, rand: e.random(), ended: outcome.Canceled}
+	return &run{e: e, lane: l, def: d, ask: a, print: quarantine.Fingerprint(a.Search, a.Text, a.Filters, a.Limit), start: start, rand: e.random(), ended: outcome.Canceled}
 }
 
 // answer runs the query to its end.
--- a/internal/query/scatter/shard.go
+++ b/internal/query/scatter/shard.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"egrethaven/internal/back/choice"
 	"egrethaven/internal/back/searcher"
 	"egrethaven/internal/query/outcome"
 )
@@ -20,7 +21,7 @@
 	Shard
 	answer   *searcher.Answer
 	gap      outcome.Reason
-	tried    uint64
+	tried    choice.Tried
 	attempts int
 	rounds   int
 	flights  []flight
@@ -37,18 +38,13 @@
 // untried tells whether a replica was not called in this round.
 func (s *shardState) untried() bool {
 	for i := range s.Replicas {
-		if !s.wasTried(i) {
+		if !s.tried.Has(i) {
 			return true
 		}
 	}
 	return false
 }
 
-// wasTried tells whether replica i was called in this round.
-func (s *shardState) wasTried(i int) bool {
-	return s.tried&(1<<uint(i%64)) != 0
-}
-
 // why returns the reason for a gap.
 func (s *shardState) why() outcome.Reason {
 	if s.last != outcome.None {
