Add the bench tool and the straggler scenario

Cause: every policy is to be judged by a ratio against the naive one in one interleaved run, with wrong answers counted by the stand-ins.

--- /dev/null
+++ b/internal/bench/arm/arm.go
@@ -0,0 +1,142 @@
+// Package arm holds the arms of an experiment on one rig: the current policy
+// and, when a baseline is asked for, that one beside it.
+//
+// # Usage
+//
+//	as, err := arm.Make(ctx, rig, options, "")
+//	as.Warm(ctx, c)
+//	as.Slices(ctx, c)
+//	report.Arms = as.Report()
+package arm
+
+import (
+	"context"
+	"time"
+
+	"egrethaven/internal/bench/duel"
+	"egrethaven/internal/bench/rig"
+	"egrethaven/internal/bench/scenario"
+	"egrethaven/internal/bench/tally"
+	"egrethaven/internal/query/scatter"
+
+	"github.com/juju/errors"
+)
+
+// Arm is a node with a policy and what it answered.
+type Arm struct {
+	Name  string
+	Node  *rig.Node
+	Tally *tally.Tally
+}
+
+// Arms are the arms of one experiment; the first has the current policy.
+type Arms struct {
+	rig   *rig.Rig
+	suf   string
+	list  []*Arm
+	notes []string
+}
+
+// readyWait bounds the wait for the searchers of a rig.
+const readyWait = 30 * time.Second
+
+// Make starts a node for each arm. The suffix tells arms of several rigs
+// apart in a report.
+func Make(ctx context.Context, r *rig.Rig, o scenario.Options, suffix string) (*Arms, error) {
+	as := &Arms{rig: r, suf: suffix}
+	as.Add(scatter.Current(), rig.NodeConfig{})
+	switch o.Baseline {
+	case "":
+	case scatter.Naive().Name:
+		as.Add(scatter.Naive(), rig.NodeConfig{Plain: true})
+	default:
+		return nil, errors.NotFoundf("baseline %q", o.Baseline)
+	}
+	return as, errors.Trace(as.Ready(ctx))
+}
+
+// Add starts a node with a policy.
+func (as *Arms) Add(p scatter.Policy, c rig.NodeConfig) *Arm {
+	c.Policy = p
+	a := &Arm{Name: p.Name, Node: as.rig.Node(c), Tally: tally.New()}
+	as.list = append(as.list, a)
+	return a
+}
+
+// Ready waits until every arm's node knows all searchers.
+func (as *Arms) Ready(ctx context.Context) error {
+	c, cancel := context.WithTimeout(ctx, readyWait)
+	defer cancel()
+	for _, a := range as.list {
+		if err := as.rig.Ready(c, a.Node); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	return nil
+}
+
+// Current returns the arm with the current policy.
+func (as *Arms) Current() *Arm { return as.list[0] }
+
+// Baseline returns the baseline's arm, or nil.
+func (as *Arms) Baseline() *Arm {
+	if len(as.list) < 2 {
+		return nil
+	}
+	return as.list[1]
+}
+
+// Warm loads the arms without measuring.
+func (as *Arms) Warm(ctx context.Context, c duel.Config) {
+	as.Slices(ctx, c)
+	for _, a := range as.list {
+		a.Tally = tally.New()
+	}
+}
+
+// Slices loads the arms in turns.
+func (as *Arms) Slices(ctx context.Context, c duel.Config) {
+	duel.Slices(ctx, c, as.sides())
+}
+
+// Together loads the arms at the same time.
+func (as *Arms) Together(ctx context.Context, c duel.Config) {
+	duel.Together(ctx, c, as.sides())
+}
+
+// sides are the arms as the load sees them.
+func (as *Arms) sides() []duel.Arm {
+	var ds []duel.Arm
+	for _, a := range as.list {
+		ds = append(ds, duel.Arm{Name: a.Name, Do: func(ctx context.Context, due time.Time) {
+			a.Tally.Add(as.rig.Ask(ctx, a.Node, due))
+		}})
+	}
+	return ds
+}
+
+// Report returns the arms as reports hold them, with the oracle's counts.
+func (as *Arms) Report() []scenario.Arm {
+	var rs []scenario.Arm
+	for _, a := range as.list {
+		w, notes := a.Tally.Check(as.rig.Truth, as.rig.Definition)
+		for _, n := range notes {
+			as.notes = append(as.notes, a.Name+": "+n)
+		}
+		rs = append(rs, scenario.Arm{
+			Name: a.Name + as.suf, Figures: a.Tally.Figures(), Wrong: w, LatencyMS: a.Tally.Distribution(),
+		})
+	}
+	return rs
+}
+
+// Notes returns the oracle's words on wrong answers, after Report.
+func (as *Arms) Notes() []string { return as.notes }
+
+// Rate returns the rate that the options ask for, or the scenario's own.
+func Rate(o scenario.Options, own float64) float64 {
+	if o.Rate > 0 {
+		return o.Rate
+	}
+	return own
+}
--- /dev/null
+++ b/internal/bench/catalog/catalog.go
@@ -0,0 +1,28 @@
+// Package catalog lists the scenarios of the bench tool.
+//
+// # Usage
+//
+//	for _, s := range catalog.All() { fmt.Println(s.Name, s.Help) }
+package catalog
+
+import (
+	"egrethaven/internal/bench/scenario"
+	"egrethaven/internal/bench/straggler"
+)
+
+// All returns every scenario.
+func All() []scenario.Scenario {
+	return []scenario.Scenario{
+		straggler.Scenario,
+	}
+}
+
+// Find returns the scenario with a name.
+func Find(name string) (scenario.Scenario, bool) {
+	for _, s := range All() {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return scenario.Scenario{}, false
+}
--- /dev/null
+++ b/internal/bench/rig/node.go
@@ -0,0 +1,127 @@
+package rig
+
+import (
+	"context"
+	"time"
+
+	"egrethaven/internal/back/backend"
+	"egrethaven/internal/back/directory"
+	"egrethaven/internal/node/source"
+	"egrethaven/internal/observe/event"
+	"egrethaven/internal/query/scatter"
+	"egrethaven/internal/state/config"
+	"egrethaven/internal/world/vm"
+	"egrethaven/internal/world/zone"
+
+	"github.com/juju/errors"
+)
+
+// NodeConfig describes a node.
+type NodeConfig struct {
+	Policy scatter.Policy
+	// Domain of the node; empty is the first of the rig.
+	Domain zone.Domain
+	// VMs replaces the list of searchers.
+	VMs func() []vm.VM
+	// MaxLinks is the connections to one searcher; 0 is maxLinks.
+	MaxLinks int
+	// WarmLinks is the connections kept open; 0 is warmLinks.
+	WarmLinks int
+	// Plain disables what the naive policy lacks below the engine.
+	Plain  bool
+	Guard  scatter.Guard
+	Events event.Sink
+}
+
+// The connections of a node to one searcher. Two nodes at a time stay under
+// the searchers' limit.
+const (
+	maxLinks  = 10
+	warmLinks = 2
+)
+
+// Node is the query path of one entry VM.
+type Node struct {
+	Engine    *scatter.Engine
+	Directory *directory.Directory
+}
+
+// Node starts a node; the rig closes it.
+func (r *Rig) Node(c NodeConfig) *Node {
+	if c.Domain == "" {
+		c.Domain = "local"
+		if len(r.c.Domains) > 0 {
+			c.Domain = r.c.Domains[0]
+		}
+	}
+	if c.VMs == nil {
+		list := r.VMs()
+		c.VMs = func() []vm.VM { return list }
+	}
+	if c.MaxLinks == 0 {
+		c.MaxLinks = maxLinks
+	}
+	if c.WarmLinks == 0 {
+		c.WarmLinks = warmLinks
+	}
+	d := directory.New(directory.Config{
+		VMs:     func() ([]vm.VM, time.Duration) { return c.VMs(), 0 },
+		Self:    c.Domain,
+		Events:  c.Events,
+		Backend: backend.Config{MaxLinks: c.MaxLinks, WarmLinks: c.WarmLinks, NoSilence: c.Plain},
+		Seed:    r.c.Seed,
+	})
+	n := &Node{Directory: d, Engine: scatter.New(scatter.Config{
+		Source:   source.New(source.Config{Map: d.Map}),
+		Searches: func() *config.Snapshot { return r.snapshot },
+		Home:     c.Domain,
+		Policy:   c.Policy,
+		Guard:    c.Guard,
+		Events:   c.Events,
+		Seed:     r.c.Seed,
+	})}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.nodes = append(r.nodes, n)
+	return n
+}
+
+// readyPoll is the time between two looks at a node that is not ready.
+const readyPoll = 10 * time.Millisecond
+
+// Ready waits until the nodes know every replica of the newest version.
+func (r *Rig) Ready(ctx context.Context, ns ...*Node) error {
+	want := 0
+	for _, s := range r.Searchers {
+		for _, h := range s.Status().Holdings {
+			if h.Version == r.Truth.Newest() {
+				want += len(h.Ranges)
+			}
+		}
+	}
+	for _, n := range ns {
+		for n.replicas(r.Truth.Newest()) < want {
+			select {
+			case <-ctx.Done():
+				return errors.Annotate(ctx.Err(), "wait for the searchers")
+			case <-time.After(readyPoll):
+			}
+		}
+	}
+	return nil
+}
+
+// replicas counts the replicas of all shards that a node knows.
+func (n *Node) replicas(version uint64) int {
+	c := 0
+	for _, s := range n.Directory.Map(service).Shards(version) {
+		c += len(s.Replicas)
+	}
+	return c
+}
+
+// Close waits for the node's calls and closes its connections.
+func (n *Node) Close() {
+	n.Engine.Close()
+	n.Directory.Close()
+}
--- /dev/null
+++ b/internal/bench/rig/rig.go
@@ -0,0 +1,124 @@
+// Package rig builds what a scenario runs on: the stand-in searchers of one
+// service, and nodes that ask them over real TCP.
+//
+// # Usage
+//
+//	r, err := rig.New(rig.Config{Shards: 140, Replicas: 3, Searcher: template})
+//	defer r.Close()
+//	n := r.Node(rig.NodeConfig{Policy: scatter.Current()})
+//	err = r.Ready(ctx, n)
+//	s := r.Ask(ctx, n, due)
+package rig
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"egrethaven/internal/bench/tally"
+	"egrethaven/internal/query/ask"
+	"egrethaven/internal/standin/dataset"
+	"egrethaven/internal/standin/deployment"
+	"egrethaven/internal/standin/searcher"
+	"egrethaven/internal/state/config"
+	"egrethaven/internal/state/search"
+	"egrethaven/internal/world/zone"
+
+	"github.com/juju/errors"
+)
+
+const (
+	// service is the name of the searchers' service.
+	service = "bench"
+	// searchName is the name of the search.
+	searchName = "bench"
+	// words is the number of different texts; a record has one of them.
+	words = 10
+	// recordsEach is the number of records in a shard at the start.
+	recordsEach = 10
+	// limit is the number of hits that are asked for.
+	limit = 20
+)
+
+// Config describes a rig.
+type Config struct {
+	Shards   int
+	Replicas int
+	// ShardsEach is how many shards a searcher holds; 0 is 1.
+	ShardsEach int
+	Domains    []zone.Domain
+	// Searcher is the template of the searchers.
+	Searcher searcher.Config
+	// Deadline of each query.
+	Deadline time.Duration
+	// ExtraLoad is the budget of hedges and retries.
+	ExtraLoad float64
+	Prefer    search.Preference
+	Seed      uint64
+}
+
+// Rig is running searchers and the nodes made for them.
+type Rig struct {
+	*deployment.Deployment
+	Definition search.Definition
+	c          Config
+	snapshot   *config.Snapshot
+	asked      atomic.Uint64
+
+	mu    sync.Mutex
+	nodes []*Node
+}
+
+// New starts the searchers.
+func New(c Config) (*Rig, error) {
+	d, err := deployment.New(deployment.Config{
+		Service: service, Domains: c.Domains, Shards: c.Shards, Replicas: c.Replicas, ShardsEach: c.ShardsEach,
+		Records: dataset.Synthetic(c.Shards*recordsEach, words), Searcher: c.Searcher, Seed: c.Seed,
+	})
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	def := search.Definition{
+		Name: searchName, Service: service, SchemaVersions: []int{2}, Reconcile: search.NewestRevision,
+		Prefer: c.Prefer, Deadline: c.Deadline, ExtraLoad: c.ExtraLoad, MaxLimit: limit,
+	}
+	if def.Prefer == "" {
+		def.Prefer = search.Coverage
+	}
+	return &Rig{
+		Deployment: d, Definition: def, c: c,
+		snapshot: &config.Snapshot{Revision: 1, Searches: map[string]search.Definition{searchName: def}},
+	}, nil
+}
+
+// Question returns the next question. Texts repeat after a few.
+func (r *Rig) Question() ask.Ask {
+	n := r.asked.Add(1)
+	return ask.Ask{
+		QueryID: fmt.Sprintf("q-%d", n), Search: searchName, Caller: "bench",
+		Text: fmt.Sprintf("w%d.", n%words), Limit: limit,
+	}
+}
+
+// Ask sends the next question to a node and returns the sample.
+func (r *Rig) Ask(ctx context.Context, n *Node, due time.Time) tally.Sample {
+	return Put(ctx, n, r.Question(), due)
+}
+
+// Put sends a question to a node and returns the sample.
+func Put(ctx context.Context, n *Node, q ask.Ask, due time.Time) tally.Sample {
+	a := n.Engine.Ask(ctx, q)
+	return tally.Sample{Due: due, Ended: time.Now(), Ask: q, Answer: a}
+}
+
+// Close stops the nodes, then the searchers.
+func (r *Rig) Close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, n := range r.nodes {
+		n.Close()
+	}
+	r.Deployment.Close()
+}
--- a/internal/bench/scenario/scenario.go
+++ b/internal/bench/scenario/scenario.go
@@ -59,6 +59,21 @@
 	Wrong   Wrong    `json:"wrong"`
 	// LatencyMS is a distribution for plots: quantile and milliseconds.
 	LatencyMS []Point `json:"latency_ms,omitempty"`
+	// Series are values over the seconds of the run, for plots.
+	Series []Series `json:"series,omitempty"`
+}
+
+// Series is a value over time; X is in seconds.
+type Series struct {
+	Name   string  `json:"name"`
+	Points []Point `json:"points"`
+}
+
+// Mark is something that happened in the course of a run.
+type Mark struct {
+	// Second since the start of the run.
+	Second float64 `json:"second"`
+	What   string  `json:"what"`
 }
 
 // Point is one point of a plot.
@@ -73,6 +88,8 @@
 	Seed     uint64   `json:"seed"`
 	Arms     []Arm    `json:"arms"`
 	Ratios   []Figure `json:"ratios,omitempty"`
+	// Timeline of the run: faults and what was made of them.
+	Timeline []Mark   `json:"timeline,omitempty"`
 	Notes    []string `json:"notes,omitempty"`
 }
 
