Join the decisions in backend and directory

Cause: limit, queue, standing and ejection were values without use. Change: a backend admits calls through its limit and queue and ranks the evidence of a drain; the directory rebuilds its maps at once when a searcher drains or changes its shards, and weighs stragglers within their shards.

--- a/internal/back/backend/backend.go
+++ b/internal/back/backend/backend.go
@@ -9,6 +9,7 @@
 	"egrethaven/internal/back/link"
 	"egrethaven/internal/back/pool"
 	"egrethaven/internal/back/searcher"
+	"egrethaven/internal/back/standing"
 	"egrethaven/internal/observe/event"
 	"egrethaven/internal/query/outcome"
 	"egrethaven/internal/world/vm"
@@ -32,9 +33,17 @@
 	Events event.Sink
 	// NoSilence disables the search for silent connections.
 	NoSilence bool
-	// OnMapRevision is called when an answer shows that the searcher's
-	// shards changed. It must not block.
-	OnMapRevision func(id string)
+	// Fixed admits every call while a link is free, without adaptive limit
+	// and without queue; for measurements.
+	Fixed bool
+	// Since is when the searcher was found, for its slow start; zero for none.
+	Since time.Time
+	// OnChange is called when the searcher's shards or its standing changed.
+	// It must not block.
+	OnChange func(id string)
+	// OnDrain is called when this node has own evidence that the searcher
+	// leaves, to tell the other nodes. It must not block.
+	OnDrain func(id string, until time.Time)
 }
 
 // Backend is one searcher as this node sees it.
@@ -46,13 +55,17 @@
 	inFlight atomic.Int64
 	revision atomic.Uint64
 	dropped  atomic.Int64
+	gate     *gate
 	mu       sync.Mutex
 	status   searcher.Status
-	draining bool
+	record   standing.Record
+	since    time.Time
+	weight   float64
 	closed   bool
 	load     searcher.Load
 	loadAt   time.Time
 	latency  time.Duration
+	samples  int
 }
 
 // New returns a backend and begins to open its warm links.
@@ -64,7 +77,7 @@
 		c.Events = event.Discard{}
 	}
 	c.Link.Addr = c.VM.Addr
-	b := &Backend{c: c, proofAge: proofAge}
+	b := &Backend{c: c, proofAge: proofAge, weight: 1, since: c.Since, gate: newGate(c.MaxLinks, c.Fixed)}
 	b.pool = pool.New(pool.Config{Link: c.Link, Max: c.MaxLinks, Warm: c.WarmLinks,
 		Probe: alive, OnSilent: b.silent, NoSilence: c.NoSilence})
 	return b
@@ -87,47 +100,16 @@
 func (b *Backend) Links() pool.Stats { return b.pool.Stats() }
 
 // SetMaxLinks changes how many connections this node may use.
-func (b *Backend) SetMaxLinks(n int) { b.pool.SetMax(n) }
-
-// Standing returns what is known of the searcher.
-func (b *Backend) Standing() Standing {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	s := Standing{Usable: true, InFlight: int(b.inFlight.Load()), Limit: b.c.MaxLinks,
-		Reported: aged(b.load, time.Since(b.loadAt)), Latency: b.latency, Weight: 1}
-	switch {
-	case b.draining:
-		s.Usable, s.Reason = false, outcome.Draining
-	case b.pool.Dead():
-		s.Usable, s.Reason = false, outcome.ConnectionRefused
-	}
-	return s
-}
-
-// Status returns what the searcher last said of itself.
-func (b *Backend) Status() searcher.Status {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.status
-}
-
-// SetStatus takes the searcher's status page. It lags, so it does not clear
-// what the searcher's own answers have shown.
-func (b *Backend) SetStatus(s searcher.Status) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.status = s
-	b.revision.Store(s.Load.MapRevision)
-	if s.Load.Draining {
-		b.draining = true
-	}
+func (b *Backend) SetMaxLinks(n int) {
+	b.pool.SetMax(n)
+	b.gate.setLinks(n)
 }
 
 // Drain takes no new work and waits until the calls in progress have ended,
 // or ctx has.
 func (b *Backend) Drain(ctx context.Context) {
 	b.mu.Lock()
-	b.draining = true
+	b.closed = true
 	b.mu.Unlock()
 	t := time.NewTicker(drainTick)
 	defer t.Stop()
@@ -159,7 +141,7 @@
 	switch {
 	case b.closed:
 		return outcome.ShuttingDown
-	case b.draining:
+	case b.record.Use(time.Now()) == standing.None:
 		return outcome.Draining
 	}
 	b.wg.Add(1)
@@ -173,35 +155,6 @@
 	b.wg.Done()
 }
 
-// take learns from the load that came with an answer or a refusal.
-func (b *Backend) take(l searcher.Load) {
-	b.mu.Lock()
-	b.load, b.loadAt = l, time.Now()
-	turned := l.Draining && !b.draining
-	if l.Draining {
-		b.draining = true
-	}
-	b.mu.Unlock()
-	if turned {
-		b.c.Events.Emit(event.SearcherDraining, b.ID(), "its own answer")
-	}
-	if b.revision.Swap(l.MapRevision) != l.MapRevision && b.c.OnMapRevision != nil {
-		b.c.OnMapRevision(b.ID())
-	}
-}
-
-// served learns from the service time of an answer.
-func (b *Backend) served(d time.Duration) {
-	const gain = 8
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.latency == 0 {
-		b.latency = d
-		return
-	}
-	b.latency += (d - b.latency) / gain
-}
-
 // loadHalfLife is how long it takes for a reported load to count half.
 const loadHalfLife = 100 * time.Millisecond
 
--- a/internal/back/backend/outcome.go
+++ b/internal/back/backend/outcome.go
@@ -47,7 +47,7 @@
 	if err := json.Unmarshal(res.Body, &f); err != nil || f.AttemptID != attempt || !refusing(f.Reason) {
 		return outcome.Unknown(outcome.BadAnswer)
 	}
-	b.take(f.Load)
+	b.refused(f)
 	return outcome.NotRun(f.Reason)
 }
 
--- a/internal/back/backend/search.go
+++ b/internal/back/backend/search.go
@@ -4,8 +4,10 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"time"
 
+	"egrethaven/internal/back/limit"
 	"egrethaven/internal/back/link"
 	"egrethaven/internal/back/searcher"
 	"egrethaven/internal/observe/event"
@@ -23,16 +25,33 @@
 		return r
 	}
 	defer b.end()
-	for {
-		again := b.search(ctx, q, &r)
-		if !again {
-			break
-		}
+	if no := b.gate.enter(ctx); no != outcome.None {
+		r.Outcome = outcome.NotRun(no)
+		r.Elapsed = time.Since(start)
+		return r
 	}
+	for b.search(ctx, q, &r) {
+		continue
+	}
+	b.leave(r.Outcome, r.Service)
 	r.Elapsed = time.Since(start)
 	return r
 }
 
+// leave ends an admitted call.
+func (b *Backend) leave(o outcome.Outcome, service time.Duration) {
+	var s limit.Sample
+	switch {
+	case o.OK():
+		s.Service = service
+	case o == outcome.NotRun(outcome.Shed):
+		s.Shed = true
+	}
+	if b.gate.leave(s) {
+		b.c.Events.Emit(event.LimitLowered, b.ID(), strconv.Itoa(b.gate.allowed()))
+	}
+}
+
 // search makes one attempt. It reports true when the searcher turned the
 // connection away: nothing ran then, and another link may serve.
 func (b *Backend) search(ctx context.Context, q searcher.Query, r *Reply) bool {
--- a/internal/back/backend/write.go
+++ b/internal/back/backend/write.go
@@ -22,10 +22,21 @@
 		return r
 	}
 	defer b.end()
+	if no := b.gate.enter(ctx); no != outcome.None {
+		r.Outcome = outcome.NotRun(no)
+		return r
+	}
+	r = b.write(ctx, w)
+	b.leave(r.Outcome, 0)
+	r.Elapsed = time.Since(start)
+	return r
+}
+
+// write makes the one attempt.
+func (b *Backend) write(ctx context.Context, w searcher.Write) (r WriteReply) {
 	l, err := b.proven(ctx)
 	if err != nil {
 		r.Outcome = outcome.NotRun(reasonOf(err))
-		r.Elapsed = time.Since(start)
 		return r
 	}
 	w.DeadlineMS = remaining(ctx)
@@ -42,7 +53,6 @@
 		r.Outcome = b.readWrite(w, res, &r.Answer)
 		b.finish(l, r.Outcome, res)
 	}
-	r.Elapsed = time.Since(start)
 	return r
 }
 
--- a/internal/back/directory/directory.go
+++ b/internal/back/directory/directory.go
@@ -9,8 +9,10 @@
 	"time"
 
 	"egrethaven/internal/back/backend"
+	"egrethaven/internal/back/eject"
 	"egrethaven/internal/back/searcher"
 	"egrethaven/internal/observe/event"
+	"egrethaven/internal/query/outcome"
 	"egrethaven/internal/world/vm"
 	"egrethaven/internal/world/zone"
 )
@@ -24,6 +26,9 @@
 	leastInterval = 20 * time.Millisecond
 	// pollTimeout bounds one read of a status page.
 	pollTimeout = 2 * time.Second
+	// settleTime is how long after its start a directory takes each searcher
+	// that it finds for a warm one.
+	settleTime = 5 * time.Second
 	// drainTimeout is how long the calls on a removed searcher may go on.
 	drainTimeout = 5 * time.Second
 )
@@ -42,6 +47,11 @@
 	Interval time.Duration
 	// ListInterval is the time between two looks at the VM list.
 	ListInterval time.Duration
+	// OnDrain is called when this node has own evidence that a searcher
+	// leaves, to tell the other nodes. It must not block.
+	OnDrain func(id string, until time.Time)
+	// NoEjection leaves stragglers in rotation; for measurements.
+	NoEjection bool
 	// Seed drives the jitter.
 	Seed uint64
 }
@@ -58,6 +68,8 @@
 	changed  chan string
 	rand     *rand.Rand
 	entries  map[string]*entry
+	began    time.Time
+	eject    *eject.State
 }
 
 // entry is one searcher as the control goroutine keeps it.
@@ -67,8 +79,12 @@
 	known   bool
 	polling bool
 	again   bool
-	due     time.Time
-	last    time.Time
+	// slow tells that it was last seen moved out of rotation.
+	slow bool
+	// draining is how the maps were built.
+	draining bool
+	due      time.Time
+	last     time.Time
 }
 
 // report is the end of one read of a status page.
@@ -90,7 +106,8 @@
 		c.ListInterval = DefaultListInterval
 	}
 	d := &Directory{c: c, statuses: make(chan report), changed: make(chan string, 256),
-		rand: rand.New(rand.NewPCG(c.Seed, 0)), entries: map[string]*entry{}}
+		rand: rand.New(rand.NewPCG(c.Seed, 0)), entries: map[string]*entry{},
+		began: time.Now(), eject: eject.New(eject.Config{Off: c.NoEjection})}
 	d.maps.Store(&map[string]*Map{})
 	d.byID.Store(&map[string]*backend.Backend{})
 	d.ctx, d.stop = context.WithCancel(context.Background())
@@ -127,6 +144,13 @@
 	return bs
 }
 
+// MarkDraining takes from another node that a searcher leaves.
+func (d *Directory) MarkDraining(id string, until time.Time) {
+	if b := d.Backend(id); b != nil {
+		b.MarkDraining(until)
+	}
+}
+
 // Close ends all calls, closes all backends and waits for every goroutine.
 func (d *Directory) Close() {
 	d.stop()
@@ -152,6 +176,7 @@
 		now := time.Now()
 		if !now.Before(nextList) {
 			d.list()
+			d.weigh(now)
 			nextList = now.Add(d.c.ListInterval)
 		}
 		t.Reset(time.Until(d.poll(now, nextList)))
@@ -185,14 +210,20 @@
 func (d *Directory) ensure(v vm.VM) bool {
 	e, ok := d.entries[v.ID]
 	if ok && e.b.VM().Addr == v.Addr {
+		e.b.SetListed(v.State == vm.Leaving)
 		return false
 	}
 	if ok {
 		d.remove(v.ID, e)
 	}
 	c := d.c.Backend
-	c.VM, c.Events, c.OnMapRevision = v, d.c.Events, d.wake
-	d.entries[v.ID] = &entry{b: backend.New(c)}
+	c.VM, c.Events, c.OnChange, c.OnDrain = v, d.c.Events, d.wake, d.c.OnDrain
+	if now := time.Now(); now.Sub(d.began) > settleTime {
+		c.Since = now
+	}
+	e = &entry{b: backend.New(c)}
+	e.b.SetListed(v.State == vm.Leaving)
+	d.entries[v.ID] = e
 	d.c.Events.Emit(event.SearcherFound, v.ID, v.Addr)
 	return true
 }
@@ -224,6 +255,9 @@
 	if !ok {
 		return
 	}
+	if draining := e.b.Standing().Reason == outcome.Draining; draining != e.draining {
+		d.rebuild()
+	}
 	if e.polling {
 		e.again = true
 		return
--- a/internal/back/quarantine/quarantine.go
+++ b/internal/back/quarantine/quarantine.go
@@ -123,12 +123,24 @@
 // Lost tells that a connection to a searcher died while the request and
 // inFlight-1 others of this node were in flight on it.
 func (q *Quarantine) Lost(fingerprint uint64, searcher string, inFlight int) {
+	q.lost(fingerprint, searcher, inFlight, false)
+}
+
+// LostAgain is Lost of a call that was made because an earlier one of the
+// same request had been lost on another searcher: its death follows from the
+// request, not from a failure that took both.
+func (q *Quarantine) LostAgain(fingerprint uint64, searcher string, inFlight int) {
+	q.lost(fingerprint, searcher, inFlight, true)
+}
+
+// lost takes an incident of this node and tells the others.
+func (q *Quarantine) lost(fingerprint uint64, searcher string, inFlight int, again bool) {
 	if q.c.Off {
 		return
 	}
 	q.mu.Lock()
 	i := Incident{Searcher: searcher, At: time.Now(), Weight: 1 / float64(max(inFlight, 1))}
-	i.Trial = q.suspects[fingerprint].OnTrial(i.At)
+	i.Trial = again || q.suspects[fingerprint].OnTrial(i.At)
 	q.lastLoss = i.At
 	until, turned := q.add(fingerprint, i)
 	q.mu.Unlock()
