Blame a request only for the second searcher lost in sequence

Cause: in a trial a lost request waited a second before it was tried again, so that an innocent one on a dying searcher missed short deadlines; in a fan-out two deaths of one shard were merged into one and the third replica was next. Ruled out: counting every pair of deaths, which would quarantine innocents when a rack dies. Change: a call made in place of a lost one tells the guard so (LostAgain); the shard is given up then. The wait for the other nodes is made once, before the caller gets an answer.

--- a/internal/query/scatter/call.go
+++ b/internal/query/scatter/call.go
@@ -157,24 +157,24 @@
 	return false
 }
 
-// lost tells the guard when a call and the one made in its place both died
-// with their connections. Calls of other shards that died with the same
-// machines say nothing of the request.
+// lost notes that a call died with its connection. Only when the call made
+// in its place died as well is the request to blame: calls of other shards
+// that died at the same time say nothing of it.
 func (r *run) lost(s *shardState, p Replica) {
-	s.lost = append(s.lost, p.ID())
-	if len(s.lost) < 2 {
+	s.lost++
+	if s.lost < 2 {
+		s.lostOn = p
 		return
 	}
-	for _, id := range s.lost {
-		r.e.c.Guard.Lost(r.print, id, p.Standing().InFlight)
-	}
-	r.e.c.Guard.Settle(r.ctx, r.print)
+	r.settle = true
+	r.e.c.Guard.Lost(r.print, s.lostOn.ID(), 1)
+	r.e.c.Guard.LostAgain(r.print, p.ID(), 1)
 }
 
 // retry calls another replica of a shard, at once where one is left and the
 // budget allows, later otherwise.
 func (r *run) retry(i int, o outcome.Outcome) {
-	if r.suspect() {
+	if r.shards[i].lost > 1 {
 		r.giveUp(i, outcome.Quarantined)
 		return
 	}
@@ -242,12 +242,6 @@
 	r.schedule(i, time.Now())
 }
 
-// suspect tells whether the query may have crashed a searcher.
-func (r *run) suspect() bool {
-	v := r.e.c.Guard.Judge(r.print)
-	return v == Suspect || v == Quarantined
-}
-
 // versionGone restarts the query on a newer version where there is one that
 // the budget can pay for, and gives the shard up otherwise.
 func (r *run) versionGone(i int) bool {
--- a/internal/query/scatter/run.go
+++ b/internal/query/scatter/run.go
@@ -66,6 +66,9 @@
 	sent     bool
 	shed     int
 	late     bool
+	// settle tells that the other nodes have to know what happened before
+	// the caller gets its answer and may send the request again.
+	settle bool
 	// ended is why shards without an end of their own are missing.
 	ended outcome.Reason
 }
@@ -105,6 +108,11 @@
 		r.step("restart", "", nil, "version gone")
 		v = Trusted
 	}
+	if r.settle {
+		c, cancel := context.WithDeadline(ctx, r.ask.Deadline)
+		r.e.c.Guard.Settle(c, r.print)
+		cancel()
+	}
 	a := r.finish(ctx)
 	r.lane.latency.Add(r.samples...)
 	return a
--- a/internal/query/scatter/shard.go
+++ b/internal/query/scatter/shard.go
@@ -26,7 +26,8 @@
 	rounds   int
 	flights  []flight
 	shed     bool
-	lost     []string
+	lost     int
+	lostOn   Replica
 	last     outcome.Reason
 }
 
--- a/internal/query/scatter/source.go
+++ b/internal/query/scatter/source.go
@@ -51,6 +51,8 @@
 	Passed(fingerprint uint64)
 	// Lost tells that the connection died while the request ran there.
 	Lost(fingerprint uint64, searcher string, inFlight int)
+	// LostAgain is Lost of a call made in place of one that was lost.
+	LostAgain(fingerprint uint64, searcher string, inFlight int)
 	// Settle waits until the other nodes know what Lost told, or ctx ends.
 	Settle(ctx context.Context, fingerprint uint64)
 }
@@ -76,4 +78,5 @@
 func (openGuard) Judge(uint64) Verdict           { return Trusted }
 func (openGuard) Passed(uint64)                  {}
 func (openGuard) Lost(uint64, string, int)       {}
+func (openGuard) LostAgain(uint64, string, int)  {}
 func (openGuard) Settle(context.Context, uint64) {}
--- a/internal/query/scatter/trial.go
+++ b/internal/query/scatter/trial.go
@@ -41,14 +41,14 @@
 	for delays := 0; !s.done(); {
 		select {
 		case res := <-r.results:
-			r.takeTrial(res)
+			r.takeTrial(res, v)
 		case <-t.C:
 			t.Reset(r.delay)
 			delays++
-			if v == Unseen && delays == 1 {
+			if v == Unseen && s.lost == 0 && delays == 1 {
 				r.hedge(i, time.Now())
 			}
-			if v == Unseen && delays >= trialDelays {
+			if v == Unseen && s.lost == 0 && delays >= trialDelays {
 				return true
 			}
 		case <-r.ctx.Done():
@@ -60,6 +60,7 @@
 		return false
 	}
 	r.e.c.Guard.Passed(r.print)
+	r.settle = false
 	return true
 }
 
@@ -67,10 +68,10 @@
 // fans out: a request that is slow on two searchers has crashed neither.
 const trialDelays = 3
 
-// takeTrial handles the end of a trial call. When its connection died, the
-// other nodes are told first; then another searcher is tried, unless this was
-// the second that the request took with it.
-func (r *run) takeTrial(res result) {
+// takeTrial handles the end of a trial call. When its connection died,
+// another searcher is tried alone, unless this was the second that the
+// request took with it.
+func (r *run) takeTrial(res result, v Verdict) {
 	s := &r.shards[res.shard]
 	if res.reply.Outcome.Reason != outcome.ConnectionLost || s.done() {
 		r.take(res)
@@ -78,14 +79,17 @@
 	}
 	p := s.Replicas[res.replica]
 	r.land(res)
-	s.last = outcome.ConnectionLost
 	r.step("answer", p.ID(), &s.Range, res.reply.Outcome.String())
-	r.e.c.Guard.Lost(r.print, p.ID(), p.Standing().InFlight)
-	r.e.c.Guard.Settle(r.ctx, r.print)
-	if r.e.c.Guard.Judge(r.print) == Quarantined {
+	s.last = outcome.ConnectionLost
+	s.lost++
+	r.settle = true
+	n := p.Standing().InFlight + 1
+	if v == Suspect || s.lost > 1 {
+		r.e.c.Guard.LostAgain(r.print, p.ID(), n)
 		r.giveUp(res.shard, outcome.Quarantined)
 		return
 	}
+	r.e.c.Guard.Lost(r.print, p.ID(), n)
 	if len(s.flights) == 0 {
 		r.retryNow(res.shard, res.reply.Outcome)
 	}
--- a/internal/query/scatter/trial_test.go
+++ b/internal/query/scatter/trial_test.go
@@ -48,6 +48,8 @@
 	g.lost[id] = true
 }
 
+func (g *fakeGuard) LostAgain(f uint64, id string, n int) { g.Lost(f, id, n) }
+
 func (g *fakeGuard) Settle(context.Context, uint64) {}
 
 func TestPoisonTakesTwoSearchers(t *testing.T) {
