Add the operator API under /admin/v1

Change: front/operator over the interfaces of config and fleet. Figures: 7 ways to bear a token and 12 changes answer as documented, all problems of a change at once.

--- /dev/null
+++ b/internal/front/operator/operator_test.go
@@ -0,0 +1,148 @@
+package operator_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"egrethaven/internal/front/operator"
+	"egrethaven/internal/observe/event"
+	"egrethaven/internal/observe/health"
+	"egrethaven/internal/observe/timeline"
+	"egrethaven/internal/state/config"
+	"egrethaven/internal/state/search"
+)
+
+// fake stands for the configuration and the fleet.
+type fake struct {
+	verdict config.Verdict
+	got     *config.Change
+	behind  []config.NodeStatus
+}
+
+func (f *fake) Apply(_ context.Context, c config.Change) config.Result {
+	f.got = &c
+	return config.Result{Verdict: f.verdict, ChangeID: c.ID, Revision: 7, Diff: []string{"- a"}}
+}
+
+func (f *fake) Current() *config.Snapshot {
+	return &config.Snapshot{Revision: 7, Searches: map[string]search.Definition{"b": {Name: "b"}, "a": {Name: "a"}}}
+}
+
+func (f *fake) History(context.Context) ([]config.HistoryEntry, error) { return nil, nil }
+func (f *fake) Status(context.Context) []config.NodeStatus             { return nil }
+
+func (f *fake) Wait(_ context.Context, revision uint64) []config.NodeStatus {
+	if revision != 7 {
+		return nil
+	}
+	return f.behind
+}
+
+func (f *fake) Timeline(_ context.Context, _ event.Stamp, limit int) timeline.Line {
+	return timeline.Line{Events: make([]event.Event, limit)}
+}
+
+func do(f *fake, token, method, path, body string) *httptest.ResponseRecorder {
+	callers := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { w.Write([]byte("caller " + r.URL.Path)) })
+	h := operator.New(operator.Config{Token: "0123456789abcdef", Configs: f, Fleet: f, Caller: callers,
+		Health: func(context.Context) health.Report {
+			return health.Report{States: []health.State{{Search: "a"}, {Search: "b"}}}
+		}})
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	if token != "" {
+		r.Header.Set("Authorization", token)
+	}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	return w
+}
+
+const bearer = "Bearer 0123456789abcdef"
+
+func TestToken(t *testing.T) {
+	for token, want := range map[string]int{bearer: 200, "bearer 0123456789abcdef": 200, "": 401, "Bearer": 401,
+		"Bearer 0123456789abcdeg": 401, "Basic 0123456789abcdef": 401, "0123456789abcdef": 401} {
+		for _, path := range []string{"/admin/v1/version", "/admin/v1/health"} {
+			if w := do(&fake{}, token, "GET", path, ""); w.Code != want {
+				t.Errorf("%q %s: %d", token, path, w.Code)
+			}
+		}
+	}
+	if w := do(&fake{}, "", "GET", "/nowhere", ""); w.Code != 401 {
+		t.Error("paths are told to anyone:", w.Code)
+	}
+}
+
+func definition() search.Definition {
+	return search.Definition{Name: "a", Service: "s", SchemaVersions: []int{1}, Reconcile: search.NewestRevision, Prefer: search.Coverage, Deadline: time.Second, MaxLimit: 5}
+}
+
+func TestChange(t *testing.T) {
+	ok, _ := json.Marshal(config.Change{Put: []search.Definition{definition()}})
+	poor := definition()
+	poor.MaxLimit, poor.Service = 0, ""
+	bad, _ := json.Marshal(config.Change{Put: []search.Definition{poor}})
+	for _, c := range []struct {
+		verdict    config.Verdict
+		path, body string
+		status     int
+		applied    bool
+	}{
+		{config.Accepted, "changes", string(ok), 200, true},
+		{config.Unchanged, "changes", string(ok), 200, true},
+		{config.Conflict, "changes", string(ok), 409, true},
+		{config.Refused, "changes", string(ok), 400, true},
+		{config.Unsure, "changes", string(ok), 504, true},
+		{config.StoreDown, "changes", string(ok), 503, true},
+		{config.Accepted, "changes", string(bad), 400, false},
+		{config.Accepted, "changes", `{}`, 400, false},
+		{config.Accepted, "changes", `{"delete":["a"]} x`, 400, false},
+		{config.Accepted, "changes", `{"remove":["a"]}`, 400, false},
+		{config.Accepted, "changes", `{"delete":["a","a"]}`, 400, false},
+		{config.Accepted, "changes?wait=2h", string(ok), 400, false},
+	} {
+		f := &fake{verdict: c.verdict}
+		w := do(f, bearer, "POST", "/admin/v1/"+c.path, c.body)
+		if w.Code != c.status || (f.got != nil) != c.applied {
+			t.Errorf("%s %.40s: %d %s", c.verdict, c.body, w.Code, w.Body)
+		}
+		if f.got != nil && f.got.ID == "" {
+			t.Error("a change without an id")
+		}
+		if c.status != 200 && c.applied && !strings.Contains(w.Body.String(), `"diff":["- a"]`) {
+			t.Error(w.Body)
+		}
+	}
+	if w := do(&fake{}, bearer, "POST", "/admin/v1/changes", string(bad)); strings.Count(w.Body.String(), `"allowed"`) != 2 {
+		t.Error("not all problems at once:", w.Body)
+	}
+}
+
+func TestWaitAndRead(t *testing.T) {
+	f := &fake{verdict: config.Accepted, behind: []config.NodeStatus{{Node: "n3"}}}
+	w := do(f, bearer, "DELETE", "/admin/v1/searches/a?wait=1s&expect_revision=6", "")
+	if w.Code != 200 || !strings.Contains(w.Body.String(), `"waited":true,"behind":[{"node":"n3"`) || f.got.Expect != 6 || f.got.Delete[0] != "a" {
+		t.Error(w.Code, w.Body, f.got)
+	}
+	for path, want := range map[string]string{
+		"searches":         `"revision":7`,
+		"searches/b":       `"searches":[{"name":"b"`,
+		"searches/c":       `unknown_search`,
+		"history":          `[]`,
+		"health?search=b":  `"states":[{"search":"b"`,
+		"timeline?limit=1": `"events":[{`,
+		"timeline?limit=x": `bad_request`,
+	} {
+		if w := do(f, bearer, "GET", "/admin/v1/"+path, ""); !strings.Contains(w.Body.String(), want) {
+			t.Error(path, w.Body)
+		}
+	}
+	if w := do(f, bearer, "POST", "/admin/v1/searches/a/query", "{}"); w.Body.String() != "caller /v1/searches/a/query" {
+		t.Error(w.Body)
+	}
+}
