--- a/internal/peer/rumor/rumor.go
+++ b/internal/peer/rumor/rumor.go
@@ -18,14 +18,16 @@
 
 const (
 	// MaxPayload bounds the payload of one rumor, in bytes.
-	MaxPayload = 1 << 10
+	MaxPayload = 400
 	// MaxName bounds its key and its origin, in bytes.
-	MaxName = 200
+	MaxName = 100
 	// MaxTTL bounds how long a rumor lasts.
 	MaxTTL = time.Hour
 	// overhead is what a rumor takes on the wire beside its strings and its
 	// payload, at most, in bytes.
 	overhead = 24
+	// MaxSize bounds what a rumor takes on the wire, in bytes.
+	MaxSize = overhead + 2*MaxName + MaxPayload
 )
 
 // Rumor is one fact as it travels.
