--- /dev/null
+++ b/internal/node/entry/peers.go
@@ -0,0 +1,103 @@
+package entry
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/juju/errors"
+
+	"egrethaven/internal/node/holders"
+	"egrethaven/internal/peer/claimrpc"
+	"egrethaven/internal/peer/member"
+	"egrethaven/internal/peer/rpc"
+	"egrethaven/internal/peer/rumor"
+	"egrethaven/internal/peer/scatterrpc"
+	"egrethaven/internal/state/once"
+	"egrethaven/internal/world/vm"
+)
+
+// bindPeers binds the peer port and joins the other entry VMs.
+func (n *Node) bindPeers() error {
+	s := n.c.Settings
+	var err error
+	n.server, err = rpc.NewServer(rpc.ServerConfig{
+		Listen:    s.Listen.Peer,
+		SharedKey: s.Peer.SharedKey,
+		Known:     n.known,
+		Events:    n.log,
+	})
+	if err != nil {
+		return errors.Annotate(err, "peer port")
+	}
+	n.dialer = rpc.NewDialer(rpc.DialerConfig{SharedKey: s.Peer.SharedKey})
+	n.self = vm.VM{ID: s.Node.ID, Role: vm.Entry, Domain: s.Node.FailureDomain, Addr: n.server.Addr(), State: vm.Live}
+	n.rumors = rumor.New(rumor.Config{Node: s.Node.ID})
+	n.members = member.New(member.Config{
+		Self:   n.self,
+		VMs:    n.vms.List,
+		Dialer: n.dialer,
+		Rumors: n.rumors,
+		Events: n.log,
+		Digest: n.digest,
+	})
+	n.claims = once.New(once.Config{
+		Store:   n.store,
+		Self:    s.Node.ID,
+		Members: liveMembers{n.members},
+		Dialer:  n.dialer,
+		Events:  n.log,
+		Seed:    n.c.Seed,
+	})
+	return nil
+}
+
+// servePeers registers the services of the peer port and serves it.
+func (n *Node) servePeers() error {
+	m := n.server.Mux()
+	if err := n.members.Register(m); err != nil {
+		return errors.Trace(err)
+	}
+	if err := claimrpc.DRPCRegisterClaims(m, n.claims); err != nil {
+		return errors.Trace(err)
+	}
+	if err := scatterrpc.DRPCRegisterScatter(m, holders.Server{Engine: n.engine}); err != nil {
+		return errors.Trace(err)
+	}
+	if err := n.fleet.Register(m); err != nil {
+		return errors.Trace(err)
+	}
+	n.server.Serve()
+	n.members.Start()
+	return nil
+}
+
+// known tells whether an address belongs to an entry VM of the platform's
+// list.
+func (n *Node) known(a netip.Addr) bool {
+	vms, _ := n.vms.List()
+	for _, v := range vms {
+		p, err := netip.ParseAddrPort(v.Addr)
+		if err == nil && v.Role == vm.Entry && p.Addr() == a {
+			return true
+		}
+	}
+	return false
+}
+
+// digest tells the other nodes which configuration is in force here.
+func (n *Node) digest() member.Digest {
+	d := member.Digest{Revision: n.searches.Current().Revision}
+	if t := n.searches.Confirmed(); !t.IsZero() {
+		d.Known = true
+		d.Age = time.Since(t)
+	}
+	return d
+}
+
+// liveMembers shows the members of this failure domain to the claim store.
+type liveMembers struct {
+	m *member.Members
+}
+
+// Live returns the live entry VMs.
+func (l liveMembers) Live() []vm.VM { return l.m.LiveAll() }
--- a/internal/node/entry/query.go
+++ b/internal/node/entry/query.go
@@ -1,20 +1,30 @@
 package entry
 
 import (
+	"context"
+
 	"egrethaven/internal/back/backend"
 	"egrethaven/internal/back/directory"
 	"egrethaven/internal/node/source"
+	"egrethaven/internal/observe/health"
+	"egrethaven/internal/query/ask"
+	"egrethaven/internal/query/register"
 	"egrethaven/internal/query/scatter"
+	"egrethaven/internal/query/write"
+	"egrethaven/internal/state/config"
 )
 
-// answerQueries begins to follow the backend servers and builds the engine.
+// answerQueries begins to follow the backend servers and builds what asks
+// them.
 func (n *Node) answerQueries() {
 	home := n.c.Settings.Node.FailureDomain
+	onDrain := n.spreadDrains()
 	n.directory = directory.New(directory.Config{
 		VMs:     n.vms.List,
 		Self:    home,
 		Events:  n.log,
 		Backend: backend.Config{Events: n.log},
+		OnDrain: onDrain,
 		Seed:    n.c.Seed,
 	})
 	n.engine = scatter.New(scatter.Config{
@@ -22,7 +32,66 @@
 		Searches: n.searches.Current,
 		Home:     home,
 		Policy:   n.c.Policy,
+		Guard:    n.newGuard(),
 		Events:   n.log,
+		Observe:  n.observe,
 		Seed:     n.c.Seed,
 	})
+	n.writes = register.New(register.Config{
+		Claims:   n.claims,
+		Writers:  n.writers,
+		Searches: n.searches.Current,
+		Home:     home,
+		Events:   n.log,
+	})
+}
+
+// writers returns the searchers of a service that take records.
+func (n *Node) writers(service string) []register.Writer {
+	bs := n.directory.Writers(service)
+	ws := make([]register.Writer, len(bs))
+	for i, b := range bs {
+		ws[i] = b
+	}
+	return ws
+}
+
+// observe takes each answered query as evidence.
+func (n *Node) observe(a ask.Ask, ans ask.Answer) {
+	n.health.Observe(a.Search, ans)
+}
+
+// Ask answers one question.
+func (n *Node) Ask(ctx context.Context, a ask.Ask) ask.Answer {
+	return n.engine.Ask(ctx, a)
+}
+
+// Write runs one non-idempotent request.
+func (n *Node) Write(ctx context.Context, w write.Write) write.Result {
+	return n.writes.Write(ctx, w)
+}
+
+// Health reports on one search as this node knows it.
+func (n *Node) Health(search string) health.Report {
+	return n.health.Search(search)
+}
+
+// Apply changes the configuration.
+func (n *Node) Apply(ctx context.Context, c config.Change) config.Result {
+	return n.searches.Apply(ctx, c)
+}
+
+// Missing returns what the node lacks to answer every search of a revision
+// of the configuration, or nothing.
+func (n *Node) Missing(revision uint64) string {
+	s := n.searches.Current()
+	if s.Revision < revision {
+		return "the configuration is not in force"
+	}
+	for _, d := range s.Searches {
+		if len(n.directory.Map(d.Service).Versions) == 0 {
+			return "no complete index of service " + d.Service
+		}
+	}
+	return n.missing()
 }
--- /dev/null
+++ b/internal/node/holders/client.go
@@ -0,0 +1,103 @@
+package holders
+
+import (
+	"context"
+	"time"
+
+	"storj.io/drpc"
+
+	"egrethaven/internal/peer/scatterrpc"
+	"egrethaven/internal/query/ask"
+	"egrethaven/internal/query/coverage"
+	"egrethaven/internal/query/keyrange"
+	"egrethaven/internal/query/outcome"
+	"egrethaven/internal/query/record"
+	"egrethaven/internal/query/scatter"
+	"egrethaven/internal/world/vm"
+)
+
+// Dialer opens connections to other entry VMs. *rpc.Dialer is one.
+type Dialer interface {
+	Conn(ctx context.Context, addr string) (drpc.Conn, error)
+}
+
+// Holder asks one other entry VM for parts. It is a scatter.Holder.
+type Holder struct {
+	VM     vm.VM
+	Dialer Dialer
+}
+
+// ID returns the id of the holder's VM.
+func (h Holder) ID() string { return h.VM.ID }
+
+// Part asks the holder. A holder that could not be reached ran nothing; one
+// whose reply was lost may have.
+func (h Holder) Part(ctx context.Context, p scatter.Part) scatter.PartReply {
+	c, err := h.Dialer.Conn(ctx, h.VM.Addr)
+	if err != nil {
+		return scatter.PartReply{Outcome: outcome.NotRun(outcome.ConnectionRefused)}
+	}
+	m, err := scatterrpc.NewDRPCScatterClient(c).Part(ctx, request(p))
+	if err != nil {
+		return scatter.PartReply{Outcome: outcome.Unknown(outcome.ConnectionLost)}
+	}
+	if m.Refused != "" {
+		return scatter.PartReply{Outcome: outcome.NotRun(outcome.Reason(m.Refused))}
+	}
+	if m.QueryId != p.Ask.QueryID || m.Version != p.Version {
+		return scatter.PartReply{Outcome: outcome.Unknown(outcome.BadAnswer)}
+	}
+	return reply(m)
+}
+
+// request is the message for a part.
+func request(p scatter.Part) *scatterrpc.PartRequest {
+	m := &scatterrpc.PartRequest{
+		QueryId:    p.Ask.QueryID,
+		Search:     p.Ask.Search,
+		Text:       p.Ask.Text,
+		Limit:      int32(p.Ask.Limit),
+		TimeLeftMs: time.Until(p.Ask.Deadline).Milliseconds(),
+		Version:    p.Version,
+		Explain:    p.Ask.Explain,
+	}
+	for _, f := range p.Ask.Filters {
+		m.Filters = append(m.Filters, &scatterrpc.Filter{Field: f.Field, Value: f.Value})
+	}
+	for _, r := range p.Ranges {
+		m.Spans = append(m.Spans, span(r))
+	}
+	return m
+}
+
+// reply reads the message of a holder.
+func reply(m *scatterrpc.PartReply) scatter.PartReply {
+	r := scatter.PartReply{Outcome: outcome.OK()}
+	for _, c := range m.Covered {
+		r.Covered = append(r.Covered, scatter.Covered{Range: keyRange(c.GetSpan()), Total: int(c.GetTotal())})
+	}
+	for _, g := range m.Gaps {
+		r.Gaps = append(r.Gaps, coverage.Gap{Range: keyRange(g.GetSpan()), Reason: outcome.Reason(g.GetReason())})
+	}
+	for _, h := range m.Hits {
+		r.Hits = append(r.Hits, ask.Hit{Score: h.GetScore(), Record: record.Record{
+			Key: h.GetKey(), SchemaVersion: int(h.GetSchemaVersion()), Revision: h.GetRevision(), Source: h.GetSource(), Fields: h.GetFields(),
+		}})
+	}
+	for _, s := range m.Steps {
+		r.Steps = append(r.Steps, ask.Step{At: s.GetAtUs(), What: s.GetWhat(), Searcher: s.GetSearcher(), Range: s.GetRange(), Detail: s.GetDetail()})
+	}
+	c := m.GetCost()
+	r.Cost = ask.Cost{Primaries: int(c.GetPrimaries()), Hedges: int(c.GetHedges()), Retries: int(c.GetRetries()), Dropped: int(c.GetDropped())}
+	return r
+}
+
+// span is the message for a key range.
+func span(r keyrange.Range) *scatterrpc.Span {
+	return &scatterrpc.Span{First: r.First, Last: r.Last}
+}
+
+// keyRange reads the message of a key range.
+func keyRange(s *scatterrpc.Span) keyrange.Range {
+	return keyrange.Range{First: s.GetFirst(), Last: s.GetLast()}
+}
--- a/internal/standin/deployment/fleet.go
+++ b/internal/standin/deployment/fleet.go
@@ -17,12 +17,14 @@
 
 // The services of Takasago and Moisi.
 const (
-	ClaimsDesk       = "claims_desk"
-	ContractorPortal = "contractor_portal"
-	AssessorLookup   = "assessor_lookup"
-	Billing          = "billing"
-	FieldApp         = "field_app"
-	ReturnLogging    = "return_logging"
+	ClaimsDesk           = "claims_desk"
+	OldLedger            = "old_ledger"
+	ContractorPortal     = "contractor_portal"
+	DistributorReporting = "distributor_reporting"
+	AssessorLookup       = "assessor_lookup"
+	Billing              = "billing"
+	FieldApp             = "field_app"
+	ReturnLogging        = "return_logging"
 )
 
 // The failure domains of Takasago and Moisi.
@@ -57,12 +59,15 @@
 )
 
 // Takasago starts a small fleet with the sample records: the claims desk
-// (warranty registrations in two schema versions) and the contractor portal
-// (jobs, which can be registered).
+// (warranty registrations in two schema versions, which can be registered),
+// the old ledger beside it, the contractor portal (jobs, which can be
+// registered) and distributor reporting (jobs).
 func Takasago(seed uint64) (Fleet, error) {
 	return start(
-		sample(ClaimsDesk, TakasagoDomains, dataset.Warranty(), small, false, seed),
-		sample(ContractorPortal, TakasagoDomains, dataset.Jobs(), largeTaka, true, seed+1),
+		sample(ClaimsDesk, TakasagoDomains, dataset.Warranty(), small, true, seed),
+		sample(OldLedger, TakasagoDomains, dataset.Warranty(), small, false, seed+1),
+		sample(ContractorPortal, TakasagoDomains, dataset.Jobs(), largeTaka, true, seed+2),
+		sample(DistributorReporting, TakasagoDomains, dataset.Jobs(), largeTaka, false, seed+3),
 	)
 }
 
