Show bare counts without the suffix _ratio, and writes without complete

Cause: the exporter names a gauge of unit 1 a ratio; a write has no coverage. Change: metric drops the unit 1 and the label. Figures: egrethaven_links_ratio before, egrethaven_links after.

--- a/internal/observe/metric/metric.go
+++ b/internal/observe/metric/metric.go
@@ -61,7 +61,9 @@
 type key struct {
 	search   string
 	outcome  outcome.Outcome
+	// complete is set for queries only.
 	complete bool
+	query    bool
 	kind     string
 }
 
@@ -103,7 +105,7 @@
 // Query counts one answered query.
 func (m *Metrics) Query(search string, a ask.Answer, elapsed time.Duration) {
 	ctx := context.Background()
-	o := m.attributes(key{search: search, outcome: a.Outcome, complete: a.Complete})
+	o := m.attributes(key{search: search, outcome: a.Outcome, complete: a.Complete, query: true})
 	m.queries.Record(ctx, elapsed.Seconds(), o)
 	m.coverage.Add(ctx, a.Coverage.Fraction(), m.attributes(key{search: search}))
 	m.call(search, "primary", a.Cost.Primaries)
@@ -140,17 +142,28 @@
 		as = append(as, attribute.String("kind", k.kind))
 	}
 	if k.outcome.Kind != "" {
-		as = append(as, attribute.String("outcome", string(k.outcome.Kind)), attribute.String("reason", string(k.outcome.Reason)),
-			attribute.Bool("complete", k.complete))
+		as = append(as, attribute.String("outcome", string(k.outcome.Kind)), attribute.String("reason", string(k.outcome.Reason)))
+	}
+	if k.query {
+		as = append(as, attribute.Bool("complete", k.complete))
 	}
 	o := metric.WithAttributeSet(attribute.NewSet(as...))
 	m.attrs.Store(k, o)
 	return o
 }
 
+// plain drops the unit of a bare count, which the exporter would show as the
+// suffix _ratio.
+func plain(unit string) string {
+	if unit == "1" {
+		return ""
+	}
+	return unit
+}
+
 // Gauge shows what read returns at the time.
 func (m *Metrics) Gauge(name, unit, help string, read func() float64) error {
-	_, err := m.meter.Float64ObservableGauge(name, metric.WithUnit(unit), metric.WithDescription(help),
+	_, err := m.meter.Float64ObservableGauge(name, metric.WithUnit(plain(unit)), metric.WithDescription(help),
 		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
 			o.Observe(read())
 			return nil
@@ -160,7 +173,7 @@
 
 // Counter shows what read returns, which never goes down.
 func (m *Metrics) Counter(name, unit, help string, read func() int64) error {
-	_, err := m.meter.Int64ObservableCounter(name, metric.WithUnit(unit), metric.WithDescription(help),
+	_, err := m.meter.Int64ObservableCounter(name, metric.WithUnit(plain(unit)), metric.WithDescription(help),
 		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
 			o.Observe(read())
 			return nil
@@ -170,7 +183,7 @@
 
 // Labeled shows a gauge with one value for each label.
 func (m *Metrics) Labeled(name, unit, help, label string, read func() map[string]float64) error {
-	_, err := m.meter.Float64ObservableGauge(name, metric.WithUnit(unit), metric.WithDescription(help),
+	_, err := m.meter.Float64ObservableGauge(name, metric.WithUnit(plain(unit)), metric.WithDescription(help),
 		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
 			for l, v := range read() {
 				o.Observe(v, metric.WithAttributes(attribute.String(label, l)))
--- a/internal/observe/metric/metric_test.go
+++ b/internal/observe/metric/metric_test.go
@@ -18,7 +18,7 @@
 	}
 	defer m.Close()
 	m.Query("s", ask.Answer{Outcome: outcome.OK(), Complete: true, Cost: ask.Cost{Primaries: 7, Hedges: 2}}, 40*time.Millisecond)
-	if err := m.Gauge("egrethaven_links", "", "h", func() float64 { return 5 }); err != nil {
+	if err := m.Gauge("egrethaven_links", "1", "h", func() float64 { return 5 }); err != nil {
 		t.Fatal(err)
 	}
 	w := httptest.NewRecorder()
