--- a/internal/cli/command/list.go
+++ b/internal/cli/command/list.go
@@ -26,7 +26,7 @@
 
 // all lists the commands. cobra adds help and completion.
 var all = []command{
-	cmdCheck,
+	cmdServe, cmdCheck, cmdDemo,
 	cmdApply, cmdGet, cmdList, cmdDelete, cmdHistory, cmdStatus,
 	cmdHealth, cmdQuery, cmdRecord, cmdTimeline, cmdVersion,
 }
--- a/internal/observe/metric/metric.go
+++ b/internal/observe/metric/metric.go
@@ -59,8 +59,8 @@
 
 // key is a set of attributes of an instrument.
 type key struct {
-	search   string
-	outcome  outcome.Outcome
+	search  string
+	outcome outcome.Outcome
 	// complete is set for queries only.
 	complete bool
 	query    bool
