--- a/internal/cli/command/cmd_health.go
+++ b/internal/cli/command/cmd_health.go
@@ -51,9 +51,9 @@
 	for _, st := range r.States {
 		n[st.Verdict]++
 	}
-	fmt.Fprintf(s.out, "%s: %d ok, %d degraded, %d down, %d unknown (by %s in %s, configuration %d confirmed %s ago)\n",
+	fmt.Fprintf(s.out, "%s: %d ok, %d degraded, %d down, %d unknown (by %s in %s, %s)\n",
 		strings.ToUpper(string(r.Verdict())), n[health.OK], n[health.Degraded], n[health.Down], n[health.Unknown],
-		r.Node, r.Domain, r.ConfigRevision, ms(r.ConfigAgeMS))
+		r.Node, r.Domain, configuration(r))
 	t := newTable(s.out, "SEARCH", "FAILURE DOMAIN", "VERDICT", "FOR", "EVIDENCE AGE", "WHY")
 	for _, st := range r.States {
 		t.row(st.Search, string(st.Domain), string(st.Verdict), ago(st.Since, time.Now()), ms(st.AgeMS), why(st))
@@ -61,6 +61,14 @@
 	return t.end()
 }
 
+// configuration says which configuration the node has, and how sure that is.
+func configuration(r health.Report) string {
+	if r.ConfigAgeMS < 0 {
+		return fmt.Sprintf("configuration %d never confirmed by the platform", r.ConfigRevision)
+	}
+	return fmt.Sprintf("configuration %d confirmed %s ago", r.ConfigRevision, ms(r.ConfigAgeMS))
+}
+
 // why says what a verdict rests on, when it is not plainly ok.
 func why(st health.State) string {
 	var parts []string
