Trust no link to a searcher that gives no sign of life

Cause: a frozen or cut-off searcher kept its idle links, and each new link got a call that could only end at its deadline. Calls that were canceled because a hedge won taught nothing about the searcher. Change: when a probe over a new link fails, what made no progress meanwhile is closed and the searcher counts as refused; new links after a failure are probed before a call gets them; a call that ended without an answer and was slower than usual counts for the median.

--- a/internal/back/backend/backend.go
+++ b/internal/back/backend/backend.go
@@ -66,6 +66,8 @@
 	loadAt   time.Time
 	latency  time.Duration
 	samples  int
+	rising   bool
+	run      int
 }
 
 // New returns a backend and begins to open its warm links.
--- a/internal/back/backend/evidence.go
+++ b/internal/back/backend/evidence.go
@@ -13,7 +13,10 @@
 const toldTime = time.Minute
 
 // latencyStep is the part by which the median service time follows an answer.
-const latencyStep = 0.03
+const latencyStep = 0.02
+
+// longestRun bounds how many steps the same way lengthen a step.
+const longestRun = 5
 
 // take learns from the load that came with an answer.
 func (b *Backend) take(l searcher.Load) {
@@ -154,18 +157,34 @@
 	}
 }
 
-// served learns from the service time of an answer: the median moves a step
-// toward it.
+// served learns from the service time of an answer, or from how long a call
+// had lasted that ended without one and was slower than usual: the median
+// moves a step toward it, a longer one with each further step the same way.
 func (b *Backend) served(d time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.samples++
-	switch step := time.Duration(latencyStep * float64(b.latency)); {
-	case b.latency == 0:
+	if b.latency == 0 {
 		b.latency = d
-	case d > b.latency:
-		b.latency += step
-	case d < b.latency:
-		b.latency -= step
+		return
+	}
+	if up := d > b.latency; up != b.rising {
+		b.rising, b.run = up, 0
+	}
+	b.run = min(b.run+1, longestRun)
+	step := time.Duration(latencyStep * float64(b.run) * float64(b.latency))
+	if !b.rising {
+		step = -step
+	}
+	b.latency += step
+}
+
+// unserved learns from a call that ended without an answer.
+func (b *Backend) unserved(d time.Duration) {
+	b.mu.Lock()
+	slower := b.samples > 0 && d > b.latency
+	b.mu.Unlock()
+	if slower {
+		b.served(d)
 	}
 }
--- a/internal/back/backend/link_test.go
+++ b/internal/back/backend/link_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"egrethaven/internal/back/searcher"
 	"egrethaven/internal/query/outcome"
@@ -71,6 +72,48 @@
 	}
 }
 
+// TestFrozenSearcherGetsNoCalls freezes a searcher: its connections stay
+// open, new ones are accepted, and nothing answers.
+func TestFrozenSearcherGetsNoCalls(t *testing.T) {
+	var frozen atomic.Bool
+	var calls atomic.Int64
+	release := make(chan struct{})
+	b := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == searcher.SearchPath {
+			calls.Add(1)
+		}
+		if frozen.Load() {
+			<-release
+			return
+		}
+		echo(w, r)
+	})
+	if r := b.Search(within(t), query("a")); !r.Outcome.OK() {
+		t.Fatal(r.Outcome)
+	}
+	frozen.Store(true)
+	if r := b.Search(within(t), query("b")); r.Outcome != outcome.Unknown(outcome.ConnectionSilent) {
+		t.Fatalf("outcome %v", r.Outcome)
+	}
+	before := calls.Load()
+	if r := b.Search(within(t), query("c")); r.Outcome != outcome.NotRun(outcome.ConnectionRefused) || b.Standing().Usable {
+		t.Fatalf("outcome %v on a frozen searcher", r.Outcome)
+	}
+	if n := calls.Load(); n != before {
+		t.Fatalf("%d calls reached a frozen searcher", n-before)
+	}
+	frozen.Store(false)
+	close(release)
+	for end := time.Now().Add(20 * time.Second); !b.Standing().Usable; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("not usable again")
+		}
+	}
+	if r := b.Search(within(t), query("d")); !r.Outcome.OK() {
+		t.Fatal(r.Outcome)
+	}
+}
+
 func TestWriteProvesAnIdleConnection(t *testing.T) {
 	m := &muted{release: make(chan struct{})}
 	b := serve(t, m.serve)
--- a/internal/back/backend/search.go
+++ b/internal/back/backend/search.go
@@ -81,6 +81,7 @@
 // readSearch turns the result of a call into an outcome and an answer.
 func (b *Backend) readSearch(q searcher.Query, res link.Result, a *searcher.Answer) outcome.Outcome {
 	if res.Err != nil {
+		b.unserved(res.Service)
 		return lost(res)
 	}
 	if res.Status != http.StatusOK {
--- a/internal/back/pool/open.go
+++ b/internal/back/pool/open.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"context"
 	"time"
 
 	"egrethaven/internal/back/link"
@@ -50,27 +51,45 @@
 	}
 }
 
-// dial opens one link.
+// dial opens one link. After a failure the link first has to bring a sign of
+// life.
 func (p *Pool) dial() {
 	l, err := link.Dial(p.ctx, p.c.Link)
 	p.mu.Lock()
+	doubt := err == nil && p.back.failing() && p.c.Probe != nil
+	p.mu.Unlock()
+	if doubt && !p.signOfLife(l) {
+		err = ErrRefused
+	}
+	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.dialing--
 	switch {
-	case p.closed && err == nil:
-		l.Close()
-	case p.closed:
-	case err != nil:
+	case p.closed || err != nil || !l.Reusable():
+		if l != nil {
+			l.Close()
+		}
 		p.refused()
 	default:
-		p.opened(l)
+		p.opened(l, doubt)
 	}
 }
 
+// signOfLife asks for a sign of life on a new link.
+func (p *Pool) signOfLife(l *link.Link) bool {
+	ctx, cancel := context.WithTimeout(p.ctx, silentMost)
+	defer cancel()
+	return p.c.Probe(ctx, l)
+}
+
 // opened takes a new link. The wait between attempts is only forgotten once
-// a call has passed on it. The lock is held.
-func (p *Pool) opened(l *link.Link) {
+// the link has carried a call. The lock is held.
+func (p *Pool) opened(l *link.Link, proven bool) {
 	p.s.Opened++
+	if proven {
+		p.back = backOff{}
+		p.room = min(max(p.room, p.open()+1), p.c.Max)
+	}
 	p.offer(l)
 	p.fill()
 }
@@ -78,6 +97,9 @@
 // refused counts a failed attempt and sets when the next may be made. The
 // lock is held.
 func (p *Pool) refused() {
+	if p.closed {
+		return
+	}
 	p.s.Refused++
 	p.back.fail(time.Now())
 	if p.dead() {
--- a/internal/back/pool/watch.go
+++ b/internal/back/pool/watch.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"context"
 	"slices"
 	"time"
 
@@ -168,31 +167,43 @@
 	return true
 }
 
-// runProbe opens a link and asks for a sign of life on it.
+// runProbe opens a link and asks for a sign of life on it. Without one, no
+// connection to the searcher is trusted that made no progress meanwhile.
 func (p *Pool) runProbe() {
 	began := time.Now()
 	l, err := link.Dial(p.ctx, p.c.Link)
-	alive := false
-	if err == nil {
-		ctx, cancel := context.WithTimeout(p.ctx, silentMost)
-		alive = p.c.Probe(ctx, l)
-		cancel()
-	}
+	alive := err == nil && p.signOfLife(l)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.probing = false
 	p.dialing--
-	if alive {
-		p.passed = maxTime(p.passed, began)
-		p.wake()
+	if l != nil && (p.closed || !l.Reusable()) {
+		l.Close()
 	}
 	switch {
-	case err == nil && (p.closed || !alive || !l.Reusable()):
-		l.Close()
-	case err == nil:
-		p.opened(l)
-	case !p.closed:
+	case p.closed:
+	case !alive:
+		p.abandon(began)
 		p.refused()
+	default:
+		p.passed = maxTime(p.passed, began)
+		p.wake()
+		if l.Reusable() {
+			p.opened(l, true)
+		}
+	}
+}
+
+// abandon ends the calls and drops the idle links that made no progress since
+// began. The lock is held.
+func (p *Pool) abandon(began time.Time) {
+	if p.passed.After(began) {
+		return
+	}
+	for l, since := range p.used {
+		if since.Before(began) {
+			p.silence(l, began)
+		}
 	}
 }
 
