--- a/internal/state/config/adopt.go
+++ b/internal/state/config/adopt.go
@@ -84,7 +84,7 @@
 	m.adopted.Add(1)
 	m.report(n, s, from)
 	for _, f := range m.watchers {
-		f(n.snapshot)
+		f(n.snapshot, s)
 	}
 	return true, nil
 }
--- a/internal/state/config/follow.go
+++ b/internal/state/config/follow.go
@@ -10,10 +10,12 @@
 )
 
 const (
-	// retryFirst and retryMost bound the wait after a failed call to the
-	// service; a random part of it is taken.
-	retryFirst = 100 * time.Millisecond
-	retryMost  = 30 * time.Second
+	// retryFirst bounds the wait after the first failed call to the service;
+	// a random part of it is taken. It doubles up to the bound of a watching
+	// or a polling node.
+	retryFirst     = 100 * time.Millisecond
+	retryMostWatch = 5 * time.Second
+	retryMostPoll  = 30 * time.Second
 	// pollEvery is the mean time between two reads of a polling node.
 	pollEvery = 30 * time.Second
 	// emptyEvery is the least time between two reads while there is no root.
@@ -78,7 +80,11 @@
 		return
 	}
 	f.wait(f.m.jitter(f.retry))
-	f.retry = min(2*f.retry, retryMost)
+	most := retryMostPoll
+	if f.mode == Watching || f.m.Current().Revision == 0 {
+		most = retryMostWatch
+	}
+	f.retry = min(2*f.retry, most)
 }
 
 // wait returns after d, or never for 0, or when the mode changes.
--- a/internal/state/config/manager.go
+++ b/internal/state/config/manager.go
@@ -65,7 +65,7 @@
 	empty atomic.Bool
 
 	adopting sync.Mutex
-	watchers []func(*Snapshot)
+	watchers []func(*Snapshot, Source)
 
 	adopted, lower, corrupt atomic.Uint64
 
@@ -131,8 +131,9 @@
 	return Counts{Adopted: m.adopted.Load(), RefusedLower: m.lower.Load(), RefusedCorrupt: m.corrupt.Load()}
 }
 
-// Subscribe has f called after each adoption, in order. f must not block.
-func (m *Manager) Subscribe(f func(*Snapshot)) {
+// Subscribe has f called after each adoption, in order, with where it came
+// from. f must not block.
+func (m *Manager) Subscribe(f func(*Snapshot, Source)) {
 	m.adopting.Lock()
 	defer m.adopting.Unlock()
 	m.watchers = append(m.watchers, f)
--- a/internal/state/config/manager_test.go
+++ b/internal/state/config/manager_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/goleak"
 	"pgregory.net/rapid"
 
+	"egrethaven/internal/platform/fakekv"
 	"egrethaven/internal/state/config"
 	"egrethaven/internal/state/search"
 )
@@ -32,8 +33,8 @@
 }
 
 func race(t *testing.T, seed uint64) {
-	s := newFakeStore(seed)
-	s.lose, s.down = 0.3, 0.1
+	s := fakekv.New(seed)
+	s.SetFaults(0.3, 0.1)
 	var nodes []*config.Manager
 	for i := range 3 {
 		nodes = append(nodes, config.New(config.Config{Store: s, Node: fmt.Sprint("e-", i)}))
@@ -53,9 +54,7 @@
 		})
 	}
 	wg.Wait()
-	s.mu.Lock()
-	s.lose, s.down = 0, 0
-	s.mu.Unlock()
+	s.SetFaults(0, 0)
 	time.Sleep(time.Minute)
 	h, err := nodes[0].History(t.Context())
 	if err != nil {
@@ -94,7 +93,7 @@
 }
 
 func TestRepeatedChangeIsAppliedOnce(t *testing.T) {
-	s := newFakeStore(1)
+	s := fakekv.New(1)
 	m := config.New(config.Config{Store: s, Mode: config.Idle})
 	defer m.Close()
 	first := m.Apply(t.Context(), put("a", "s", 1))
@@ -108,7 +107,7 @@
 }
 
 func TestConflictShowsTheDiff(t *testing.T) {
-	m := config.New(config.Config{Store: newFakeStore(1), Mode: config.Idle})
+	m := config.New(config.Config{Store: fakekv.New(1), Mode: config.Idle})
 	defer m.Close()
 	m.Apply(t.Context(), put("a", "s", 1))
 	m.Apply(t.Context(), put("b", "s", 2))
@@ -125,7 +124,7 @@
 
 // TestNeverReverts puts a corrupt, a lower and no root in the store.
 func TestNeverReverts(t *testing.T) {
-	s := newFakeStore(1)
+	s := fakekv.New(1)
 	m := config.New(config.Config{Store: s, Mode: config.Idle})
 	defer m.Close()
 	m.Apply(t.Context(), put("a", "s", 1))
@@ -135,7 +134,7 @@
 	flipped := slices.Clone(now.Value)
 	flipped[len(flipped)/2] ^= 1
 	for name, v := range map[string][]byte{"lower": old.Value, "flipped": flipped, "cut": now.Value[:20], "empty": nil} {
-		s.force(config.RootKey, v)
+		s.Force(config.RootKey, v)
 		if m.Refresh(t.Context()) || m.Current().Revision != 2 {
 			t.Errorf("%s root was taken", name)
 		}
@@ -150,7 +149,7 @@
 }
 
 func TestCorruptDocumentKeepsTheLastGood(t *testing.T) {
-	s := newFakeStore(1)
+	s := fakekv.New(1)
 	a := config.New(config.Config{Store: s, Mode: config.Idle})
 	defer a.Close()
 	b := config.New(config.Config{Store: s, Mode: config.Idle})
@@ -160,7 +159,7 @@
 	a.Apply(t.Context(), put("b", "s", 2))
 	es, _ := s.List(t.Context(), config.DocumentPrefix)
 	for _, e := range es {
-		s.force(e.Key, []byte(`{"name":"s","max_limit":9}`))
+		s.Force(e.Key, []byte(`{"name":"s","max_limit":9}`))
 	}
 	if b.Refresh(t.Context()) || b.Current().Revision != 1 || b.Counts().RefusedCorrupt == 0 {
 		t.Errorf("revision %d, %+v", b.Current().Revision, b.Counts())
@@ -170,7 +169,7 @@
 // TestDelta has peers pass deltas on, some of them altered on the way.
 func TestDelta(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		s := newFakeStore(1)
+		s := fakekv.New(1)
 		a := config.New(config.Config{Store: s, Mode: config.Idle})
 		defer a.Close()
 		b := config.New(config.Config{Store: s, Mode: config.Idle})
