Let evidence of the last 3 s decide health alone

Cause: a mended search stayed degraded until the last bad evidence was 4 s old, with half a second to the target. Change: Judge uses evidence of three quarters of the stated age when there is any, and older evidence only when there is none.

--- a/internal/observe/health/health_test.go
+++ b/internal/observe/health/health_test.go
@@ -21,35 +21,39 @@
 
 const maxAge = 4 * time.Second
 
-// TestJudge holds that ok needs fresh complete evidence and next to no other.
+// TestJudge holds that ok needs fresh complete evidence and next to no other,
+// and that evidence of the last 3 s decides alone.
 func TestJudge(t *testing.T) {
 	now := time.Unix(1000, 0)
 	rapid.Check(t, func(t *rapid.T) {
 		var es []health.Evidence
-		fresh, complete, bad, covered := 0, 0, 0, 0
+		var sums [2][3]int // of the last 3 s, and of the stated age
 		for range rapid.IntRange(0, 6).Draw(t, "pieces") {
-			n := rapid.SliceOfN(rapid.IntRange(0, 300), 3, 3).Draw(t, "counts")
+			n := [3]int(rapid.SliceOfN(rapid.IntRange(0, 300), 3, 3).Draw(t, "counts"))
 			age := time.Duration(rapid.IntRange(-500, 8000).Draw(t, "age")) * time.Millisecond
 			es = append(es, health.Evidence{At: now.Add(-age), Complete: n[0], Partial: n[1], None: n[2]})
-			if age < 0 || age >= maxAge {
-				continue
+			for i, window := range []time.Duration{3 * time.Second, maxAge} {
+				for j := range n {
+					if age >= 0 && age < window {
+						sums[i][j] += n[j]
+					}
+				}
 			}
-			fresh += n[0] + n[1] + n[2]
-			complete += n[0]
-			bad += n[1] + n[2]
-			covered += n[0] + n[1]
 		}
-		s := health.Judge(es, now, maxAge)
+		sum := sums[0]
+		if sum == [3]int{} {
+			sum = sums[1]
+		}
 		want := health.Degraded
 		switch {
-		case fresh == 0:
+		case sum == [3]int{}:
 			want = health.Unknown
-		case bad*100 <= complete:
+		case (sum[1]+sum[2])*100 <= sum[0]:
 			want = health.OK
-		case covered == 0:
+		case sum[0]+sum[1] == 0:
 			want = health.Down
 		}
-		if s.Verdict != want {
+		if s := health.Judge(es, now, maxAge); s.Verdict != want {
 			t.Fatalf("%s, want %s: %+v", s.Verdict, want, es)
 		}
 	})
--- a/internal/observe/health/judge.go
+++ b/internal/observe/health/judge.go
@@ -15,6 +15,10 @@
 // a busy search is not degraded by a single slow call.
 const tolerated = 100
 
+// recent is the part of the stated age within which evidence decides alone;
+// older evidence counts only when there is none so young.
+const recent = 0.75
+
 // Verdict is the health of a search in one failure domain.
 type Verdict string
 
@@ -89,11 +93,20 @@
 // order of time. Evidence of at least maxAge, or from the future, does not
 // count.
 func Judge(es []Evidence, now time.Time, maxAge time.Duration) State {
-	s := State{Verdict: Unknown, AgeMS: -1}
+	s := judge(es, now, time.Duration(recent*float64(maxAge)))
+	if s.Verdict == Unknown {
+		s = judge(es, now, maxAge)
+	}
+	return s
+}
+
+// judge sums up the evidence that is younger than window.
+func judge(es []Evidence, now time.Time, window time.Duration) State {
+	s := State{AgeMS: -1}
 	var sum Evidence
 	for _, e := range es {
 		age := now.Sub(e.At)
-		if age < 0 || age >= maxAge {
+		if age < 0 || age >= window {
 			continue
 		}
 		sum.Complete += e.Complete
