Keep contracts and go through holders of other groups

Cause: the plan of contracts had no one to enforce it, and the second level of the fan-out no caller. Change: node/contracts works the plan out whenever nodes or searchers change and sets the links; node/source shows shards of other groups with their holders.

--- /dev/null
+++ b/internal/node/entry/fanout_test.go
@@ -0,0 +1,123 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"egrethaven/internal/node/entry"
+	"egrethaven/internal/query/ask"
+	"egrethaven/internal/standin/dataset"
+	"egrethaven/internal/standin/deployment"
+	"egrethaven/internal/standin/platform"
+	"egrethaven/internal/standin/searcher"
+	"egrethaven/internal/state/config"
+	"egrethaven/internal/state/search"
+	"egrethaven/internal/state/settings"
+	"egrethaven/internal/world/vm"
+)
+
+// giveUp bounds every wait for an event.
+const giveUp = 30 * time.Second
+
+// eventually polls until f holds.
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(giveUp); !f(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("gave up waiting: %s", what)
+		}
+	}
+}
+
+// nodeSettings are the settings of entry VM i of a test.
+func nodeSettings(i int, p *platform.Platform) settings.Settings {
+	s, _ := settings.Parse("test.ini", fmt.Appendf(nil, "[node]\nid = e%d\nfailure_domain = local\n[listen]\ncaller = 127.0.0.1:1\noperator = 127.0.0.1:1\npeer = 127.0.0.1:1\n[platform]\naddr = %s\n[limits]\nbalancer_lag = 0s\n", i, p.Addr()))
+	s.Listen = settings.Listen{Caller: "127.0.0.1:0", Operator: "127.0.0.1:0", Peer: "127.0.0.1:0"}
+	return s
+}
+
+// TestSecondLevel runs more nodes than a searcher has connections for: each
+// node calls the searchers of its group, and every answer is whole all the
+// same.
+func TestSecondLevel(t *testing.T) {
+	t.Cleanup(func() { goleak.VerifyNone(t) })
+	p, err := platform.New(platform.Config{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = p.Close() })
+	d, err := deployment.New(deployment.Config{
+		Service: "svc", Domains: nil, Shards: 16, Replicas: 2, Records: dataset.Synthetic(400, 20),
+		Searcher: searcher.Config{Slots: 4, MaxConnections: 5, Time: searcher.Time{Median: time.Millisecond}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Close)
+	nodes := startNodes(t, p, d.VMs(), 6)
+	def := search.Definition{Name: "s", Service: "svc", SchemaVersions: []int{1}, Reconcile: search.NewestRevision,
+		Prefer: search.Coverage, Deadline: 5 * time.Second, ExtraLoad: 0.05, MaxLimit: 1000}
+	r := nodes[0].Apply(context.Background(), config.Change{ID: "c1", Author: "test", Put: []search.Definition{def}})
+	if r.Verdict != config.Accepted {
+		t.Fatalf("%+v", r)
+	}
+	for _, n := range nodes {
+		eventually(t, "node ready", func() bool { return n.Missing(r.Revision) == "" })
+		eventually(t, "groups", func() bool { return n.Groups() > 1 })
+	}
+	parts := 0
+	for i, n := range nodes {
+		var a ask.Ask
+		var got ask.Answer
+		eventually(t, "whole answer", func() bool {
+			a = ask.Ask{QueryID: fmt.Sprintf("q%d-%d", i, time.Now().UnixNano()), Search: "s", Limit: 1000, Explain: true}
+			got = n.Ask(context.Background(), a)
+			return got.Outcome.OK()
+		})
+		for _, f := range d.Truth.Check(a, def, got) {
+			t.Errorf("node %d: %v", i, f)
+		}
+		for _, s := range got.Steps {
+			if s.What == "part" {
+				parts++
+			}
+		}
+	}
+	if parts == 0 {
+		t.Error("no part was asked of another node")
+	}
+}
+
+// startNodes starts n entry VMs and stops them when the test ends.
+func startNodes(t *testing.T, p *platform.Platform, searchers []vm.VM, n int) []*entry.Node {
+	t.Helper()
+	var nodes []*entry.Node
+	vms := searchers
+	for i := range n {
+		e, err := entry.New(entry.Config{Settings: nodeSettings(i, p), Seed: uint64(i) + 1})
+		if err != nil {
+			t.Fatal(err)
+		}
+		nodes = append(nodes, e)
+		vms = append(vms, e.VM())
+	}
+	p.SetVMs(vms)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, n)
+	for _, e := range nodes {
+		go func() { ended <- e.Run(ctx) }()
+	}
+	t.Cleanup(func() {
+		cancel()
+		for range nodes {
+			if err := <-ended; err != nil {
+				t.Error(err)
+			}
+		}
+	})
+	return nodes
+}
--- a/internal/node/entry/node.go
+++ b/internal/node/entry/node.go
@@ -17,6 +17,7 @@
 	"egrethaven/internal/back/directory"
 	"egrethaven/internal/front/balancer"
 	"egrethaven/internal/front/httpserver"
+	"egrethaven/internal/node/contracts"
 	"egrethaven/internal/observe/clock"
 	"egrethaven/internal/observe/event"
 	"egrethaven/internal/observe/fleet"
@@ -70,6 +71,7 @@
 	claims  *once.Store
 
 	directory *directory.Directory
+	contracts *contracts.Keeper
 	engine    *scatter.Engine
 	writes    *register.Registrar
 	health    *health.Collector
--- a/internal/node/entry/query.go
+++ b/internal/node/entry/query.go
@@ -5,6 +5,7 @@
 
 	"egrethaven/internal/back/backend"
 	"egrethaven/internal/back/directory"
+	"egrethaven/internal/node/contracts"
 	"egrethaven/internal/node/source"
 	"egrethaven/internal/observe/health"
 	"egrethaven/internal/query/ask"
@@ -27,8 +28,14 @@
 		OnDrain: onDrain,
 		Seed:    n.c.Seed,
 	})
+	n.contracts = contracts.New(contracts.Config{
+		Self:     n.self.ID,
+		Nodes:    n.members.LiveAll,
+		Backends: n.directory.Backends,
+		Events:   n.log,
+	})
 	n.engine = scatter.New(scatter.Config{
-		Source:   source.New(source.Config{Map: n.directory.Map}),
+		Source:   source.New(source.Config{Map: n.directory.Map, Plan: n.contracts.Plan, Dialer: n.dialer}),
 		Searches: n.searches.Current,
 		Home:     home,
 		Policy:   n.c.Policy,
@@ -95,3 +102,7 @@
 	}
 	return n.missing()
 }
+
+// Groups is the number of groups that the searchers of this failure domain
+// are cut into.
+func (n *Node) Groups() int { return n.contracts.Plan().Groups }
--- a/internal/node/entry/run.go
+++ b/internal/node/entry/run.go
@@ -127,6 +127,9 @@
 }
 
 func (n *Node) closeQueries() {
+	if n.contracts != nil {
+		n.contracts.Close()
+	}
 	if n.directory != nil {
 		n.directory.Close()
 	}
