--- a/internal/bench/arm/arm.go
+++ b/internal/bench/arm/arm.go
@@ -75,6 +75,20 @@
 	return nil
 }
 
+// All returns the arms.
+func (as *Arms) All() []*Arm { return as.list }
+
+// Snapshot returns the arms with what was measured so far; a later Reset
+// leaves it alone.
+func (as *Arms) Snapshot() *Arms {
+	c := &Arms{rig: as.rig, suf: as.suf}
+	for _, a := range as.list {
+		o := *a
+		c.list = append(c.list, &o)
+	}
+	return c
+}
+
 // Current returns the arm with the current policy.
 func (as *Arms) Current() *Arm { return as.list[0] }
 
@@ -89,11 +103,22 @@
 // Warm loads the arms without measuring.
 func (as *Arms) Warm(ctx context.Context, c duel.Config) {
 	as.Slices(ctx, c)
+	as.Reset()
+}
+
+// Reset forgets what was measured so far.
+func (as *Arms) Reset() {
 	for _, a := range as.list {
 		a.Tally = tally.New()
 	}
 }
 
+// Ask sends a question to the current arm.
+func (as *Arms) Ask(ctx context.Context, due time.Time) {
+	a := as.Current()
+	a.Tally.Add(as.rig.Ask(ctx, a.Node, due))
+}
+
 // Slices loads the arms in turns.
 func (as *Arms) Slices(ctx context.Context, c duel.Config) {
 	duel.Slices(ctx, c, as.sides())
--- a/internal/bench/catalog/catalog.go
+++ b/internal/bench/catalog/catalog.go
@@ -6,14 +6,18 @@
 package catalog
 
 import (
+	"egrethaven/internal/bench/overload"
 	"egrethaven/internal/bench/scenario"
+	"egrethaven/internal/bench/steady"
 	"egrethaven/internal/bench/straggler"
 )
 
 // All returns every scenario.
 func All() []scenario.Scenario {
 	return []scenario.Scenario{
+		steady.Scenario,
 		straggler.Scenario,
+		overload.Scenario,
 	}
 }
 
--- a/internal/bench/duel/duel.go
+++ b/internal/bench/duel/duel.go
@@ -29,15 +29,20 @@
 	Rate float64
 	// Duration of the load on each arm.
 	Duration time.Duration
-	Random   *rand.Rand
+	// Slice is the length of one arm's turn; 0 is defaultSlice.
+	Slice  time.Duration
+	Random *rand.Rand
 }
 
-// slice is the length of one arm's turn.
-const slice = time.Second
+// defaultSlice is the length of one arm's turn.
+const defaultSlice = time.Second
 
 // Slices loads the arms in turns, in an order that rotates.
 func Slices(ctx context.Context, c Config, arms []Arm) {
-	n := max(1, int(c.Duration/slice))
+	if c.Slice == 0 {
+		c.Slice = defaultSlice
+	}
+	n := max(1, int(c.Duration/c.Slice))
 	for i := range n {
 		for j := range arms {
 			a := arms[(i+j)%len(arms)]
--- a/internal/bench/rig/node.go
+++ b/internal/bench/rig/node.go
@@ -6,6 +6,7 @@
 
 	"egrethaven/internal/back/backend"
 	"egrethaven/internal/back/directory"
+	"egrethaven/internal/back/quarantine"
 	"egrethaven/internal/node/source"
 	"egrethaven/internal/observe/event"
 	"egrethaven/internal/query/scatter"
@@ -68,9 +69,14 @@
 		VMs:     func() ([]vm.VM, time.Duration) { return c.VMs(), 0 },
 		Self:    c.Domain,
 		Events:  c.Events,
-		Backend: backend.Config{MaxLinks: c.MaxLinks, WarmLinks: c.WarmLinks, NoSilence: c.Plain},
-		Seed:    r.c.Seed,
+		Backend: backend.Config{MaxLinks: c.MaxLinks, WarmLinks: c.WarmLinks, NoSilence: c.Plain, Fixed: c.Plain},
+
+		NoEjection: c.Plain,
+		Seed:       r.c.Seed,
 	})
+	if c.Guard == nil && !c.Plain {
+		c.Guard = guard{quarantine.New(quarantine.Config{})}
+	}
 	n := &Node{Directory: d, Engine: scatter.New(scatter.Config{
 		Source:   source.New(source.Config{Map: d.Map}),
 		Searches: func() *config.Snapshot { return r.snapshot },
@@ -86,6 +92,25 @@
 	return n
 }
 
+// guard is a quarantine as the engine sees it.
+type guard struct {
+	*quarantine.Quarantine
+}
+
+// Judge tells how a request may run.
+func (g guard) Judge(fingerprint uint64) scatter.Verdict {
+	switch g.Quarantine.Judge(fingerprint) {
+	case quarantine.Trusted:
+		return scatter.Trusted
+	case quarantine.Suspect:
+		return scatter.Suspect
+	case quarantine.Quarantined:
+		return scatter.Quarantined
+	default:
+		return scatter.Unseen
+	}
+}
+
 // readyPoll is the time between two looks at a node that is not ready.
 const readyPoll = 10 * time.Millisecond
 
@@ -111,10 +136,15 @@
 	return nil
 }
 
+// Shards returns the shards of a version, as the node knows them.
+func (n *Node) Shards(version uint64) []directory.Shard {
+	return n.Directory.Map(service).Shards(version)
+}
+
 // replicas counts the replicas of all shards that a node knows.
 func (n *Node) replicas(version uint64) int {
 	c := 0
-	for _, s := range n.Directory.Map(service).Shards(version) {
+	for _, s := range n.Shards(version) {
 		c += len(s.Replicas)
 	}
 	return c
--- a/internal/bench/rig/rig.go
+++ b/internal/bench/rig/rig.go
@@ -93,12 +93,14 @@
 	}, nil
 }
 
-// Question returns the next question. Texts repeat after a few.
+// Question returns the next question. No two are the same: each asks for
+// records without a field of its own, which no record has.
 func (r *Rig) Question() ask.Ask {
 	n := r.asked.Add(1)
 	return ask.Ask{
 		QueryID: fmt.Sprintf("q-%d", n), Search: searchName, Caller: "bench",
 		Text: fmt.Sprintf("w%d.", n%words), Limit: limit,
+		Filters: []ask.Filter{{Field: fmt.Sprintf("none-%d", n)}},
 	}
 }
 
--- a/internal/bench/scenario/scenario.go
+++ b/internal/bench/scenario/scenario.go
@@ -42,6 +42,18 @@
 	return w.MixedSnapshots + w.FalseCompleteness + w.ForeignAnswers + w.DoubleRuns + w.FalseNotRun + w.FalseOK + w.Reverts
 }
 
+// Plus returns the sum of two counts.
+func (w Wrong) Plus(o Wrong) Wrong {
+	w.MixedSnapshots += o.MixedSnapshots
+	w.FalseCompleteness += o.FalseCompleteness
+	w.ForeignAnswers += o.ForeignAnswers
+	w.DoubleRuns += o.DoubleRuns
+	w.FalseNotRun += o.FalseNotRun
+	w.FalseOK += o.FalseOK
+	w.Reverts += o.Reverts
+	return w
+}
+
 // Figure is one measured value with its unit in its name, such as p99_ms.
 type Figure struct {
 	Name  string  `json:"name"`
--- a/internal/bench/tally/tally.go
+++ b/internal/bench/tally/tally.go
@@ -83,6 +83,19 @@
 	return o
 }
 
+// First returns when the first question was due.
+func (t *Tally) First() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var first time.Time
+	for _, s := range t.samples {
+		if first.IsZero() || s.Due.Before(first) {
+			first = s.Due
+		}
+	}
+	return first
+}
+
 // Len returns the number of samples.
 func (t *Tally) Len() int {
 	t.mu.Lock()
