Leave contracts to the node; keep no link without one

Cause: the node's keeper works the contracts out from its members, so the directory's own computation stood twice; with no contract a link stayed open. Change: the directory's computation is gone; SetMaxLinks(0) keeps no link open and reads the status page over a short one, five times less often. Links within the contract are warm from the start (8 at most).

--- a/internal/back/backend/backend.go
+++ b/internal/back/backend/backend.go
@@ -16,8 +16,13 @@
 	"egrethaven/internal/world/zone"
 )
 
-// DefaultMaxLinks is the number of links when none is set.
-const DefaultMaxLinks = 4
+const (
+	// DefaultMaxLinks is the number of links when none is set.
+	DefaultMaxLinks = 4
+	// DefaultWarmLinks is how many are kept open ahead of need, within
+	// MaxLinks, when none is set.
+	DefaultWarmLinks = 8
+)
 
 // Config describes a backend.
 type Config struct {
@@ -55,6 +60,7 @@
 	inFlight atomic.Int64
 	revision atomic.Uint64
 	dropped  atomic.Int64
+	maxLinks atomic.Int64
 	gate     *gate
 	mu       sync.Mutex
 	status   searcher.Status
@@ -75,11 +81,15 @@
 	if c.MaxLinks <= 0 {
 		c.MaxLinks = DefaultMaxLinks
 	}
+	if c.WarmLinks <= 0 {
+		c.WarmLinks = DefaultWarmLinks
+	}
 	if c.Events == nil {
 		c.Events = event.Discard{}
 	}
 	c.Link.Addr = c.VM.Addr
 	b := &Backend{c: c, proofAge: proofAge, weight: 1, since: c.Since, gate: newGate(c.MaxLinks, c.Fixed)}
+	b.maxLinks.Store(int64(c.MaxLinks))
 	b.pool = pool.New(pool.Config{Link: c.Link, Max: c.MaxLinks, Warm: c.WarmLinks,
 		Probe: alive, OnSilent: b.silent, NoSilence: c.NoSilence})
 	return b
@@ -101,8 +111,13 @@
 // Links returns the counts of the searcher's links.
 func (b *Backend) Links() pool.Stats { return b.pool.Stats() }
 
-// SetMaxLinks changes how many connections this node may use.
+// MaxLinks returns how many connections this node may use.
+func (b *Backend) MaxLinks() int { return int(b.maxLinks.Load()) }
+
+// SetMaxLinks changes how many connections this node may use. With 0, none
+// is kept open; one is opened for each reading of the status page.
 func (b *Backend) SetMaxLinks(n int) {
+	b.maxLinks.Store(int64(n))
 	b.pool.SetMax(n)
 	b.gate.setLinks(n)
 }
--- a/internal/back/backend/bench_test.go
+++ b/internal/back/backend/bench_test.go
@@ -108,3 +108,15 @@
 		}
 	})
 }
+
+// BenchmarkStanding is what a choice among replicas costs, for each of them.
+func BenchmarkStanding(b *testing.B) {
+	s := canned(b)
+	k := New(Config{VM: vm.VM{ID: "s-1", Addr: s.Listener.Addr().String()}})
+	defer k.Close()
+	b.RunParallel(func(p *testing.PB) {
+		for p.Next() {
+			_ = k.Standing()
+		}
+	})
+}
--- a/internal/back/backend/link_test.go
+++ b/internal/back/backend/link_test.go
@@ -202,3 +202,22 @@
 		s.CloseClientConnections()
 	}
 }
+
+func TestWithoutContractNoLinkStays(t *testing.T) {
+	b := serve(t, echo)
+	b.SetMaxLinks(0)
+	for range 3 {
+		if _, err := b.Poll(within(t)); err != nil {
+			t.Fatal(err)
+		}
+		if n := b.Links().Open; n != 0 {
+			t.Fatalf("%d links stay open", n)
+		}
+	}
+	b.SetMaxLinks(3)
+	for end := time.Now().Add(20 * time.Second); b.Links().Open == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("no link is kept open under a contract")
+		}
+	}
+}
--- a/internal/back/directory/directory.go
+++ b/internal/back/directory/directory.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"egrethaven/internal/back/backend"
-	"egrethaven/internal/back/contract"
 	"egrethaven/internal/back/eject"
 	"egrethaven/internal/back/searcher"
 	"egrethaven/internal/observe/event"
@@ -27,6 +26,9 @@
 	leastInterval = 20 * time.Millisecond
 	// pollTimeout bounds one read of a status page.
 	pollTimeout = 2 * time.Second
+	// rareFactor is how many times longer the page of a searcher waits with
+	// which this node has no contract.
+	rareFactor = 5
 	// settleTime is how long after its start a directory takes each searcher
 	// that it finds for a warm one.
 	settleTime = 5 * time.Second
@@ -40,9 +42,6 @@
 	VMs func() ([]vm.VM, time.Duration)
 	// Self is the failure domain of this node.
 	Self zone.Domain
-	// Node is the id of this node's VM. When it is set, the links to each
-	// searcher follow from the contracts between the listed entry VMs.
-	Node string
 	// Events takes what happens; nil discards it.
 	Events event.Sink
 	// Backend is the pattern for new backends; VM and the hooks are filled in.
@@ -73,11 +72,7 @@
 	rand     *rand.Rand
 	entries  map[string]*entry
 	began    time.Time
-	nodes    []contract.Node
-	// contracted is how many searchers there were at the last plan.
-	contracted int
-	eject      *eject.State
-	plan       atomic.Pointer[contract.Plan]
+	eject    *eject.State
 }
 
 // entry is one searcher as the control goroutine keeps it.
@@ -117,7 +112,6 @@
 		rand: rand.New(rand.NewPCG(c.Seed, 0)), entries: map[string]*entry{},
 		began: time.Now(), eject: eject.New(eject.Config{Off: c.NoEjection})}
 	d.maps.Store(&map[string]*Map{})
-	d.plan.Store(&contract.Plan{Group: -1})
 	d.byID.Store(&map[string]*backend.Backend{})
 	d.ctx, d.stop = context.WithCancel(context.Background())
 	d.wg.Go(d.run)
@@ -153,9 +147,6 @@
 	return bs
 }
 
-// Plan returns this node's contracts.
-func (d *Directory) Plan() contract.Plan { return *d.plan.Load() }
-
 // MarkDraining takes from another node that a searcher leaves.
 func (d *Directory) MarkDraining(id string, until time.Time) {
 	if b := d.Backend(id); b != nil {
@@ -216,7 +207,6 @@
 	if turned {
 		d.rebuild()
 	}
-	d.contract(vms)
 }
 
 // ensure adds the searcher of v if it is new or has moved.
@@ -315,6 +305,9 @@
 	}
 	e.polling = false
 	e.due = e.last.Add(d.jittered())
+	if e.b.MaxLinks() == 0 {
+		e.due = e.last.Add(rareFactor * d.jittered())
+	}
 	if e.again {
 		e.again = false
 		e.due = e.last.Add(leastInterval)
@@ -324,11 +317,7 @@
 	}
 	was := e.status
 	e.status, e.known = r.status, true
-	if was.MaxConnections != r.status.MaxConnections {
-		d.nodes = nil
-	}
 	if !sameShards(was, r.status) {
-		d.nodes = nil
 		d.rebuild()
 	}
 }
--- a/internal/back/pool/open.go
+++ b/internal/back/pool/open.go
@@ -35,12 +35,15 @@
 	if p.closed || time.Now().Before(p.back.until) {
 		return
 	}
-	most := min(p.c.Max, p.room)
+	most, warm := min(p.c.Max, p.room), min(p.c.Warm, p.c.Max)
+	if p.c.Max == 0 && len(p.waiting) > 0 {
+		most = 1
+	}
 	if p.back.failing() && p.open() >= most {
 		most = min(p.c.Max, most+1)
 	}
 	for p.open() < most {
-		if p.dialing >= len(p.waiting) && p.open() >= p.c.Warm {
+		if p.dialing >= len(p.waiting) && p.open() >= warm {
 			return
 		}
 		if p.back.failing() && p.dialing > 0 {
@@ -86,6 +89,10 @@
 // the link has carried a call. The lock is held.
 func (p *Pool) opened(l *link.Link, proven bool) {
 	p.s.Opened++
+	if len(p.waiting) == 0 && p.open() >= p.c.Max {
+		l.Close()
+		return
+	}
 	if proven {
 		p.back = backOff{}
 		p.room = min(max(p.room, p.open()+1), p.c.Max)
@@ -111,6 +118,6 @@
 // turnedAway counts a link that the searcher closed before any call. The
 // lock is held.
 func (p *Pool) turnedAway() {
-	p.room = max(min(p.room-1, p.open()), 1)
+	p.room = max(min(p.room-1, p.open()), min(p.c.Max, 1))
 	p.refused()
 }
--- a/internal/back/pool/pool.go
+++ b/internal/back/pool/pool.go
@@ -28,7 +28,8 @@
 	Link link.Config
 	// Max is how many links may be open at a time.
 	Max int
-	// Warm is how many links are kept open ahead of need, at least 1.
+	// Warm is how many links are kept open ahead of need, at least 1 and
+	// within Max.
 	Warm int
 	// Probe asks a searcher for a sign of life over a new link. It runs when
 	// a call is late and no other link tells whether the searcher works.
@@ -86,7 +87,7 @@
 // New returns a pool and begins to open its warm links.
 func New(c Config) *Pool {
 	c.Max = max(c.Max, 1)
-	c.Warm = min(max(c.Warm, 1), c.Max)
+	c.Warm = max(c.Warm, 1)
 	p := &Pool{c: c, room: c.Max, used: map[*link.Link]time.Time{}, kick: make(chan struct{}, 1)}
 	p.ctx, p.stop = context.WithCancel(context.Background())
 	p.mu.Lock()
@@ -152,11 +153,11 @@
 }
 
 // SetMax changes how many links may be open. Surplus links close as their
-// calls end.
+// calls end. With 0, one is opened when a call needs it, and closed after it.
 func (p *Pool) SetMax(n int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.c.Max = max(n, 1)
+	p.c.Max = max(n, 0)
 	p.room = p.c.Max
 	for len(p.idle) > 0 && p.open() > p.c.Max {
 		p.idle[0].Close()
