--- a/internal/back/directory/directory.go
+++ b/internal/back/directory/directory.go
@@ -22,8 +22,11 @@
 	DefaultInterval = time.Second
 	// DefaultListInterval is the time between two looks at the VM list.
 	DefaultListInterval = 200 * time.Millisecond
-	// leastInterval is the shortest time between two reads of one page.
+	// leastInterval is the shortest time between two reads of one page. It
+	// doubles to hurryMost while early reads bring nothing new: the revision
+	// that answers carry may lag.
 	leastInterval = 20 * time.Millisecond
+	hurryMost     = 500 * time.Millisecond
 	// pollTimeout bounds one read of a status page.
 	pollTimeout = 2 * time.Second
 	// rareFactor is how many times longer the page of a searcher waits with
@@ -82,6 +85,8 @@
 	known   bool
 	polling bool
 	again   bool
+	// pause is the time between two early reads of the page.
+	pause time.Duration
 	// slow tells that it was last seen moved out of rotation.
 	slow bool
 	// draining is how the maps were built.
@@ -265,7 +270,7 @@
 		e.again = true
 		return
 	}
-	e.due = e.last.Add(leastInterval)
+	e.due = e.last.Add(max(e.pause, leastInterval))
 }
 
 // poll starts the reads that are due, and returns when the next one is.
@@ -310,14 +315,16 @@
 	}
 	if e.again {
 		e.again = false
-		e.due = e.last.Add(leastInterval)
+		e.due = e.last.Add(max(e.pause, leastInterval))
 	}
 	if r.err != nil {
 		return
 	}
 	was := e.status
 	e.status, e.known = r.status, true
+	e.pause = min(max(2*e.pause, leastInterval), hurryMost)
 	if !sameShards(was, r.status) {
+		e.pause = 0
 		d.rebuild()
 	}
 }
--- a/internal/back/link/link.go
+++ b/internal/back/link/link.go
@@ -106,6 +106,9 @@
 	if l.broken || l.aborted.Load() != nil {
 		return Result{Err: ErrBroken}
 	}
+	if err := ctx.Err(); err != nil {
+		return Result{Err: err}
+	}
 	l.broken = true
 	l.calls++
 	d, _ := ctx.Deadline()
--- a/internal/back/link/link_test.go
+++ b/internal/back/link/link_test.go
@@ -126,6 +126,15 @@
 	}
 }
 
+func TestEndedContextSendsNothing(t *testing.T) {
+	l := raw(t, func(c net.Conn) { read(c) })
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if r := l.Call(ctx, http.MethodPost, "/search", []byte("{}")); r.Sent || r.Err != context.Canceled || !l.Reusable() {
+		t.Fatalf("%+v, reusable %v", r, l.Reusable())
+	}
+}
+
 func TestAliveSeesTheClose(t *testing.T) {
 	closed := make(chan bool)
 	l := raw(t, func(c net.Conn) {
