Add the repartition, crash and silent scenarios

Cause: faults while queries run have targets. Change: bench/episode runs a load through a fault; three scenarios on it; the stand-in counts what arrives on connections that are long silent.

--- a/internal/bench/catalog/catalog.go
+++ b/internal/bench/catalog/catalog.go
@@ -6,8 +6,11 @@
 package catalog
 
 import (
+	"egrethaven/internal/bench/crash"
 	"egrethaven/internal/bench/overload"
+	"egrethaven/internal/bench/repartition"
 	"egrethaven/internal/bench/scenario"
+	"egrethaven/internal/bench/silent"
 	"egrethaven/internal/bench/steady"
 	"egrethaven/internal/bench/straggler"
 )
@@ -18,6 +21,9 @@
 		steady.Scenario,
 		straggler.Scenario,
 		overload.Scenario,
+		repartition.Scenario,
+		crash.Scenario,
+		silent.Scenario,
 	}
 }
 
--- /dev/null
+++ b/internal/bench/episode/episode.go
@@ -0,0 +1,134 @@
+// Package episode runs a load through a fault: a window before it, five
+// seconds in which the tier has to recover, and a window after that. All arms
+// meet the same fault at the same time.
+//
+// # Usage
+//
+//	e := episode.Run(ctx, episode.Config{Arms: as, Rate: 100, Window: 5 * time.Second, Faults: fs})
+//	report.Arms = e.Report()
+package episode
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"egrethaven/internal/bench/arm"
+	"egrethaven/internal/bench/duel"
+	"egrethaven/internal/bench/figure"
+	"egrethaven/internal/bench/scenario"
+	"egrethaven/internal/bench/tally"
+)
+
+const (
+	// settle is the load before anything is measured.
+	settle = 3 * time.Second
+	// recovery is the time after the fault in which the tail may be longer.
+	recovery = 5 * time.Second
+	// tailTarget is the most that the tail may grow for good.
+	tailTarget = 1.25
+)
+
+// Fault is something that happens in the course of an episode.
+type Fault struct {
+	// After the end of the window before.
+	After time.Duration
+	What  string
+	Do    func()
+}
+
+// Config describes an episode.
+type Config struct {
+	Arms *arm.Arms
+	// Rate of arrivals a second for each arm.
+	Rate float64
+	// Window is measured before the fault, and after the recovery.
+	Window time.Duration
+	Faults []Fault
+	Seed   uint64
+}
+
+// Episode is one that has run.
+type Episode struct {
+	c     Config
+	start time.Time
+	marks []scenario.Mark
+}
+
+// Run loads the arms through the faults.
+func Run(ctx context.Context, c Config) *Episode {
+	e := &Episode{c: c}
+	d := duel.Config{Rate: c.Rate, Duration: settle, Random: rand.New(rand.NewPCG(c.Seed, 5))}
+	c.Arms.Together(ctx, d)
+	c.Arms.Reset()
+	e.start = time.Now()
+	var wg sync.WaitGroup
+	wg.Go(func() { e.faults(ctx) })
+	d.Duration = 2*c.Window + recovery
+	c.Arms.Together(ctx, d)
+	wg.Wait()
+	return e
+}
+
+// faults lets the faults happen at their times.
+func (e *Episode) faults(ctx context.Context) {
+	for _, f := range e.c.Faults {
+		select {
+		case <-time.After(time.Until(e.start.Add(e.c.Window + f.After))):
+		case <-ctx.Done():
+			return
+		}
+		f.Do()
+		e.marks = append(e.marks, scenario.Mark{Second: time.Since(e.start).Seconds(), What: f.What})
+	}
+}
+
+// Timeline returns the faults as they happened.
+func (e *Episode) Timeline() []scenario.Mark { return e.marks }
+
+// Before, During and After return the parts of a tally.
+func (e *Episode) Before(t *tally.Tally) *tally.Tally {
+	return t.Between(e.start, e.start.Add(e.c.Window))
+}
+
+// During is the time of recovery.
+func (e *Episode) During(t *tally.Tally) *tally.Tally {
+	return t.Between(e.start.Add(e.c.Window), e.start.Add(e.c.Window+recovery))
+}
+
+// After is the time after the recovery.
+func (e *Episode) After(t *tally.Tally) *tally.Tally {
+	return t.Between(e.start.Add(e.c.Window+recovery), e.start.Add(2*e.c.Window+recovery))
+}
+
+// Report returns the arms with their figures in each part of the episode.
+func (e *Episode) Report() []scenario.Arm {
+	rs := e.c.Arms.Report()
+	for i, a := range e.c.Arms.All() {
+		rs[i].Figures = append(rs[i].Figures, e.figures(a.Tally, i == 0)...)
+		rs[i].Series = []scenario.Series{
+			{Name: "p99_ms", Points: a.Tally.Timeline(e.start, time.Second, func(t *tally.Tally) float64 { return t.Quantile(0.99) })},
+			{Name: "complete_share", Points: a.Tally.Timeline(e.start, time.Second, func(t *tally.Tally) float64 { return t.Totals().CompleteShare() })},
+		}
+	}
+	return rs
+}
+
+// figures compares the parts; the first arm has targets.
+func (e *Episode) figures(t *tally.Tally, asked bool) []scenario.Figure {
+	var fs []scenario.Figure
+	for _, p := range []struct {
+		name string
+		t    *tally.Tally
+	}{{"before", e.Before(t)}, {"during", e.During(t)}, {"after", e.After(t)}} {
+		fs = append(fs,
+			figure.Of("p99_ms_"+p.name, p.t.Quantile(0.99)),
+			figure.Of("complete_share_"+p.name, p.t.Totals().CompleteShare()))
+	}
+	r := figure.Of("p99_after_over_before", figure.Ratio(e.After(t).Quantile(0.99), e.Before(t).Quantile(0.99)))
+	if asked {
+		r = figure.AtMost(r.Name, r.Value, tailTarget)
+	}
+	return append(fs, r)
+}
--- /dev/null
+++ b/internal/bench/episode/scenario.go
@@ -0,0 +1,69 @@
+package episode
+
+import (
+	"context"
+	"time"
+
+	"egrethaven/internal/bench/arm"
+	"egrethaven/internal/bench/rig"
+	"egrethaven/internal/bench/scenario"
+	"egrethaven/internal/standin/searcher"
+
+	"github.com/juju/errors"
+)
+
+// The deployment of the scenarios of one fault.
+const (
+	shards    = 40
+	replicas  = 3
+	slots     = 2
+	rate      = 60
+	median    = 10 * time.Millisecond
+	sigma     = 0.3
+	deadline  = 2 * time.Second
+	extraLoad = 0.02
+	// cold is the slow start of a searcher that returns.
+	cold = 2 * time.Second
+)
+
+// Template is the searcher of these scenarios.
+var Template = searcher.Config{
+	Slots: slots, MaxConnections: 25, ConnectCost: time.Millisecond, Cold: cold,
+	Time: searcher.Time{Median: median, Sigma: sigma}, StatusLag: time.Second, LoadLag: 100 * time.Millisecond,
+}
+
+// Rig describes the deployment of these scenarios.
+func Rig(o scenario.Options) rig.Config {
+	c := rig.Config{
+		Shards: shards, Replicas: replicas, Deadline: deadline, ExtraLoad: extraLoad, Seed: o.Seed, Searcher: Template,
+	}
+	if o.Replicas > 0 {
+		c.Replicas = o.Replicas
+	}
+	return c
+}
+
+// Rate is the arrivals a second of these scenarios.
+func Rate(o scenario.Options) float64 { return arm.Rate(o, rate) }
+
+// Scenario runs an episode whose faults are made for its rig. Extra adds what
+// only one scenario measures to the current arm; nil adds nothing.
+func Scenario(ctx context.Context, name string, o scenario.Options, faults func(*rig.Rig) []Fault, extra func(*rig.Rig, *scenario.Arm)) (scenario.Report, error) {
+	r := scenario.Report{Scenario: name, Seed: o.Seed}
+	g, err := rig.New(Rig(o))
+	if err != nil {
+		return r, errors.Trace(err)
+	}
+	defer g.Close()
+	as, err := arm.Make(ctx, g, o, "")
+	if err != nil {
+		return r, errors.Trace(err)
+	}
+	e := Run(ctx, Config{Arms: as, Rate: Rate(o), Window: o.Duration, Faults: faults(g), Seed: o.Seed})
+	r.Arms = e.Report()
+	if extra != nil {
+		extra(g, &r.Arms[0])
+	}
+	r.Timeline, r.Notes = e.Timeline(), as.Notes()
+	return r, nil
+}
--- /dev/null
+++ b/internal/bench/silent/silent.go
@@ -0,0 +1,59 @@
+// Package silent measures how queries fare when open connections stop
+// answering for good while new ones work.
+//
+// # Usage
+//
+//	r, err := silent.Scenario.Run(ctx, scenario.Options{Seed: 1, Duration: 5 * time.Second, Baseline: "naive"})
+package silent
+
+import (
+	"context"
+	"time"
+
+	"egrethaven/internal/bench/episode"
+	"egrethaven/internal/bench/figure"
+	"egrethaven/internal/bench/rig"
+	"egrethaven/internal/bench/scenario"
+)
+
+const (
+	name = "silent"
+	// every is one searcher in so many whose connections go silent.
+	every = 3
+	// again is when the next third follows.
+	again = time.Second
+)
+
+// Scenario is the experiment.
+var Scenario = scenario.Scenario{
+	Name: name,
+	Help: "all open connections of a third of the searchers go silent, then of another third",
+	Run:  run,
+}
+
+func run(ctx context.Context, o scenario.Options) (scenario.Report, error) {
+	return episode.Scenario(ctx, name, o, func(g *rig.Rig) []episode.Fault {
+		return []episode.Fault{
+			{What: "connections of a third silent", Do: func() { silence(g, 0) }},
+			{After: again, What: "connections of another third silent", Do: func() { silence(g, 1) }},
+		}
+	}, late)
+}
+
+// silence makes the open connections of a third of the searchers silent.
+func silence(g *rig.Rig, third int) {
+	for i, s := range g.Searchers {
+		if i%every == third {
+			s.Silence()
+		}
+	}
+}
+
+// late counts the requests on connections that had been silent for long.
+func late(g *rig.Rig, a *scenario.Arm) {
+	n := 0
+	for _, s := range g.Searchers {
+		n += s.Stats().LateSilent
+	}
+	a.Figures = append(a.Figures, figure.AtMost("late_requests_on_silent_connections", float64(n), 0))
+}
--- a/internal/standin/deployment/deployment.go
+++ b/internal/standin/deployment/deployment.go
@@ -46,8 +46,10 @@
 
 	mu    sync.Mutex // serializes versions
 	shift int
-	done  chan struct{}
-	wg    sync.WaitGroup
+	// oldest is the oldest version that is held.
+	oldest uint64
+	done   chan struct{}
+	wg     sync.WaitGroup
 }
 
 // New starts the searchers and gives them version 1.
@@ -60,7 +62,7 @@
 	d := &Deployment{
 		c:     c,
 		Truth: dataset.New(dataset.Config{Records: c.Records, Ranges: ranges}),
-		done:  make(chan struct{}),
+		done:  make(chan struct{}), oldest: 1,
 	}
 	for _, z := range c.Domains {
 		for range c.Replicas {
@@ -109,6 +111,9 @@
 	return vs
 }
 
+// Row returns searchers that together hold every shard once.
+func (d *Deployment) Row(i int) []*searcher.Searcher { return d.rows[i] }
+
 // Searcher returns the searcher with an id, or nil.
 func (d *Deployment) Searcher(id string) *searcher.Searcher {
 	i := slices.IndexFunc(d.Searchers, func(s *searcher.Searcher) bool { return s.ID() == id })
@@ -145,8 +150,9 @@
 	if c.Keep == 0 {
 		c.Keep = 2
 	}
-	if old := int(v) - c.Keep; old > 0 {
-		d.hold(uint64(old), nil, 0)
+	for old := d.oldest; int(old) <= int(v)-c.Keep; old++ {
+		d.hold(old, nil, 0)
+		d.oldest = old + 1
 	}
 	return v
 }
--- a/internal/standin/searcher/conn.go
+++ b/internal/standin/searcher/conn.go
@@ -22,8 +22,9 @@
 	*net.TCPConn
 	s      *Searcher
 	ready  time.Time
-	silent atomic.Bool
 	closed atomic.Bool
+	// silent is when the connection went silent, in nanoseconds; 0 is not.
+	silent atomic.Int64
 }
 
 // Read reads what the caller sent; once the connection is silent, nothing.
@@ -33,15 +34,19 @@
 	}
 	for {
 		n, err := c.TCPConn.Read(b)
-		if err != nil || !c.silent.Load() {
+		since := c.silent.Load()
+		if err != nil || since == 0 {
 			return n, err
 		}
+		if time.Since(time.Unix(0, since)) > DrainLimit {
+			c.s.countLateSilent()
+		}
 	}
 }
 
 // Write sends b, or drops it when the connection is silent.
 func (c *conn) Write(b []byte) (int, error) {
-	if c.silent.Load() {
+	if c.silent.Load() != 0 {
 		return len(b), nil
 	}
 	return c.TCPConn.Write(b)
@@ -120,7 +125,14 @@
 func (s *Searcher) silence() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := time.Now().UnixNano()
 	for c := range s.conns {
-		c.silent.Store(true)
+		c.silent.CompareAndSwap(0, now)
 	}
 }
+
+func (s *Searcher) countLateSilent() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stats.LateSilent++
+}
--- a/internal/standin/searcher/stats.go
+++ b/internal/standin/searcher/stats.go
@@ -29,9 +29,13 @@
 	// LateWork is the number of requests that arrived more than DrainLimit
 	// after the drain began.
 	LateWork int
+	// LateSilent is the number of times that something arrived on a
+	// connection that had been silent for more than DrainLimit.
+	LateSilent int
 }
 
-// DrainLimit is how long after the start of a drain new work may arrive.
+// DrainLimit is how long after the start of a drain, or of a silence, new work
+// may arrive.
 const DrainLimit = 3 * time.Second
 
 // Stats returns the counts so far.
