--- a/internal/cli/command/cmd_record.go
+++ b/internal/cli/command/cmd_record.go
@@ -36,7 +36,7 @@
 	use:  "record SEARCH --key KEY --schema N --field NAME=VALUE...",
 	help: "Register one record, at most once",
 	example: "  egrethaven record returns --key M-17 --schema 1 --field state=returned\n" +
-		"  egrethaven record returns --key M-17 --schema 1 --field state=returned --idempotency-key 0190163d-8694-739b-aea5-966c26f8ad91",
+		"  egrethaven record returns --key M-17 --schema 1 --field state=returned --idempotency-key $KEY",
 	args:   cobra.ExactArgs(1),
 	remote: true,
 	setup: func(c *cobra.Command) action {
--- a/internal/cli/demo/customer.go
+++ b/internal/cli/demo/customer.go
@@ -168,7 +168,7 @@
 	for _, n := range d.nodes {
 		fmt.Fprintf(w, "  %-22s callers http://%s   operators http://%s\n", n.VM().ID, n.CallerAddr(), n.OperatorAddr())
 	}
-	fmt.Fprintf(w, "  curl -s http://%s/v1/searches/%s/query -d '{\"text\":%q,\"limit\":3}'\n", d.nodes[0].CallerAddr(), p.search, p.text)
+	fmt.Fprintf(w, "  curl -s http://%s/v1/searches/%s/query --json '{\"text\":%q,\"limit\":3}'\n", d.nodes[0].CallerAddr(), p.search, p.text)
 	fmt.Fprintf(w, "  egrethaven --addr %s health\n\n", d.nodes[0].OperatorAddr())
 }
 
