Bring the configuration to every entry VM through its peers

Cause: each node watched the platform's root by itself. Change: node/entry runs state/spread over the members; the manager is idle but where this node is one of the watchers of its domain. Readiness says what the spread says.

--- a/internal/node/entry/node.go
+++ b/internal/node/entry/node.go
@@ -34,6 +34,7 @@
 	"egrethaven/internal/state/config"
 	"egrethaven/internal/state/once"
 	"egrethaven/internal/state/settings"
+	"egrethaven/internal/state/spread"
 	"egrethaven/internal/world/vm"
 )
 
@@ -68,6 +69,7 @@
 	dialer  *rpc.Dialer
 	rumors  *rumor.Set
 	members *member.Members
+	spread  *spread.Spread
 	claims  *once.Store
 
 	directory *directory.Directory
--- a/internal/node/entry/observe.go
+++ b/internal/node/entry/observe.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/juju/errors"
 
@@ -52,11 +51,11 @@
 // configState returns the revision in force and the age of its last
 // confirmation in milliseconds, -1 when there was none.
 func (n *Node) configState() (uint64, int64) {
-	t := n.searches.Confirmed()
-	if t.IsZero() {
-		return n.searches.Current().Revision, -1
+	r := n.searches.Current().Revision
+	if age, ok := n.spread.Age(); ok {
+		return r, age.Milliseconds()
 	}
-	return n.searches.Current().Revision, time.Since(t).Milliseconds()
+	return r, -1
 }
 
 // peers returns the other live entry VMs.
--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"time"
 
 	"github.com/juju/errors"
 
@@ -13,6 +12,7 @@
 	"egrethaven/internal/peer/rumor"
 	"egrethaven/internal/peer/scatterrpc"
 	"egrethaven/internal/state/once"
+	"egrethaven/internal/state/spread"
 	"egrethaven/internal/world/vm"
 )
 
@@ -32,13 +32,15 @@
 	n.dialer = rpc.NewDialer(rpc.DialerConfig{SharedKey: s.Peer.SharedKey})
 	n.self = vm.VM{ID: s.Node.ID, Role: vm.Entry, Domain: s.Node.FailureDomain, Addr: n.server.Addr(), State: vm.Live}
 	n.rumors = rumor.New(rumor.Config{Node: s.Node.ID})
+	n.spread = spread.New(spread.Config{Self: n.self, Manager: n.searches, Dialer: n.dialer, Events: n.log})
 	n.members = member.New(member.Config{
-		Self:   n.self,
-		VMs:    n.vms.List,
-		Dialer: n.dialer,
-		Rumors: n.rumors,
-		Events: n.log,
-		Digest: n.digest,
+		Self:     n.self,
+		VMs:      n.vms.List,
+		Dialer:   n.dialer,
+		Rumors:   n.rumors,
+		Events:   n.log,
+		Digest:   n.spread.Digest,
+		OnDigest: n.spread.OnDigest,
 	})
 	n.claims = once.New(once.Config{
 		Store:   n.store,
@@ -57,6 +59,9 @@
 	if err := n.members.Register(m); err != nil {
 		return errors.Trace(err)
 	}
+	if err := n.spread.Register(m); err != nil {
+		return errors.Trace(err)
+	}
 	if err := claimrpc.DRPCRegisterClaims(m, n.claims); err != nil {
 		return errors.Trace(err)
 	}
@@ -68,6 +73,7 @@
 	}
 	n.server.Serve()
 	n.members.Start()
+	n.spread.Start(n.members)
 	return nil
 }
 
@@ -84,16 +90,6 @@
 	return false
 }
 
-// digest tells the other nodes which configuration is in force here.
-func (n *Node) digest() member.Digest {
-	d := member.Digest{Revision: n.searches.Current().Revision}
-	if t := n.searches.Confirmed(); !t.IsZero() {
-		d.Known = true
-		d.Age = time.Since(t)
-	}
-	return d
-}
-
 // liveMembers shows the members of this failure domain to the claim store.
 type liveMembers struct {
 	m *member.Members
--- a/internal/node/entry/platform.go
+++ b/internal/node/entry/platform.go
@@ -31,6 +31,7 @@
 		Store:  n.store,
 		Node:   n.c.Settings.Node.ID,
 		Events: n.log,
+		Mode:   config.Idle,
 		Check:  func(d search.Definition) []string { return problem.Strings(d.Check()) },
 	})
 }
--- a/internal/node/entry/run.go
+++ b/internal/node/entry/run.go
@@ -75,8 +75,8 @@
 
 // missing returns what the node lacks to be ready, or nothing.
 func (n *Node) missing() string {
-	if !n.searches.Ready() {
-		return "no configuration: neither the platform nor another entry VM has given one"
+	if ok, why := n.spread.Ready(); !ok {
+		return why
 	}
 	select {
 	case <-n.vms.First():
@@ -142,6 +142,9 @@
 }
 
 func (n *Node) closePeers() {
+	if n.spread != nil {
+		_ = n.spread.Close()
+	}
 	if n.members != nil {
 		_ = n.members.Close()
 	}
