Score replicas by own calls in flight first

Cause: own calls and the reported load were summed; reports lag. Change: choice.Load lets the reported load decide among equals only.

--- a/internal/back/choice/choice.go
+++ b/internal/back/choice/choice.go
@@ -2,7 +2,7 @@
 //
 // Among the usable replicas of the failure domain two are drawn at random,
 // by their weights, and the better one is taken: the one with fewer of this
-// node's calls in flight, counted together with the load that it reported.
+// node's calls in flight, and among equals the one that reported less load.
 // Drawing two keeps nodes with the same stale report from all running to the
 // same replica. A weight below 1 gives a searcher that is cold or moved out
 // of rotation its share of calls; one of weight 0 is a last resort. Replicas of other failure domains are used
@@ -10,7 +10,7 @@
 //
 // # Usage
 //
-//	cs := []choice.Candidate{{Home: true, Usable: true, Load: 2, Weight: 1}, ...}
+//	cs := []choice.Candidate{{Home: true, Usable: true, Load: choice.Load(2, 0.5), Weight: 1}, ...}
 //	i := choice.Pick(rand, cs, tried)
 //	if i < 0 { /* none is left */ }
 package choice
@@ -23,12 +23,18 @@
 	Home bool
 	// Usable tells that it may get new work.
 	Usable bool
-	// Load counts the node's own calls in flight and what was reported, aged.
+	// Load is the score of Load; the lower is the better.
 	Load float64
 	// Weight is the share of its normal work that it should get.
 	Weight float64
 }
 
+// Load scores a replica: by the node's own calls in flight, and among equals
+// by what the replica reported, which lags.
+func Load(inFlight int, reported float64) float64 {
+	return float64(inFlight) + reported/(1+reported)
+}
+
 // Tried is the set of the candidates that had a call already, by index. Only
 // the first 64 are kept apart.
 type Tried uint64
--- a/internal/back/directory/faults_test.go
+++ b/internal/back/directory/faults_test.go
@@ -103,7 +103,7 @@
 	cs := make([]choice.Candidate, len(bs))
 	for i, b := range bs {
 		s := b.Standing()
-		cs[i] = choice.Candidate{Home: true, Usable: s.Usable, Load: float64(s.InFlight) + s.Reported, Weight: s.Weight}
+		cs[i] = choice.Candidate{Home: true, Usable: s.Usable, Load: choice.Load(s.InFlight, s.Reported), Weight: s.Weight}
 	}
 	return cs
 }
