--- a/internal/bench/catalog/catalog.go
+++ b/internal/bench/catalog/catalog.go
@@ -7,6 +7,7 @@
 
 import (
 	"egrethaven/internal/bench/crash"
+	"egrethaven/internal/bench/healthbench"
 	"egrethaven/internal/bench/overload"
 	"egrethaven/internal/bench/repartition"
 	"egrethaven/internal/bench/scenario"
@@ -26,6 +27,7 @@
 		crash.Scenario,
 		silent.Scenario,
 		writes.Scenario,
+		healthbench.Scenario,
 	}
 }
 
