--- a/internal/peer/member/beat.go
+++ b/internal/peer/member/beat.go
@@ -12,6 +12,9 @@
 const (
 	// syncEvery is the least time between two comparisons of tables.
 	syncEvery = 15 * time.Second
+	// syncYoung is that of a node that has just begun, for youth.
+	syncYoung = 3 * time.Second
+	youth     = time.Minute
 	// differAfter is how many hashes in a row have to differ before tables
 	// are compared.
 	differAfter = 3
@@ -100,7 +103,11 @@
 	} else {
 		m.differed++
 	}
-	due := m.differed >= differAfter && now.Sub(m.synced) >= syncEvery
+	every := syncEvery
+	if now.Sub(m.begun) < youth {
+		every = syncYoung
+	}
+	due := m.differed >= differAfter && now.Sub(m.synced) >= every
 	var hs []uint64
 	if due {
 		m.synced, m.differed = now, 0
--- a/internal/peer/member/service.go
+++ b/internal/peer/member/service.go
@@ -64,6 +64,7 @@
 	// differed counts heartbeats in a row whose table hash differed.
 	differed int
 	synced   time.Time
+	begun    time.Time
 	rand     *rand.Rand
 	joined   atomic.Bool
 	// heardAny is when any peer last answered, in nanoseconds since 1970.
@@ -95,7 +96,7 @@
 	if c.Rumors == nil {
 		c.Rumors = rumor.New(rumor.Config{Node: c.Self.ID})
 	}
-	m := &Members{c: c, rand: c.Rand, pushes: make(chan reach, 1)}
+	m := &Members{c: c, rand: c.Rand, pushes: make(chan reach, 1), begun: time.Now()}
 	m.t = newTable(c.Self, uint64(time.Now().UnixMilli()))
 	m.ctx, m.cancel = context.WithCancel(context.Background())
 	c.Rumors.SubscribeAll(func(r rumor.Rumor) { m.Push(r.Origin == c.Self.ID) })
