Spare the status page of a searcher that answers

Cause: a page a second from 83 searchers is about 50 KB/s of control traffic; a node is to spend at most 3. Change: while a searcher answers calls, its page is read every 30 s unless the map revision in its answers changes; without answers, every second as before. Conclusion: under load 83 searchers cost 2.8 pages a second.

--- a/internal/back/backend/bench_test.go
+++ b/internal/back/backend/bench_test.go
@@ -8,6 +8,8 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"runtime"
 	"syscall"
 	"testing"
 	"time"
@@ -120,3 +122,59 @@
 		}
 	})
 }
+
+// BenchmarkIdle tells what a backend with two links takes at rest: memory of
+// this side, and processor time a second.
+func BenchmarkIdle(b *testing.B) {
+	const backends, links = 300, 2
+	s := canned(b)
+	for b.Loop() {
+		runtime.GC()
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		far := openFiles(b)
+		ks := make([]*Backend, backends)
+		for i := range ks {
+			ks[i] = New(Config{VM: vm.VM{ID: "s", Addr: s.Listener.Addr().String()}, MaxLinks: links})
+		}
+		for openFiles(b)-far < 2*backends*links {
+			time.Sleep(time.Millisecond)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		used := after.HeapAlloc + after.StackInuse - before.HeapAlloc - before.StackInuse
+		b.ReportMetric(float64(used)/backends, "bytes/backend-both-ends")
+		start, at := cpu(), time.Now()
+		time.Sleep(time.Second)
+		b.ReportMetric(float64(cpu()-start)/time.Since(at).Seconds()/backends, "cpu-ns/backend/s")
+		for _, k := range ks {
+			k.Close()
+		}
+	}
+}
+
+// openFiles counts the file descriptors of this process.
+func openFiles(b *testing.B) int {
+	es, err := os.ReadDir("/proc/self/fd")
+	if err != nil {
+		b.Fatal(err)
+	}
+	return len(es)
+}
+
+// BenchmarkPoll is one reading of a status page of two versions.
+func BenchmarkPoll(b *testing.B) {
+	st := searcher.Status{ID: "s-1", Service: "desk", Slots: 2, MaxConnections: 25,
+		Holdings: []searcher.Holding{{Version: 1, Ranges: keyrange.Split(2)}, {Version: 2, Ranges: keyrange.Split(2)}}}
+	body, _ := json.Marshal(st)
+	b.Logf("page of %d bytes", len(body))
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(body) }))
+	defer s.Close()
+	k := New(Config{VM: vm.VM{ID: "s-1", Addr: s.Listener.Addr().String()}})
+	defer k.Close()
+	measure(b, func() {
+		if _, err := k.Poll(b.Context()); err != nil {
+			b.Fatal(err)
+		}
+	})
+}
--- a/internal/back/backend/evidence.go
+++ b/internal/back/backend/evidence.go
@@ -87,6 +87,13 @@
 	return b.status
 }
 
+// Answered returns when the searcher last answered a call of this node.
+func (b *Backend) Answered() time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.loadAt
+}
+
 // SetWeight sets the share of its normal work that the searcher should get.
 func (b *Backend) SetWeight(w float64) {
 	b.mu.Lock()
--- a/internal/back/directory/directory.go
+++ b/internal/back/directory/directory.go
@@ -32,6 +32,9 @@
 	// rareFactor is how many times longer the page of a searcher waits with
 	// which this node has no contract.
 	rareFactor = 5
+	// quietFactor is how many intervals may pass between two reads of the page
+	// of a searcher whose answers tell as much.
+	quietFactor = 30
 	// settleTime is how long after its start a directory takes each searcher
 	// that it finds for a warm one.
 	settleTime = 5 * time.Second
@@ -85,6 +88,8 @@
 	known   bool
 	polling bool
 	again   bool
+	// urgent tells that the page has to be read, whatever answers tell.
+	urgent bool
 	// pause is the time between two early reads of the page.
 	pause time.Duration
 	// slow tells that it was last seen moved out of rotation.
@@ -270,9 +275,15 @@
 		e.again = true
 		return
 	}
+	e.urgent = true
 	e.due = e.last.Add(max(e.pause, leastInterval))
 }
 
+// answered tells whether the answers of a searcher spare a read of its page.
+func (e *entry) answered(now, last time.Time, interval time.Duration) bool {
+	return e.known && !e.urgent && now.Sub(last) < interval && now.Sub(e.last) < quietFactor*interval
+}
+
 // poll starts the reads that are due, and returns when the next one is.
 func (d *Directory) poll(now, next time.Time) time.Time {
 	for id, e := range d.entries {
@@ -285,7 +296,14 @@
 			}
 			continue
 		}
-		e.polling, e.last = true, now
+		if last := e.b.Answered(); e.answered(now, last, d.c.Interval) {
+			e.due = now.Add(d.jittered())
+			if e.due.Before(next) {
+				next = e.due
+			}
+			continue
+		}
+		e.polling, e.urgent, e.last = true, false, now
 		d.wg.Go(func() { d.read(id, e.b) })
 	}
 	return next
@@ -314,7 +332,7 @@
 		e.due = e.last.Add(rareFactor * d.jittered())
 	}
 	if e.again {
-		e.again = false
+		e.again, e.urgent = false, true
 		e.due = e.last.Add(max(e.pause, leastInterval))
 	}
 	if r.err != nil {
--- a/internal/back/directory/directory_test.go
+++ b/internal/back/directory/directory_test.go
@@ -131,3 +131,23 @@
 	listed.Delete("a")
 	until(t, d, "gone from the list", func(m *Map) bool { return d.Backend("a") == nil && len(m.Shards(2)) == 0 })
 }
+
+func TestAnswersSpareThePage(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	recent, old := now.Add(-time.Second/2), now.Add(-2*time.Second)
+	for _, c := range []struct {
+		e    entry
+		last time.Time
+		want bool
+	}{
+		{entry{known: true, last: old}, recent, true},
+		{entry{known: true, last: old}, old, false},
+		{entry{known: true, last: old, urgent: true}, recent, false},
+		{entry{known: true, last: now.Add(-quietFactor * time.Second)}, recent, false},
+		{entry{last: old}, recent, false},
+	} {
+		if got := c.e.answered(now, c.last, time.Second); got != c.want {
+			t.Errorf("%+v: %v", c, got)
+		}
+	}
+}
