Take status pages that another node has read

Cause: with more than one group, a node without a contract would read the pages of all other groups over short connections: far above 3 KB a second. The reading of pages moved to its own file. Figures: TestHeardPagesCountWithoutContract passes with -race -count=5.

--- a/internal/back/directory/directory_test.go
+++ b/internal/back/directory/directory_test.go
@@ -151,3 +151,21 @@
 		}
 	}
 }
+
+func TestHeardPagesCountWithoutContract(t *testing.T) {
+	d, fars, _ := start(t, map[string][]keyrange.Range{"a": {keyrange.Whole}})
+	until(t, d, "first version", func(m *Map) bool { return len(m.Versions) == 1 })
+	next := fars["a"].s
+	next.Holdings = []searcher.Holding{{Version: 9, Ranges: []keyrange.Range{keyrange.Whole}}}
+	d.Hear([]searcher.Status{next})
+	d.Hear([]searcher.Status{next})
+	if k := d.Known(); len(k) != 1 || k[0].Holdings[0].Version != 1 {
+		t.Fatalf("with a contract: %+v", k)
+	}
+	d.Backend("a").SetMaxLinks(0)
+	d.Hear([]searcher.Status{next})
+	until(t, d, "heard version", func(m *Map) bool { return slices.Equal(m.Versions, []uint64{9}) })
+	if k := d.Known(); len(k) != 0 {
+		t.Fatalf("passes on what it heard: %+v", k)
+	}
+}
--- /dev/null
+++ b/internal/back/directory/poll.go
@@ -0,0 +1,113 @@
+package directory
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"egrethaven/internal/back/backend"
+	"egrethaven/internal/back/searcher"
+	"egrethaven/internal/query/outcome"
+)
+
+// hurry makes the status page of a searcher due.
+func (d *Directory) hurry(id string) {
+	e, ok := d.entries[id]
+	if !ok {
+		return
+	}
+	if draining := e.b.Standing().Reason == outcome.Draining; draining != e.draining {
+		d.rebuild()
+	}
+	if e.polling {
+		e.again = true
+		return
+	}
+	e.urgent = true
+	e.due = e.last.Add(max(e.pause, leastInterval))
+}
+
+// answered tells whether the answers of a searcher spare a read of its page.
+func (e *entry) answered(now, last time.Time, interval time.Duration) bool {
+	return e.known && !e.urgent && now.Sub(last) < interval && now.Sub(e.last) < quietFactor*interval
+}
+
+// poll starts the reads that are due, and returns when the next one is.
+func (d *Directory) poll(now, next time.Time) time.Time {
+	for id, e := range d.entries {
+		if e.polling {
+			continue
+		}
+		if now.Before(e.due) {
+			if e.due.Before(next) {
+				next = e.due
+			}
+			continue
+		}
+		if e.answered(now, e.b.Answered(), d.c.Interval) || e.spared(now, d.c.Interval) {
+			e.due = now.Add(d.jittered())
+			if e.due.Before(next) {
+				next = e.due
+			}
+			continue
+		}
+		e.polling, e.urgent, e.last = true, false, now
+		d.wg.Go(func() { d.read(id, e.b) })
+	}
+	return next
+}
+
+// read reads one status page.
+func (d *Directory) read(id string, b *backend.Backend) {
+	ctx, cancel := context.WithTimeout(d.ctx, pollTimeout)
+	defer cancel()
+	s, err := b.Poll(ctx)
+	select {
+	case d.statuses <- report{id: id, status: s, err: err}:
+	case <-d.ctx.Done():
+	}
+}
+
+// take keeps a status and builds new maps if it changed the shards.
+func (d *Directory) take(r report) {
+	e, ok := d.entries[r.id]
+	if !ok {
+		return
+	}
+	if r.heard {
+		d.hear(e, r.status)
+		return
+	}
+	e.polling = false
+	e.due = e.last.Add(d.jittered())
+	if e.b.MaxLinks() == 0 {
+		e.due = e.last.Add(rareFactor * d.jittered())
+	}
+	if e.again {
+		e.again, e.urgent = false, true
+		e.due = e.last.Add(max(e.pause, leastInterval))
+	}
+	if r.err != nil {
+		return
+	}
+	was := e.status
+	e.status, e.known = r.status, true
+	e.pause = min(max(2*e.pause, leastInterval), hurryMost)
+	if !sameShards(was, r.status) {
+		e.pause = 0
+		d.rebuild()
+	}
+}
+
+// jittered returns the interval, a quarter more or less.
+func (d *Directory) jittered() time.Duration {
+	return time.Duration(float64(d.c.Interval) * (0.75 + d.rand.Float64()/2))
+}
+
+// sameShards tells whether two statuses lead to the same map.
+func sameShards(a, b searcher.Status) bool {
+	return a.Service == b.Service && a.Writes == b.Writes && a.Load.Draining == b.Load.Draining &&
+		slices.EqualFunc(a.Holdings, b.Holdings, func(x, y searcher.Holding) bool {
+			return x.Version == y.Version && slices.Equal(x.Ranges, y.Ranges)
+		})
+}
