Bound how many events of one kind are kept in a second

Cause: under overload each refused query is an event; a flood of 5000 filled the ring and pushed out what explains it. Change: at most 100 of one number a second are kept and logged, the rest is counted; health's test cuts a failure domain off in silence. Figures: TestLogRate: 102 of 5002 events kept, 4900 counted, none lost. Conclusion: the time line stays readable under load.

--- a/internal/observe/event/log.go
+++ b/internal/observe/event/log.go
@@ -1,11 +1,17 @@
 package event
 
 import (
+	"fmt"
 	"sync"
 
 	"github.com/phuslu/log"
 )
 
+// maxPerSecond is how many events of one number are kept and logged in a
+// second, so that one kind cannot push out the others. What is left out is
+// counted in the detail of the next one.
+const maxPerSecond = 100
+
 // Config sets up a Log.
 type Config struct {
 	// Node is the VM that the events happen on.
@@ -29,19 +35,27 @@
 	// lost counts events that were overwritten.
 	lost   uint64
 	counts map[Number]uint64
+	rates  map[Number]rate
+}
+
+// rate is how many events of a number came in a second of the clock.
+type rate struct {
+	second int64
+	kept   int
+	// left counts those left out since the last that was kept.
+	left int
 }
 
 // New returns an empty log.
 func New(c Config) *Log {
 	c.Size = max(c.Size, 1)
-	return &Log{c: c, counts: make(map[Number]uint64)}
+	return &Log{c: c, counts: make(map[Number]uint64), rates: make(map[Number]rate)}
 }
 
 // Emit records one event.
 func (l *Log) Emit(n Number, subject, detail string) {
 	e := Event{Number: n, Name: n.Name(), Node: l.c.Node, Subject: subject, Detail: detail}
-	l.add(&e)
-	if l.c.Logger == nil {
+	if !l.add(&e) || l.c.Logger == nil {
 		return
 	}
 	entry := l.c.Logger.WithLevel(level(n)).Int("event", int(n)).Str("name", e.Name)
@@ -49,23 +63,47 @@
 	if subject != "" {
 		entry = entry.Str("subject", subject)
 	}
-	entry.Msg(detail)
+	entry.Msg(e.Detail)
 }
 
-// add stamps e and puts it into the ring. Stamping under the lock keeps the
-// ring in the order of stamps.
-func (l *Log) add(e *Event) {
+// add stamps e and puts it into the ring, unless too many of its number came.
+// Stamping under the lock keeps the ring in the order of stamps.
+func (l *Log) add(e *Event) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e.Stamp = l.c.Stamp()
 	l.counts[e.Number]++
+	if !l.keep(e) {
+		return false
+	}
 	if len(l.ring) < l.c.Size {
 		l.ring = append(l.ring, *e)
-		return
+		return true
 	}
 	l.ring[l.next] = *e
 	l.next = (l.next + 1) % l.c.Size
 	l.lost++
+	return true
+}
+
+// keep tells whether e is within the rate of its number, and notes in its
+// detail how many before it were not.
+func (l *Log) keep(e *Event) bool {
+	r := l.rates[e.Number]
+	if second := e.Stamp.WallMS / 1000; second != r.second {
+		r.second, r.kept = second, 0
+	}
+	ok := r.kept < maxPerSecond
+	switch {
+	case !ok:
+		r.left++
+	case r.left > 0:
+		e.Detail = fmt.Sprintf("%s (%d more before were left out)", e.Detail, r.left)
+		r.left = 0
+	}
+	r.kept++
+	l.rates[e.Number] = r
+	return ok
 }
 
 // Since returns up to limit events stamped after s, the oldest first, and how
--- a/internal/observe/event/log_test.go
+++ b/internal/observe/event/log_test.go
@@ -36,6 +36,23 @@
 	}
 }
 
+// TestLogRate holds that a flood of one event leaves room for others, and is
+// counted.
+func TestLogRate(t *testing.T) {
+	now := int64(5000)
+	l := event.New(event.Config{Stamp: func() event.Stamp { return event.Stamp{WallMS: now} }, Size: 1000})
+	for range 5000 {
+		l.Emit(event.QueryRefused, "s", "shed")
+	}
+	l.Emit(event.PeerDead, "n", "")
+	now += 1000
+	l.Emit(event.QueryRefused, "s", "shed")
+	es, lost := l.Since(event.Stamp{}, 1000)
+	if len(es) != 102 || lost != 0 || es[101].Detail != "shed (4900 more before were left out)" || l.Counts()[event.QueryRefused] != 5001 {
+		t.Fatal(len(es), lost, es[len(es)-1], l.Counts())
+	}
+}
+
 // TestCatalogue holds docs/EVENTS.md against the code, both ways.
 func TestCatalogue(t *testing.T) {
 	b, err := os.ReadFile("../../../docs/EVENTS.md")
--- a/internal/observe/health/health_test.go
+++ b/internal/observe/health/health_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -101,9 +100,10 @@
 			return ask.Answer{Outcome: outcome.NotRun(outcome.NoReplica)}
 		}
 		var cut atomic.Bool
-		far := func(context.Context, health.Peer) (health.Report, error) {
-			if cut.Load() {
-				return health.Report{}, errors.New("cut off")
+		far := func(ctx context.Context, _ health.Peer) (health.Report, error) {
+			if cut.Load() { // in silence
+				<-ctx.Done()
+				return health.Report{}, ctx.Err()
 			}
 			return health.Report{Node: "b", States: []health.State{{Search: "s", Verdict: health.OK, Since: time.Now()}}}, nil
 		}
