Count a request only once its body is here; say not_ready truthfully

Cause: a caller who sends its body slowly held one of the places for up to 15 s; a node without a configuration answered 404 unknown_search to health. Change: the gate is checked before the body is read and entered after it; an empty configuration on a node that is not ready is 503 not_ready. Conclusion: places bound what runs, not what dribbles.

--- a/internal/front/balancer/gate.go
+++ b/internal/front/balancer/gate.go
@@ -108,16 +108,31 @@
 func (g *Gate) Enter() (release func(), o outcome.Outcome) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if o := g.judge(); !o.OK() {
+		return nil, o
+	}
+	g.inFlight++
+	return g.leave, outcome.OK()
+}
+
+// Check returns what Enter would, without letting a request in.
+func (g *Gate) Check() outcome.Outcome {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.judge()
+}
+
+// judge decides on one more request. The lock is held.
+func (g *Gate) judge() outcome.Outcome {
 	switch {
 	case g.state == notReady:
-		return nil, outcome.NotRun(outcome.NotReady)
+		return outcome.NotRun(outcome.NotReady)
 	case g.state == stopped:
-		return nil, outcome.NotRun(outcome.ShuttingDown)
+		return outcome.NotRun(outcome.ShuttingDown)
 	case g.inFlight >= g.c.MaxInFlight:
-		return nil, outcome.NotRun(outcome.Shed)
+		return outcome.NotRun(outcome.Shed)
 	}
-	g.inFlight++
-	return g.leave, outcome.OK()
+	return outcome.OK()
 }
 
 // leave ends one request.
--- a/internal/front/caller/caller_test.go
+++ b/internal/front/caller/caller_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -187,6 +188,41 @@
 	}
 }
 
+// TestNotReady holds that a node without a configuration says so, and that a
+// caller who has not sent its body yet takes no one's place.
+func TestNotReady(t *testing.T) {
+	e := &engine{answer: ask.Answer{Outcome: outcome.OK(), Coverage: coverage.New(1, []keyrange.Range{keyrange.Whole}, nil)}}
+	s := &config.Snapshot{}
+	g := balancer.New(balancer.Config{MaxInFlight: 1})
+	h := caller.New(caller.Config{Engine: e, Searches: func() *config.Snapshot { return s }, Gate: g, MaxBody: 4096})
+	for _, path := range []string{"/v1/searches", "/v1/searches/s/health"} {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, path, nil))
+		if w.Code != 503 || !strings.Contains(w.Body.String(), `"not_ready"`) {
+			t.Errorf("%s: %d %s", path, w.Code, w.Body)
+		}
+	}
+	if w := post(h, "/v1/searches/s/query", "{}"); w.Code != 503 || !strings.Contains(w.Body.String(), `"not_ready"`) {
+		t.Errorf("%d %s", w.Code, w.Body)
+	}
+	s = snapshot()
+	g.SetReady()
+	body, send := io.Pipe()
+	r := httptest.NewRequest(http.MethodPost, "/v1/searches/s/query", body)
+	r.Header.Set("Content-Type", "application/json")
+	slow, done := httptest.NewRecorder(), make(chan struct{})
+	go func() { h.ServeHTTP(slow, r); close(done) }()
+	send.Write([]byte("{")) // the handler reads now
+	if w := post(h, "/v1/searches/s/query", "{}"); w.Code != 200 {
+		t.Errorf("beside a slow caller: %d %s", w.Code, w.Body)
+	}
+	send.Write([]byte("}"))
+	send.Close()
+	if <-done; slow.Code != 200 {
+		t.Errorf("the slow caller: %d %s", slow.Code, slow.Body)
+	}
+}
+
 func TestRecord(t *testing.T) {
 	for _, c := range []struct {
 		o      outcome.Outcome
--- a/internal/front/caller/health.go
+++ b/internal/front/caller/health.go
@@ -4,9 +4,6 @@
 	"cmp"
 	"net/http"
 	"slices"
-
-	"egrethaven/internal/front/problemdetail"
-	"egrethaven/internal/query/outcome"
 )
 
 // listedSearch is one search as callers see it.
@@ -20,8 +17,8 @@
 // list names the searches.
 func (h *handler) list(w http.ResponseWriter, r *http.Request) {
 	s := h.c.Searches()
-	if s == nil {
-		refuse(w, r, problemdetail.New(outcome.NotRun(outcome.NotReady), "this node has no configuration yet"))
+	if h.empty(s) {
+		refuse(w, r, notReady())
 		return
 	}
 	out := make([]listedSearch, 0, len(s.Searches))
--- a/internal/front/caller/middleware.go
+++ b/internal/front/caller/middleware.go
@@ -73,23 +73,38 @@
 // Unwrap gives http.ResponseController the writer beneath.
 func (s *statusWriter) Unwrap() http.ResponseWriter { return s.ResponseWriter }
 
-// admit runs a handler only while the gate lets requests in.
+// admit runs a handler only while the gate would let its request in, so that
+// a body is not read in vain.
 func (h *handler) admit(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		release, o := h.c.Gate.Enter()
-		if !o.OK() {
-			h.c.Events.Emit(event.QueryRefused, mux.Vars(r)["search"], o.String())
-			if o.Reason == outcome.ShuttingDown {
-				w.Header().Set("Connection", "close")
-			}
-			refuse(w, r, problemdetail.New(o, "this node takes no new request; send it to another, or again later"))
+		if o := h.c.Gate.Check(); !o.OK() {
+			h.refuseNew(w, r, o)
 			return
 		}
-		defer release()
 		next(w, r)
 	}
 }
 
+// enter lets a request in once its body is here: a caller who sends slowly
+// holds no place. Without a release the request has been refused.
+func (h *handler) enter(w http.ResponseWriter, r *http.Request) (release func()) {
+	release, o := h.c.Gate.Enter()
+	if !o.OK() {
+		h.refuseNew(w, r, o)
+		return nil
+	}
+	return release
+}
+
+// refuseNew answers a request that the gate does not let in.
+func (h *handler) refuseNew(w http.ResponseWriter, r *http.Request, o outcome.Outcome) {
+	h.c.Events.Emit(event.QueryRefused, mux.Vars(r)["search"], o.String())
+	if o.Reason == outcome.ShuttingDown {
+		w.Header().Set("Connection", "close")
+	}
+	refuse(w, r, problemdetail.New(o, "this node takes no new request; send it to another, or again later"))
+}
+
 // newID returns an id that no other request has.
 func newID() string {
 	id, err := uuid.NewV7()
--- a/internal/front/caller/query.go
+++ b/internal/front/caller/query.go
@@ -15,6 +15,7 @@
 	"egrethaven/internal/query/coverage"
 	"egrethaven/internal/query/keyrange"
 	"egrethaven/internal/query/outcome"
+	"egrethaven/internal/state/config"
 	"egrethaven/internal/state/search"
 )
 
@@ -22,8 +23,8 @@
 func (h *handler) definition(r *http.Request) (search.Definition, *problemdetail.Detail) {
 	name := mux.Vars(r)["search"]
 	s := h.c.Searches()
-	if s == nil {
-		p := problemdetail.New(outcome.NotRun(outcome.NotReady), "this node has no configuration yet")
+	if h.empty(s) {
+		p := notReady()
 		return search.Definition{}, &p
 	}
 	d, ok := s.Searches[name]
@@ -34,6 +35,17 @@
 	return d, nil
 }
 
+// empty tells whether there is no configuration to answer by. One without any
+// search is there once the node is ready.
+func (h *handler) empty(s *config.Snapshot) bool {
+	return s == nil || s.Revision == 0 && h.c.Gate.Check().Reason == outcome.NotReady
+}
+
+// notReady is the problem of a node without a configuration.
+func notReady() problemdetail.Detail {
+	return problemdetail.New(outcome.NotRun(outcome.NotReady), "this node has no configuration yet; ask another")
+}
+
 // query answers one query.
 func (h *handler) query(w http.ResponseWriter, r *http.Request) {
 	begin := time.Now()
@@ -42,6 +54,11 @@
 		refuse(w, r, *p)
 		return
 	}
+	release := h.enter(w, r)
+	if release == nil {
+		return
+	}
+	defer release()
 	ctx, cancel := remaining(r, a.Deadline)
 	defer cancel()
 	res := h.c.Engine.Ask(ctx, a)
--- a/internal/front/caller/record.go
+++ b/internal/front/caller/record.go
@@ -16,6 +16,11 @@
 		refuse(w, r, *p)
 		return
 	}
+	release := h.enter(w, r)
+	if release == nil {
+		return
+	}
+	defer release()
 	ctx, cancel := remaining(r, q.Deadline)
 	defer cancel()
 	res := h.c.Engine.Write(ctx, q)
