Let three nodes of a failure domain ask the canaries

Cause: each node asked one canary a second for each idle search: at 1,000 nodes and 140 shards 140,000 calls a second and search. Change: the first three nodes of a failure domain by a hash of their names ask; a report always takes in theirs. health shows the worst first. Figures: TestDuty: 40 nodes in one domain ask 24 to 36 canaries in 10 s (400 before by the same schedule), and all 40 report ok from at most 7 nodes. Conclusion: canaries follow failure domains and searches, not the fleet.

--- a/internal/cli/command/cmd_health.go
+++ b/internal/cli/command/cmd_health.go
@@ -55,7 +55,7 @@
 		strings.ToUpper(string(r.Verdict())), n[health.OK], n[health.Degraded], n[health.Down], n[health.Unknown],
 		r.Node, r.Domain, configuration(r))
 	t := newTable(s.out, "SEARCH", "FAILURE DOMAIN", "VERDICT", "FOR", "EVIDENCE AGE", "WHY")
-	for _, st := range r.States {
+	for _, st := range r.WorstFirst() {
 		t.row(st.Search, string(st.Domain), string(st.Verdict), ago(st.Since, time.Now()), ms(st.AgeMS), why(st))
 	}
 	return t.end()
--- a/internal/observe/health/canary.go
+++ b/internal/observe/health/canary.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"egrethaven/internal/observe/event"
 	"egrethaven/internal/query/ask"
 	"egrethaven/internal/state/search"
@@ -16,8 +18,9 @@
 	defer t.Stop()
 	for {
 		k.Local()
+		duty := k.duty()
 		for name, d := range k.c.Searches() {
-			if k.due(name, time.Now()) {
+			if duty && k.due(name, time.Now()) {
 				k.wg.Go(func() { k.canary(name, d) })
 			}
 		}
@@ -29,6 +32,22 @@
 	}
 }
 
+// duty tells whether this node asks canaries: the first few of a failure
+// domain by a hash of their names, so that canaries don't grow with the fleet.
+func (k *Collector) duty() bool {
+	before := 0
+	own := order(k.c.Node)
+	for _, p := range k.peers() {
+		if p.Domain == k.c.Domain && order(p.ID) < own {
+			before++
+		}
+	}
+	return before < onDuty
+}
+
+// order is the place of a node among those of its failure domain.
+func order(id string) uint64 { return xxhash.Sum64String(id) }
+
 // due tells whether a search wants a canary now, and if so marks it asked.
 func (k *Collector) due(name string, now time.Time) bool {
 	if k.c.Ask == nil {
--- a/internal/observe/health/collector.go
+++ b/internal/observe/health/collector.go
@@ -22,8 +22,11 @@
 	maxCanary = time.Second
 	// fetchTimeout bounds how long the report of another node is awaited.
 	fetchTimeout = time.Second
-	// perDomain is how many nodes of another failure domain are asked.
-	perDomain = 5
+	// onDuty is how many nodes of a failure domain ask canaries, and are always
+	// asked for their reports.
+	onDuty = 3
+	// perDomain is how many nodes of a failure domain are asked at most.
+	perDomain = 6
 )
 
 // Config sets up a Collector.
@@ -197,12 +200,21 @@
 	s.Since = k.held[name].since
 	k.mu.Unlock()
 	s.Search, s.Domain, s.Nodes = name, k.c.Domain, []string{k.c.Node}
-	if changed && (known || s.Verdict != Unknown) {
+	if changed && k.news(h.verdict, s.Verdict) {
 		k.c.Events.Emit(event.HealthChanged, name, string(h.verdict)+" to "+string(s.Verdict))
 	}
 	return s
 }
 
+// news tells whether a change of verdict is worth an event. On a node that asks
+// no canaries a search without traffic becomes unknown as a matter of course.
+func (k *Collector) news(from, to Verdict) bool {
+	if from == "" || from == Unknown || to == Unknown {
+		return from != "" && k.duty() || from == "" && to != Unknown
+	}
+	return true
+}
+
 // names lists the searches in order, and forgets those that are gone.
 func (k *Collector) names() []string {
 	ds := k.c.Searches()
--- a/internal/observe/health/fleet.go
+++ b/internal/observe/health/fleet.go
@@ -71,22 +71,40 @@
 	return k.c.Fetch(ctx, p)
 }
 
-// choose draws up to perDomain peers of each failure domain.
+// choose takes of each failure domain the nodes on duty, and draws others up
+// to perDomain.
 func (k *Collector) choose() []Peer {
-	if k.c.Peers == nil {
-		return nil
-	}
-	ps := slices.Clone(k.c.Peers())
+	ps := k.peers()
 	k.mu.Lock()
 	k.c.Rand.Shuffle(len(ps), func(i, j int) { ps[i], ps[j] = ps[j], ps[i] })
 	k.mu.Unlock()
-	n := make(map[zone.Domain]int)
+	first := make(map[zone.Domain][]uint64)
+	for _, p := range ps {
+		first[p.Domain] = append(first[p.Domain], order(p.ID))
+	}
+	for _, os := range first {
+		slices.Sort(os)
+	}
+	drawn := make(map[zone.Domain]int)
 	return slices.DeleteFunc(ps, func(p Peer) bool {
-		n[p.Domain]++
-		return p.ID == k.c.Node || n[p.Domain] > perDomain
+		os := first[p.Domain]
+		if order(p.ID) <= os[min(onDuty, len(os))-1] {
+			return false
+		}
+		drawn[p.Domain]++
+		return drawn[p.Domain] > perDomain-onDuty
 	})
 }
 
+// peers returns the other entry VMs.
+func (k *Collector) peers() []Peer {
+	if k.c.Peers == nil {
+		return nil
+	}
+	ps := slices.Clone(k.c.Peers())
+	return slices.DeleteFunc(ps, func(p Peer) bool { return p.ID == k.c.Node })
+}
+
 // aged makes evidence of a report older by the time that the report took to
 // come, since it may have been made at the beginning of that time.
 func aged(r Report, took time.Duration) Report {
--- a/internal/observe/health/health_test.go
+++ b/internal/observe/health/health_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -83,6 +84,45 @@
 	})
 }
 
+// TestDuty holds that canaries of a failure domain don't grow with its nodes,
+// and that a report asks those who have evidence.
+func TestDuty(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const nodes = 40
+		var peers []health.Peer
+		for i := range nodes {
+			peers = append(peers, health.Peer{ID: fmt.Sprint("n", i), Domain: "d"})
+		}
+		var canaries atomic.Int64
+		all := make(map[string]*health.Collector)
+		for _, p := range peers {
+			all[p.ID] = health.New(health.Config{Node: p.ID, Domain: p.Domain, MaxAge: maxAge, CanaryInterval: time.Second,
+				Searches: func() map[string]search.Definition {
+					return map[string]search.Definition{"s": {Name: "s", Deadline: time.Second}}
+				},
+				Peers: func() []health.Peer { return peers },
+				Fetch: func(_ context.Context, p health.Peer) (health.Report, error) { return all[p.ID].Local(), nil },
+				Ask: func(context.Context, ask.Ask) ask.Answer {
+					canaries.Add(1)
+					return ask.Answer{Outcome: outcome.OK(), Coverage: coverage.New(1, []keyrange.Range{keyrange.Whole}, nil)}
+				}})
+		}
+		for _, k := range all {
+			k.Start()
+			defer k.Close()
+		}
+		time.Sleep(10 * time.Second)
+		if n := canaries.Load(); n < 24 || n > 36 {
+			t.Errorf("%d canaries in 10 s", n)
+		}
+		for id, k := range all {
+			if r := k.Fleet(t.Context()); len(r.States) != 1 || r.Verdict() != health.OK || len(r.States[0].Nodes) > 7 {
+				t.Errorf("%s: %+v", id, r.States)
+			}
+		}
+	})
+}
+
 // TestCollector follows one search through a loss, a hang and a recovery, and
 // a second failure domain through a cut.
 func TestCollector(t *testing.T) {
--- a/internal/observe/health/report.go
+++ b/internal/observe/health/report.go
@@ -32,6 +32,13 @@
 	return worst.Verdict
 }
 
+// WorstFirst returns the states from worst to ok, each sort in its order.
+func (r Report) WorstFirst() []State {
+	s := slices.Clone(r.States)
+	slices.SortStableFunc(s, func(a, b State) int { return rank(b.Verdict) - rank(a.Verdict) })
+	return s
+}
+
 // Peer is another entry VM.
 type Peer struct {
 	ID     string
