--- a/internal/back/backend/backend.go
+++ b/internal/back/backend/backend.go
@@ -36,6 +36,8 @@
 	Link link.Config
 	// Events takes what happens; nil discards it.
 	Events event.Sink
+	// Watcher looks after the links; nil has the backend bring its own.
+	Watcher *pool.Watcher
 	// NoSilence disables the search for silent connections.
 	NoSilence bool
 	// Fixed admits every call while a link is free, without adaptive limit
@@ -91,7 +93,7 @@
 	b := &Backend{c: c, proofAge: proofAge, weight: 1, since: c.Since, gate: newGate(c.MaxLinks, c.Fixed)}
 	b.maxLinks.Store(int64(c.MaxLinks))
 	b.pool = pool.New(pool.Config{Link: c.Link, Max: c.MaxLinks, Warm: c.WarmLinks,
-		Probe: alive, OnSilent: b.silent, NoSilence: c.NoSilence})
+		Probe: alive, Watcher: c.Watcher, OnSilent: b.silent, NoSilence: c.NoSilence})
 	return b
 }
 
--- a/internal/back/directory/directory.go
+++ b/internal/back/directory/directory.go
@@ -10,6 +10,7 @@
 
 	"egrethaven/internal/back/backend"
 	"egrethaven/internal/back/eject"
+	"egrethaven/internal/back/pool"
 	"egrethaven/internal/back/searcher"
 	"egrethaven/internal/observe/event"
 	"egrethaven/internal/world/vm"
@@ -124,6 +125,7 @@
 	d := &Directory{c: c, statuses: make(chan report), changed: make(chan string, 256),
 		rand: rand.New(rand.NewPCG(c.Seed, 0)), entries: map[string]*entry{},
 		began: time.Now(), eject: eject.New(eject.Config{Off: c.NoEjection})}
+	d.c.Backend.Watcher = pool.NewWatcher()
 	d.maps.Store(&map[string]*Map{})
 	d.byID.Store(&map[string]*backend.Backend{})
 	d.ctx, d.stop = context.WithCancel(context.Background())
@@ -171,6 +173,7 @@
 func (d *Directory) Close() {
 	d.stop()
 	d.wg.Wait()
+	d.c.Backend.Watcher.Close()
 }
 
 // run is the control goroutine.
--- a/internal/back/pool/open.go
+++ b/internal/back/pool/open.go
@@ -112,7 +112,7 @@
 	if p.dead() {
 		p.fail(ErrRefused)
 	}
-	p.wake()
+	p.soon()
 }
 
 // turnedAway counts a link that the searcher closed before any call. The
--- a/internal/back/pool/pool.go
+++ b/internal/back/pool/pool.go
@@ -35,6 +35,8 @@
 	// a call is late and no other link tells whether the searcher works.
 	// Without it such calls wait for their deadline.
 	Probe func(ctx context.Context, l *link.Link) bool
+	// Watcher looks after the pool; nil has the pool bring its own.
+	Watcher *Watcher
 	// OnSilent is called when a connection was found silent; nil for none.
 	OnSilent func()
 	// NoSilence disables the search for silent connections.
@@ -43,25 +45,26 @@
 
 // Pool holds the links of one searcher.
 type Pool struct {
-	ctx     context.Context
-	stop    context.CancelFunc
-	wg      sync.WaitGroup
-	kick    chan struct{}
-	mu      sync.Mutex
-	c       Config
-	idle    []*link.Link
-	used    map[*link.Link]time.Time
-	dialing int
-	waiting []chan got
-	back    backOff
-	room    int
-	usual   time.Duration
-	passed  time.Time
-	watched bool
-	swept   time.Time
-	probing bool
-	closed  bool
-	s       Stats
+	ctx      context.Context
+	stop     context.CancelFunc
+	wg       sync.WaitGroup
+	mu       sync.Mutex
+	c        Config
+	idle     []*link.Link
+	used     map[*link.Link]time.Time
+	dialing  int
+	waiting  []chan got
+	back     backOff
+	room     int
+	usual    time.Duration
+	passed   time.Time
+	next     time.Time
+	searched time.Time
+	swept    time.Time
+	probing  bool
+	closed   bool
+	own      *Watcher
+	s        Stats
 }
 
 // got is what a waiting caller receives.
@@ -88,12 +91,16 @@
 func New(c Config) *Pool {
 	c.Max = max(c.Max, 1)
 	c.Warm = max(c.Warm, 1)
-	p := &Pool{c: c, room: c.Max, used: map[*link.Link]time.Time{}, kick: make(chan struct{}, 1)}
+	p := &Pool{c: c, room: c.Max, used: map[*link.Link]time.Time{}}
 	p.ctx, p.stop = context.WithCancel(context.Background())
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.fill()
-	p.wg.Go(p.run)
+	if p.c.Watcher == nil {
+		p.c.Watcher = NewWatcher()
+		p.own = p.c.Watcher
+	}
+	p.c.Watcher.add(p)
 	return p
 }
 
@@ -105,7 +112,6 @@
 		return nil, ErrClosed
 	}
 	if l := p.pop(); l != nil {
-		p.watch()
 		p.mu.Unlock()
 		return l, nil
 	}
@@ -116,7 +122,6 @@
 	w := make(chan got, 1)
 	p.waiting = append(p.waiting, w)
 	p.fill()
-	p.watch()
 	p.mu.Unlock()
 	select {
 	case g := <-w:
@@ -197,6 +202,10 @@
 	p.idle = nil
 	p.fail(ErrClosed)
 	p.mu.Unlock()
+	p.c.Watcher.remove(p)
+	if p.own != nil {
+		p.own.Close()
+	}
 	p.wg.Wait()
 }
 
--- a/internal/back/pool/watch.go
+++ b/internal/back/pool/watch.go
@@ -11,57 +11,30 @@
 // divisor.
 const usualGain = 16
 
-// run opens links after a wait, looks at the idle ones, and searches for
-// silent connections while calls are in progress.
-func (p *Pool) run() {
-	t := time.NewTimer(sweepInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-p.ctx.Done():
-			return
-		case <-p.kick:
-		case <-t.C:
-		}
-		t.Reset(p.look())
-	}
-}
-
-// wake has run look again. The lock is held.
-func (p *Pool) wake() {
-	select {
-	case p.kick <- struct{}{}:
-	default:
-	}
-}
-
-// watch has run search for silent connections. The lock is held.
-func (p *Pool) watch() {
-	if !p.watched && !p.c.NoSilence {
-		p.watched = true
-		p.wake()
-	}
-}
-
-// look does what is due, and returns the time to the next look.
-func (p *Pool) look() time.Duration {
+// look does what is due: it opens links after a wait, drops idle ones that
+// were closed, and searches for silent ones while calls are in progress.
+func (p *Pool) look(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := time.Now()
+	busy := len(p.used)+len(p.waiting) > 0
+	if p.closed || now.Before(p.next) && (!busy || now.Before(p.searched.Add(Patience(p.usual)/2))) {
+		return
+	}
 	p.sweep(now)
 	p.fill()
-	next := sweepInterval
-	if w := p.back.until.Sub(now); w > 0 {
-		next = min(next, w)
-	}
-	p.watched = p.watched && len(p.used)+len(p.waiting) > 0
-	if p.watched {
+	if busy && !p.c.NoSilence {
+		p.searched = now
 		p.searchSilent(now)
-		next = min(next, Patience(p.usual)/2)
 	}
-	return next
+	p.next = now.Add(sweepInterval)
+	if p.back.until.After(now) && p.back.until.Before(p.next) {
+		p.next = p.back.until
+	}
 }
 
+// soon has the next look made at once. The lock is held.
+func (p *Pool) soon() { p.next, p.searched = time.Time{}, time.Time{} }
+
 // sweep drops idle links that the searcher closed. The lock is held.
 func (p *Pool) sweep(now time.Time) {
 	if now.Before(p.swept.Add(sweepInterval)) {
@@ -187,7 +160,7 @@
 		p.refused()
 	default:
 		p.passed = maxTime(p.passed, began)
-		p.wake()
+		p.soon()
 		if l.Reusable() {
 			p.opened(l, true)
 		}
