Show health, events, key-value calls and peer traffic as metrics

Change: labelled metrics; entry reads them from its parts. Conclusion: a node's control cost can be read in operation.

--- a/internal/node/entry/observe.go
+++ b/internal/node/entry/observe.go
@@ -95,7 +95,7 @@
 			return errors.Annotatef(err, "metric %s", g.name)
 		}
 	}
-	return nil
+	return n.watchCounts()
 }
 
 // gauge is a metric that is read when it is asked for.
--- a/internal/observe/health/collector.go
+++ b/internal/observe/health/collector.go
@@ -184,6 +184,19 @@
 	return r
 }
 
+// OK returns 1 for each search that is ok by this node's own evidence, and 0
+// for each other, for metrics.
+func (k *Collector) OK() map[string]float64 {
+	out := make(map[string]float64)
+	for _, s := range k.Local().States {
+		out[s.Search] = 0
+		if s.Verdict == OK {
+			out[s.Search] = 1
+		}
+	}
+	return out
+}
+
 // state judges one search and notes when the verdict changed.
 func (k *Collector) state(name string, now time.Time) State {
 	k.mu.Lock()
