--- a/internal/bench/arm/arm.go
+++ b/internal/bench/arm/arm.go
@@ -24,9 +24,13 @@
 
 // Arm is a node with a policy and what it answered.
 type Arm struct {
-	Name  string
+	Name string
+	// Node with the policy; nil when something else answers.
 	Node  *rig.Node
+	Asker rig.Asker
 	Tally *tally.Tally
+	// Partial tells that its callers accept partial answers.
+	Partial bool
 }
 
 // Arms are the arms of one experiment; the first has the current policy.
@@ -43,23 +47,44 @@
 // Make starts a node for each arm. The suffix tells arms of several rigs
 // apart in a report.
 func Make(ctx context.Context, r *rig.Rig, o scenario.Options, suffix string) (*Arms, error) {
-	as := &Arms{rig: r, suf: suffix}
+	as := Empty(r)
+	as.suf = suffix
 	as.Add(scatter.Current(), rig.NodeConfig{})
+	if err := as.AddBaseline(o, rig.NodeConfig{}); err != nil {
+		return nil, errors.Trace(err)
+	}
+	return as, errors.Trace(as.Ready(ctx))
+}
+
+// Empty returns no arms yet, on a rig.
+func Empty(r *rig.Rig) *Arms { return &Arms{rig: r} }
+
+// AddBaseline adds the baseline that the options ask for, if they do.
+func (as *Arms) AddBaseline(o scenario.Options, c rig.NodeConfig) error {
 	switch o.Baseline {
 	case "":
+		return nil
 	case scatter.Naive().Name:
-		as.Add(scatter.Naive(), rig.NodeConfig{Plain: true})
-	default:
-		return nil, errors.NotFoundf("baseline %q", o.Baseline)
+		c.Plain = true
+		as.Add(scatter.Naive(), c)
+		return nil
 	}
-	return as, errors.Trace(as.Ready(ctx))
+	return errors.NotFoundf("baseline %q", o.Baseline)
+}
+
+// AddAsker adds an arm that something else than a node of the rig answers.
+func (as *Arms) AddAsker(name string, a rig.Asker) *Arm {
+	x := &Arm{Name: name, Asker: a, Tally: tally.New()}
+	as.list = append(as.list, x)
+	return x
 }
 
 // Add starts a node with a policy.
 func (as *Arms) Add(p scatter.Policy, c rig.NodeConfig) *Arm {
 	c.Policy = p
-	a := &Arm{Name: p.Name, Node: as.rig.Node(c), Tally: tally.New()}
-	as.list = append(as.list, a)
+	n := as.rig.Node(c)
+	a := as.AddAsker(p.Name, n)
+	a.Node = n
 	return a
 }
 
@@ -68,6 +93,9 @@
 	c, cancel := context.WithTimeout(ctx, readyWait)
 	defer cancel()
 	for _, a := range as.list {
+		if a.Node == nil {
+			continue
+		}
 		if err := as.rig.Ready(c, a.Node); err != nil {
 			return errors.Trace(err)
 		}
@@ -75,6 +103,13 @@
 	return nil
 }
 
+// ask sends the next question to an arm.
+func (as *Arms) ask(ctx context.Context, a *Arm, due time.Time) {
+	q := as.rig.Question()
+	q.AcceptPartial = a.Partial
+	a.Tally.Add(rig.Put(ctx, a.Asker, q, due))
+}
+
 // All returns the arms.
 func (as *Arms) All() []*Arm { return as.list }
 
@@ -115,8 +150,7 @@
 
 // Ask sends a question to the current arm.
 func (as *Arms) Ask(ctx context.Context, due time.Time) {
-	a := as.Current()
-	a.Tally.Add(as.rig.Ask(ctx, a.Node, due))
+	as.ask(ctx, as.Current(), due)
 }
 
 // Slices loads the arms in turns.
@@ -134,7 +168,7 @@
 	var ds []duel.Arm
 	for _, a := range as.list {
 		ds = append(ds, duel.Arm{Name: a.Name, Do: func(ctx context.Context, due time.Time) {
-			a.Tally.Add(as.rig.Ask(ctx, a.Node, due))
+			as.ask(ctx, a, due)
 		}})
 	}
 	return ds
--- a/internal/bench/catalog/catalog.go
+++ b/internal/bench/catalog/catalog.go
@@ -7,8 +7,11 @@
 
 import (
 	"egrethaven/internal/bench/crash"
+	"egrethaven/internal/bench/drain"
 	"egrethaven/internal/bench/healthbench"
 	"egrethaven/internal/bench/overload"
+	"egrethaven/internal/bench/partition"
+	"egrethaven/internal/bench/poison"
 	"egrethaven/internal/bench/repartition"
 	"egrethaven/internal/bench/scenario"
 	"egrethaven/internal/bench/silent"
@@ -26,6 +29,9 @@
 		repartition.Scenario,
 		crash.Scenario,
 		silent.Scenario,
+		drain.Scenario,
+		partition.Scenario,
+		poison.Scenario,
 		writes.Scenario,
 		healthbench.Scenario,
 	}
--- a/internal/bench/episode/episode.go
+++ b/internal/bench/episode/episode.go
@@ -84,8 +84,12 @@
 	}
 }
 
-// Timeline returns the faults as they happened.
-func (e *Episode) Timeline() []scenario.Mark { return e.marks }
+// Fill puts what was measured into a report.
+func (e *Episode) Fill(r *scenario.Report) {
+	r.Arms = e.Report()
+	r.Timeline = e.marks
+	r.Notes = append(r.Notes, e.c.Arms.Notes()...)
+}
 
 // Before, During and After return the parts of a tally.
 func (e *Episode) Before(t *tally.Tally) *tally.Tally {
--- a/internal/bench/episode/scenario.go
+++ b/internal/bench/episode/scenario.go
@@ -60,10 +60,9 @@
 		return r, errors.Trace(err)
 	}
 	e := Run(ctx, Config{Arms: as, Rate: Rate(o), Window: o.Duration, Faults: faults(g), Seed: o.Seed})
-	r.Arms = e.Report()
+	e.Fill(&r)
 	if extra != nil {
 		extra(g, &r.Arms[0])
 	}
-	r.Timeline, r.Notes = e.Timeline(), as.Notes()
 	return r, nil
 }
--- a/internal/bench/rig/node.go
+++ b/internal/bench/rig/node.go
@@ -9,6 +9,7 @@
 	"egrethaven/internal/back/quarantine"
 	"egrethaven/internal/node/source"
 	"egrethaven/internal/observe/event"
+	"egrethaven/internal/query/ask"
 	"egrethaven/internal/query/scatter"
 	"egrethaven/internal/state/config"
 	"egrethaven/internal/world/vm"
@@ -111,6 +112,9 @@
 	}
 }
 
+// Ask answers one question.
+func (n *Node) Ask(ctx context.Context, a ask.Ask) ask.Answer { return n.Engine.Ask(ctx, a) }
+
 // readyPoll is the time between two looks at a node that is not ready.
 const readyPoll = 10 * time.Millisecond
 
--- a/internal/bench/rig/rig.go
+++ b/internal/bench/rig/rig.go
@@ -104,14 +104,19 @@
 	}
 }
 
+// Asker answers questions. A *Node is one.
+type Asker interface {
+	Ask(ctx context.Context, a ask.Ask) ask.Answer
+}
+
 // Ask sends the next question to a node and returns the sample.
-func (r *Rig) Ask(ctx context.Context, n *Node, due time.Time) tally.Sample {
+func (r *Rig) Ask(ctx context.Context, n Asker, due time.Time) tally.Sample {
 	return Put(ctx, n, r.Question(), due)
 }
 
 // Put sends a question to a node and returns the sample.
-func Put(ctx context.Context, n *Node, q ask.Ask, due time.Time) tally.Sample {
-	a := n.Engine.Ask(ctx, q)
+func Put(ctx context.Context, n Asker, q ask.Ask, due time.Time) tally.Sample {
+	a := n.Ask(ctx, q)
 	return tally.Sample{Due: due, Ended: time.Now(), Ask: q, Answer: a}
 }
 
