--- a/internal/bench/episode/episode.go
+++ b/internal/bench/episode/episode.go
@@ -91,17 +91,17 @@
 	r.Notes = append(r.Notes, e.c.Arms.Notes()...)
 }
 
-// Before, During and After return the parts of a tally.
+// Before returns the part of a tally that was due before the fault.
 func (e *Episode) Before(t *tally.Tally) *tally.Tally {
 	return t.Between(e.start, e.start.Add(e.c.Window))
 }
 
-// During is the time of recovery.
+// During returns the part that was due in the time of recovery.
 func (e *Episode) During(t *tally.Tally) *tally.Tally {
 	return t.Between(e.start.Add(e.c.Window), e.start.Add(e.c.Window+recovery))
 }
 
-// After is the time after the recovery.
+// After returns the part that was due after the recovery.
 func (e *Episode) After(t *tally.Tally) *tally.Tally {
 	return t.Between(e.start.Add(e.c.Window+recovery), e.start.Add(2*e.c.Window+recovery))
 }
