--- a/internal/bench/peerfleet/fleet.go
+++ b/internal/bench/peerfleet/fleet.go
@@ -205,6 +205,26 @@
 	return nil
 }
 
+// Calm waits until no node has news of members to hand out, or ctx ends.
+func (f *Fleet) Calm(ctx context.Context) {
+	t := time.NewTicker(settlePoll)
+	defer t.Stop()
+	for f.queued() > 0 && ctx.Err() == nil {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (f *Fleet) queued() int {
+	sum := 0
+	for _, n := range f.Nodes() {
+		sum += n.Members.Queued()
+	}
+	return sum
+}
+
 // Close stops all and waits.
 func (f *Fleet) Close() {
 	f.Remove(context.Background(), false, f.Nodes()...)
--- a/internal/peer/member/loop.go
+++ b/internal/peer/member/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"egrethaven/internal/world/vm"
@@ -14,6 +15,11 @@
 	// absentShare is the chance that a round also tries a VM that is listed
 	// or was known, but is not live.
 	absentShare = 0.2
+	// focusShare is the chance that a suspicion has the next round look at
+	// another member of the same domain.
+	focusShare = 0.25
+	// focusQuiet is the time without suspicions after which one is pushed.
+	focusQuiet = 3 * time.Second
 	// lateBy is by how much a round may be late before its silence counts
 	// against this node and not against the one that did not answer.
 	lateBy = time.Second
@@ -73,6 +79,9 @@
 	if u, ok := m.randomOther(); ok {
 		m.wg.Go(func() { m.check(u, late) })
 	}
+	if u, ok := m.randomFocused(); ok {
+		m.wg.Go(func() { m.check(u, late) })
+	}
 	if a, ok := m.randomAbsent(); ok {
 		m.wg.Go(func() { _ = m.beat(m.ctx, a, "") })
 	}
@@ -122,6 +131,33 @@
 	return us[m.rand.IntN(len(us))], true
 }
 
+// focusOn has the next round look, by chance, at another member of a domain
+// that has a suspected one: members of a domain often fail together. It is
+// true for the first suspicion in a while, which is worth a push.
+func (m *Members) focusOn(d zone.Domain) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.rand.Float64() < focusShare {
+		m.focus = d
+	}
+	now := time.Now()
+	first := now.Sub(m.suspected) > focusQuiet
+	m.suspected = now
+	return first
+}
+
+// randomFocused returns a member of the domain in focus that is not suspected.
+func (m *Members) randomFocused() (Update, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.focus == "" {
+		return Update{}, false
+	}
+	us := m.t.liveIn(func(d zone.Domain) bool { return d == m.focus })
+	m.focus = ""
+	return m.pick(slices.DeleteFunc(us, func(u Update) bool { return u.State == Suspect }))
+}
+
 // randomAbsent returns now and then the address of a VM that is not known as
 // live but may be.
 func (m *Members) randomAbsent() (string, bool) {
--- a/internal/peer/member/service.go
+++ b/internal/peer/member/service.go
@@ -65,8 +65,12 @@
 	differed int
 	synced   time.Time
 	begun    time.Time
-	rand     *rand.Rand
-	joined   atomic.Bool
+	// focus is the domain of a member that was suspected lately, and
+	// suspected is when.
+	focus     zone.Domain
+	suspected time.Time
+	rand      *rand.Rand
+	joined    atomic.Bool
 	// heardAny is when any peer last answered, in nanoseconds since 1970.
 	heardAny atomic.Int64
 	pushes   chan reach
@@ -189,12 +193,24 @@
 	refuted := m.t.refuted
 	m.t.refuted = false
 	m.mu.Unlock()
-	left := false
+	push := refuted
 	for _, c := range cs {
 		m.c.Events.Emit(c.number, c.id, c.detail)
-		left = left || c.number == event.PeerLeft
+		switch c.number {
+		case event.PeerLeft:
+			push = true
+		case event.PeerSuspected:
+			push = m.focusOn(zone.Domain(c.detail)) || push
+		}
 	}
-	if refuted || left {
+	if push {
 		m.Push(refuted)
 	}
 }
+
+// Queued is how many changes of members wait to be handed out.
+func (m *Members) Queued() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.t.queue.items)
+}
