Age evidence by the clock that says more, and split two grown files

Cause: the monotonic clock stands still while a VM is suspended, so evidence of before would count as fresh for up to 3 s after it wakes. A suspended VM itself was not tried. Conclusion: no ok on evidence older than stated, by either clock.

--- a/internal/observe/health/collector.go
+++ b/internal/observe/health/collector.go
@@ -9,7 +9,6 @@
 
 	"egrethaven/internal/observe/event"
 	"egrethaven/internal/query/ask"
-	"egrethaven/internal/query/outcome"
 	"egrethaven/internal/state/search"
 	"egrethaven/internal/world/zone"
 )
@@ -120,50 +119,6 @@
 	k.add(name, a, time.Now())
 }
 
-// add counts an answer in the evidence of the present time.
-func (k *Collector) add(name string, a ask.Answer, now time.Time) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	es := k.evidence[name]
-	if len(es) == 0 || now.Sub(es[len(es)-1].At) >= tick {
-		es = append(es, Evidence{At: now})
-	}
-	es[len(es)-1].add(a)
-	k.evidence[name] = es
-	if !a.Outcome.OK() || !a.Coverage.Complete() {
-		return
-	}
-	k.complete[name] = now
-}
-
-// ignored tells whether an answer is no evidence of the search's health.
-func ignored(a ask.Answer, d search.Definition) bool {
-	switch a.Outcome.Reason {
-	case outcome.BadRequest, outcome.UnknownSearch, outcome.Canceled, outcome.DeadlinePast, outcome.OverShare, outcome.Quarantined:
-		return true
-	}
-	if a.Outcome.OK() && a.Coverage.Complete() {
-		return false
-	}
-	// A caller who gave little time, or a latency-first search that answered
-	// early, may miss ranges that are there. The canary tells.
-	early := a.ElapsedMS < 0.9*float64(min(d.Deadline, maxCanary).Milliseconds())
-	return early && onlyTimeouts(a)
-}
-
-// onlyTimeouts tells whether time is all that an answer lacked.
-func onlyTimeouts(a ask.Answer) bool {
-	if len(a.Coverage.Missing) == 0 {
-		return a.Outcome.Reason == outcome.Timeout
-	}
-	for _, g := range a.Coverage.Missing {
-		if g.Reason != outcome.Timeout {
-			return false
-		}
-	}
-	return true
-}
-
 // Local judges each search by this node's own evidence.
 func (k *Collector) Local() Report {
 	now := time.Now()
@@ -201,7 +156,7 @@
 func (k *Collector) state(name string, now time.Time) State {
 	k.mu.Lock()
 	es := k.evidence[name]
-	stale := func(e Evidence) bool { return now.Sub(e.At) >= k.c.MaxAge }
+	stale := func(e Evidence) bool { return elapsed(e.At, now) >= k.c.MaxAge }
 	es = slices.DeleteFunc(es, stale)
 	k.evidence[name] = es
 	s := Judge(es, now, k.c.MaxAge)
--- a/internal/observe/health/judge.go
+++ b/internal/observe/health/judge.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"egrethaven/internal/query/ask"
 	"egrethaven/internal/query/coverage"
 	"egrethaven/internal/query/outcome"
 	"egrethaven/internal/world/zone"
@@ -34,34 +33,6 @@
 	Unknown Verdict = "unknown"
 )
 
-// Evidence is how the queries of a short time ended.
-type Evidence struct {
-	// At is the beginning of that time, so that evidence looks older rather
-	// than newer than it is.
-	At time.Time
-	// Complete, Partial and None count answers by how much of the key space
-	// they covered.
-	Complete, Partial, None int
-	// Missing are the gaps of the newest partial answer.
-	Missing []coverage.Gap
-	// Reason is why the newest query without an answer had none.
-	Reason outcome.Reason
-}
-
-// add counts one answer.
-func (e *Evidence) add(a ask.Answer) {
-	switch {
-	case a.Outcome.OK() && a.Coverage.Complete():
-		e.Complete++
-	case len(a.Coverage.Covered) > 0:
-		e.Partial++
-		e.Missing = a.Coverage.Missing
-	default:
-		e.None++
-		e.Reason = a.Outcome.Reason
-	}
-}
-
 // State is the judged health of one search in one failure domain.
 type State struct {
 	Search  string      `json:"search"`
@@ -105,7 +76,7 @@
 	s := State{AgeMS: -1}
 	var sum Evidence
 	for _, e := range es {
-		age := now.Sub(e.At)
+		age := elapsed(e.At, now)
 		if age < 0 || age >= window {
 			continue
 		}
@@ -126,6 +97,13 @@
 	return s
 }
 
+// elapsed is the time between two readings by the clock that says more: the
+// monotonic one stands still while a VM is suspended, and the wall clock may
+// be set back.
+func elapsed(from, to time.Time) time.Duration {
+	return max(to.Sub(from), to.Round(0).Sub(from.Round(0)))
+}
+
 // verdict weighs how many answers were complete, partial or none.
 func (e Evidence) verdict() Verdict {
 	bad := e.Partial + e.None
