--- a/internal/state/config/apply.go
+++ b/internal/state/config/apply.go
@@ -77,6 +77,9 @@
 		m.takeRootOf(ctx, a.root)
 		return Result{Verdict: Accepted, ChangeID: c.ID, Revision: done}, false
 	}
+	if c.Expect > a.root.Index.Revision {
+		return m.result(c, Refused, "the store has not reached the expected revision"), false
+	}
 	if c.Expect != 0 && c.Expect != a.root.Index.Revision {
 		return m.conflict(ctx, a), false
 	}
--- a/internal/state/config/commit.go
+++ b/internal/state/config/commit.go
@@ -61,7 +61,9 @@
 	for i := range swapTries {
 		var now attempt
 		v, p := m.readRoot(ctx, &now)
-		if v == "" {
+		// A read that does not show what the swap met is stale.
+		stale := v == "" && now.at <= a.at
+		if v == "" && !stale {
 			now.change = a.change
 			return m.settle(ctx, a, now)
 		}
--- a/internal/state/config/manager_test.go
+++ b/internal/state/config/manager_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"egrethaven/internal/platform/fakekv"
+	"egrethaven/internal/platform/kv"
 	"egrethaven/internal/state/config"
 	"egrethaven/internal/state/search"
 )
@@ -148,6 +149,54 @@
 	}
 }
 
+// staleStore answers the read of the root after a conflict as it was before.
+type staleStore struct {
+	*fakekv.Store
+	old   kv.Entry
+	stale bool
+}
+
+func (s *staleStore) Get(ctx context.Context, key string) (kv.Entry, kv.Status) {
+	if key == config.RootKey && s.stale {
+		s.stale = false
+		return s.old, kv.Done
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func (s *staleStore) Swap(ctx context.Context, key string, expect uint64, b []byte) (kv.Entry, kv.Status) {
+	if key == config.RootKey {
+		s.old, _ = s.Get(ctx, key)
+	}
+	e, st := s.Store.Swap(ctx, key, expect, b)
+	if key == config.RootKey && st == kv.Done {
+		// The answer is lost; the swap that is sent again meets a conflict.
+		st = kv.Unknown
+		s.stale = true
+	}
+	return e, st
+}
+
+// TestStaleReadIsNoConflict loses the answer to a swap that took effect and
+// answers the reading back with an older root.
+func TestStaleReadIsNoConflict(t *testing.T) {
+	s := &staleStore{Store: fakekv.New(1)}
+	m := config.New(config.Config{Store: s, Mode: config.Idle})
+	defer m.Close()
+	for i := range uint64(3) {
+		c := put(fmt.Sprint("c", i), "s", int(i)+1)
+		c.Expect = i
+		if r := m.Apply(t.Context(), c); r.Verdict != config.Accepted || r.Revision != i+1 {
+			t.Errorf("change %d: %+v", i, r)
+		}
+	}
+	c := put("d", "s", 9)
+	c.Expect = 7
+	if r := m.Apply(t.Context(), c); r.Verdict != config.Refused {
+		t.Errorf("a revision that is not there was expected: %+v", r)
+	}
+}
+
 func TestCorruptDocumentKeepsTheLastGood(t *testing.T) {
 	s := fakekv.New(1)
 	a := config.New(config.Config{Store: s, Mode: config.Idle})
