Keep web pages of other sites off an operator port without a token

Cause: a page in an operator's browser could post a change to the loopback port as text/plain, or by a rebound name. Change: changes need Content-Type application/json, and without a token the Host header has to be an address or localhost. Figures: TestBrowser: text/plain 415 and a rebound name 403, nothing applied. Conclusion: loopback without a token is for programs on the machine only.

--- a/internal/cli/command/command_test.go
+++ b/internal/cli/command/command_test.go
@@ -87,6 +87,8 @@
 		{"list --json", 200, operator.Searches{Revision: 4}, 0, `"revision": 4`},
 		{"history", 200, []config.HistoryEntry{{Author: "ito\x1b[2J"}}, 0, "ito?[2J"},
 		{"record s --key k --field a=b", 504, problemdetail.Detail{Status: 504, Outcome: "unknown", Reason: "timeout"}, 1, "unknown, timeout"},
+		{"serve", 200, nil, 2, "give -c FILE"},
+		{"serve -c nowhere.ini", 200, nil, 2, "nowhere.ini"},
 		{"version", 0, nil, 0, Version()},
 		{"nonsense", 200, nil, 2, "unknown command"},
 		{"health --nonsense", 200, nil, 2, "see egrethaven health --help"},
--- a/internal/front/operator/change.go
+++ b/internal/front/operator/change.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 	"time"
@@ -33,6 +34,11 @@
 
 // change creates, replaces and deletes searches.
 func (h *handler) change(w http.ResponseWriter, r *http.Request) {
+	// A browser asks before it sends this type to another site.
+	if m, _, err := mime.ParseMediaType(r.Header.Get("Content-Type")); err != nil || m != "application/json" {
+		refuse(w, r, problemdetail.BadRequest("the Content-Type is not application/json").WithStatus(http.StatusUnsupportedMediaType))
+		return
+	}
 	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxChange))
 	if err != nil {
 		refuse(w, r, problemdetail.BadRequest("the body is too large or did not arrive whole; allowed: at most 1048576 bytes").WithStatus(http.StatusRequestEntityTooLarge))
--- a/internal/front/operator/operator.go
+++ b/internal/front/operator/operator.go
@@ -15,6 +15,7 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/json"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -94,9 +95,16 @@
 	return h.authorize(r)
 }
 
-// authorize lets requests through that bear the token.
+// authorize lets requests through that bear the token. Where there is none,
+// the port is on loopback, and a request has to name it by address: the page
+// of another site in an operator's browser could not.
 func (h *handler) authorize(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if h.c.Token == "" && !local(r.Host) {
+			h.c.Events.Emit(event.OperatorRefused, r.RemoteAddr, "host is not an address")
+			refuse(w, r, problemdetail.BadRequest("name the node by its address, or set a token").WithStatus(http.StatusForbidden))
+			return
+		}
 		if h.c.Token != "" && !h.bears(r) {
 			h.c.Events.Emit(event.OperatorRefused, r.RemoteAddr, "no valid token")
 			w.Header().Set("WWW-Authenticate", `Bearer realm="egrethaven"`)
@@ -107,6 +115,15 @@
 	})
 }
 
+// local tells whether a Host header is an address or localhost.
+func local(host string) bool {
+	name, _, err := net.SplitHostPort(host)
+	if err != nil {
+		name = host
+	}
+	return name == "localhost" || net.ParseIP(name) != nil
+}
+
 // bears compares digests, which have one length, in constant time.
 func (h *handler) bears(r *http.Request) bool {
 	scheme, token, _ := strings.Cut(r.Header.Get("Authorization"), " ")
--- a/internal/front/operator/operator_test.go
+++ b/internal/front/operator/operator_test.go
@@ -54,6 +54,7 @@
 			return health.Report{States: []health.State{{Search: "a"}, {Search: "b"}}}
 		}})
 	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	r.Header.Set("Content-Type", "application/json")
 	if token != "" {
 		r.Header.Set("Authorization", token)
 	}
@@ -78,6 +79,28 @@
 	}
 }
 
+// TestBrowser holds that the page of another site cannot use a port without a
+// token.
+func TestBrowser(t *testing.T) {
+	f := &fake{verdict: config.Accepted}
+	h := operator.New(operator.Config{Configs: f, Fleet: f})
+	for _, c := range []struct {
+		host, typ string
+		status    int
+	}{{"127.0.0.1:7801", "application/json", 200}, {"localhost:7801", "application/json", 200}, {"[::1]:7801", "application/json", 200},
+		{"127.0.0.1:7801", "text/plain", 415}, {"127.0.0.1:7801", "", 415}, {"rebound.example:7801", "application/json", 403}} {
+		f.got = nil
+		r := httptest.NewRequest("POST", "/admin/v1/changes", strings.NewReader(`{"delete":["a"]}`))
+		r.Host = c.host
+		r.Header.Set("Content-Type", c.typ)
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, r)
+		if w.Code != c.status || (f.got != nil) != (c.status == 200) {
+			t.Errorf("%+v: %d", c, w.Code)
+		}
+	}
+}
+
 func definition() search.Definition {
 	return search.Definition{Name: "a", Service: "s", SchemaVersions: []int{1}, Reconcile: search.NewestRevision, Prefer: search.Coverage, Deadline: time.Second, MaxLimit: 5}
 }
