config: have the test of stale reads fail without its guard

Cause: trial with the guard of stale reads off on a scratch copy: the test still passed, as the fake took the stale answer itself. Change: the fake keeps what the root was, absence included. Conclusion: the test guards what it names.

--- a/internal/state/config/manager_test.go
+++ b/internal/state/config/manager_test.go
@@ -153,20 +153,21 @@
 type staleStore struct {
 	*fakekv.Store
 	old   kv.Entry
+	was   kv.Status
 	stale bool
 }
 
 func (s *staleStore) Get(ctx context.Context, key string) (kv.Entry, kv.Status) {
 	if key == config.RootKey && s.stale {
 		s.stale = false
-		return s.old, kv.Done
+		return s.old, s.was
 	}
 	return s.Store.Get(ctx, key)
 }
 
 func (s *staleStore) Swap(ctx context.Context, key string, expect uint64, b []byte) (kv.Entry, kv.Status) {
-	if key == config.RootKey {
-		s.old, _ = s.Get(ctx, key)
+	if key == config.RootKey && !s.stale {
+		s.old, s.was = s.Store.Get(ctx, key)
 	}
 	e, st := s.Store.Swap(ctx, key, expect, b)
 	if key == config.RootKey && st == kv.Done {
