Lay the head of a request out by hand; look for pages less often

Cause: http.Request.Write cost a sixth of a call; the directory went through all searchers at every event. Change: the head is a constant and the length of the body; pages that are due are looked for every 5 ms at most.

--- a/internal/back/directory/directory.go
+++ b/internal/back/directory/directory.go
@@ -32,6 +32,8 @@
 	// rareFactor is how many times longer the page of a searcher waits with
 	// which this node has no contract.
 	rareFactor = 5
+	// pollInterval is the shortest time between two looks for pages to read.
+	pollInterval = 5 * time.Millisecond
 	// quietFactor is how many intervals may pass between two reads of the page
 	// of a searcher whose answers tell as much.
 	quietFactor = 30
@@ -78,6 +80,7 @@
 	rand     *rand.Rand
 	entries  map[string]*entry
 	began    time.Time
+	nextPoll time.Time
 	eject    *eject.State
 }
 
@@ -197,8 +200,12 @@
 			d.list()
 			d.weigh(now)
 			nextList = now.Add(d.c.ListInterval)
+			d.nextPoll = now
 		}
-		t.Reset(time.Until(d.poll(now, nextList)))
+		if !now.Before(d.nextPoll) {
+			d.nextPoll = maxTime(d.poll(now, nextList), now.Add(pollInterval))
+		}
+		t.Reset(min(d.nextPoll.Sub(now), nextList.Sub(now)))
 	}
 }
 
--- a/internal/back/directory/poll.go
+++ b/internal/back/directory/poll.go
@@ -25,6 +25,22 @@
 	}
 	e.urgent = true
 	e.due = e.last.Add(max(e.pause, leastInterval))
+	d.nextPoll = minTime(d.nextPoll, e.due)
+}
+
+// minTime and maxTime return the earlier and the later of two times.
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // answered tells whether the answers of a searcher spare a read of its page.
@@ -87,6 +103,7 @@
 		e.again, e.urgent = false, true
 		e.due = e.last.Add(max(e.pause, leastInterval))
 	}
+	d.nextPoll = minTime(d.nextPoll, e.due)
 	if r.err != nil {
 		return
 	}
--- a/internal/back/link/doc.go
+++ b/internal/back/link/doc.go
@@ -1,9 +1,9 @@
 // Package link is one connection to a searcher.
 //
 // A link carries one request at a time, so it is a unit that can be counted
-// against the searcher's limit. Requests are written and answers are read with
-// the functions of net/http, but without its Transport: a link knows whether a
-// byte of a request left, and it needs no goroutine of its own.
+// against the searcher's limit. Answers are read with the functions of
+// net/http, but without its Transport: a link knows whether a byte of a request
+// left, and it needs no goroutine of its own.
 //
 // A link whose answer was not read to its end is broken: it is closed and
 // never used again. Canceling the context of a call closes the link, which is
--- a/internal/back/link/link.go
+++ b/internal/back/link/link.go
@@ -7,7 +7,7 @@
 	"io"
 	"net"
 	"net/http"
-	"net/url"
+	"strconv"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -43,9 +43,7 @@
 	w        *bufio.Writer
 	sent     counter
 	probe    *probe
-	url      url.URL
-	req      http.Request
-	reqBody  bytes.Reader
+	head     string
 	body     []byte
 	maxBody  int
 	broken   bool
@@ -94,9 +92,7 @@
 		raw, _ = s.SyscallConn()
 	}
 	l.probe = newProbe(raw)
-	l.url = url.URL{Scheme: "http", Host: c.Addr}
-	l.req = http.Request{Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Host: c.Addr,
-		Header: http.Header{"Content-Type": {"application/json"}, "User-Agent": {"egrethaven"}}}
+	l.head = " HTTP/1.1\r\nHost: " + c.Addr + "\r\nUser-Agent: egrethaven\r\nContent-Type: application/json\r\nContent-Length: "
 	return l
 }
 
@@ -141,7 +137,7 @@
 	if err := l.write(method, path, body); err != nil {
 		return Result{Err: errors.Annotate(err, "write request")}, false
 	}
-	resp, err := http.ReadResponse(l.r, &l.req)
+	resp, err := http.ReadResponse(l.r, nil)
 	if err != nil {
 		return Result{Err: errors.Annotate(err, "read answer")}, false
 	}
@@ -152,20 +148,16 @@
 	return r, !resp.Close && l.r.Buffered() == 0
 }
 
-// write sends the request.
+// write sends the request. Its head has no part that varies but the length of
+// the body, so it is laid out by hand.
 func (l *Link) write(method, path string, body []byte) error {
-	l.url.Path = path
-	l.req.Method = method
-	l.req.URL = &l.url
-	l.req.ContentLength = int64(len(body))
-	l.req.Body = nil
-	if len(body) > 0 {
-		l.reqBody.Reset(body)
-		l.req.Body = io.NopCloser(&l.reqBody)
-	}
-	if err := l.req.Write(l.w); err != nil {
-		return errors.Trace(err)
-	}
+	_, _ = l.w.WriteString(method)
+	_ = l.w.WriteByte(' ')
+	_, _ = l.w.WriteString(path)
+	_, _ = l.w.WriteString(l.head)
+	_, _ = l.w.Write(strconv.AppendInt(l.w.AvailableBuffer(), int64(len(body)), 10))
+	_, _ = l.w.WriteString("\r\n\r\n")
+	_, _ = l.w.Write(body)
 	return errors.Trace(l.w.Flush())
 }
 
