Say in health that records are refused while the store does not answer

Cause: health was ok while every registration was refused as not run. Change: each state of a search that takes records says so, over the fleet; egrethaven health shows it and does not end with 0. Conclusion: 'ok' speaks of queries, and says when writes are not.

--- a/internal/cli/command/cmd_health.go
+++ b/internal/cli/command/cmd_health.go
@@ -39,7 +39,7 @@
 	} else {
 		err = printHealth(s, r)
 	}
-	if err == nil && r.Verdict() != health.OK {
+	if err == nil && (r.Verdict() != health.OK || r.WritesRefused() > 0) {
 		return degraded()
 	}
 	return err
@@ -54,6 +54,9 @@
 	fmt.Fprintf(s.out, "%s: %d ok, %d degraded, %d down, %d unknown (by %s in %s, %s)\n",
 		strings.ToUpper(string(r.Verdict())), n[health.OK], n[health.Degraded], n[health.Down], n[health.Unknown],
 		r.Node, r.Domain, configuration(r))
+	if w := r.WritesRefused(); w > 0 {
+		fmt.Fprintf(s.out, "WRITES REFUSED: the platform's store does not answer, in %d of %d lines\n", w, len(r.States))
+	}
 	t := newTable(s.out, "SEARCH", "FAILURE DOMAIN", "VERDICT", "FOR", "EVIDENCE AGE", "WHY")
 	for _, st := range r.WorstFirst() {
 		t.row(st.Search, string(st.Domain), string(st.Verdict), ago(st.Since, time.Now()), ms(st.AgeMS), why(st))
@@ -75,6 +78,9 @@
 	if st.Detail != "" {
 		parts = append(parts, st.Detail)
 	}
+	if st.WritesRefused {
+		parts = append(parts, "writes are refused")
+	}
 	if len(st.CutOff) > 0 {
 		parts = append(parts, "silent: "+strings.Join(st.CutOff, " "))
 	}
--- a/internal/node/entry/observe.go
+++ b/internal/node/entry/observe.go
@@ -28,6 +28,7 @@
 		Domain:         s.Node.FailureDomain,
 		Searches:       func() map[string]search.Definition { return n.searches.Current().Searches },
 		ConfigState:    n.configState,
+		StoreDown:      func() bool { return n.store.Outage() > 0 },
 		MaxAge:         s.Health.EvidenceAge,
 		CanaryInterval: s.Health.CanaryInterval,
 		Ask:            n.engine.Ask,
--- a/internal/observe/fleet/fleet_test.go
+++ b/internal/observe/fleet/fleet_test.go
@@ -48,7 +48,7 @@
 			Health: func() health.Report {
 				half := coverage.New(1, keyrange.Split(2)[:1], nil)
 				return health.Report{Node: id, Domain: "d", ConfigAgeMS: -1, States: []health.State{
-					{Search: "s", Verdict: health.Degraded, AgeMS: 70, Since: time.Now().Add(-time.Minute), Missing: half.Missing, Reason: outcome.NoReplica}}}
+					{Search: "s", Verdict: health.Degraded, AgeMS: 70, Since: time.Now().Add(-time.Minute), Missing: half.Missing, Reason: outcome.NoReplica, WritesRefused: true}}}
 			},
 			Revision: func() uint64 { return x.revision },
 			Peers:    func() []health.Peer { return append(peers[:i:i], peers[i+1:]...) }})
@@ -86,7 +86,7 @@
 	}
 	s := r.States[0]
 	since := time.Since(s.Since)
-	if s.Verdict != health.Degraded || s.AgeMS != 70 || since < time.Minute || since > 2*time.Minute || len(s.Missing) != 1 || s.Missing[0].Reason != outcome.NoReplica {
+	if s.Verdict != health.Degraded || s.AgeMS != 70 || since < time.Minute || since > 2*time.Minute || len(s.Missing) != 1 || s.Missing[0].Reason != outcome.NoReplica || !s.WritesRefused {
 		t.Errorf("%+v", s)
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
--- a/internal/observe/fleet/wire.go
+++ b/internal/observe/fleet/wire.go
@@ -44,7 +44,7 @@
 	out := &observerpc.HealthReply{Node: r.Node, FailureDomain: string(r.Domain), ConfigRevision: r.ConfigRevision, ConfigAgeMs: r.ConfigAgeMS}
 	for _, s := range r.States[:min(len(r.States), maxStates)] {
 		o := &observerpc.SearchState{Search: s.Search, Verdict: string(s.Verdict), EvidenceAgeMs: s.AgeMS,
-			SinceAgeMs: now.Sub(s.Since).Milliseconds(), Reason: string(s.Reason)}
+			SinceAgeMs: now.Sub(s.Since).Milliseconds(), Reason: string(s.Reason), WritesRefused: s.WritesRefused}
 		for _, g := range s.Missing[:min(len(s.Missing), maxGaps)] {
 			o.Missing = append(o.Missing, &observerpc.Gap{First: g.Range.First, Last: g.Range.Last, Reason: string(g.Reason)})
 		}
@@ -58,7 +58,7 @@
 	out := health.Report{Node: r.Node, Domain: zone.Domain(r.FailureDomain), At: now, ConfigRevision: r.ConfigRevision, ConfigAgeMS: r.ConfigAgeMs}
 	for _, s := range r.States[:min(len(r.States), maxStates)] {
 		o := health.State{Search: clip(s.Search), Domain: out.Domain, Verdict: health.Verdict(s.Verdict), AgeMS: s.EvidenceAgeMs,
-			Since: now.Add(-time.Duration(s.SinceAgeMs) * time.Millisecond), Reason: outcome.Reason(clip(s.Reason))}
+			Since: now.Add(-time.Duration(s.SinceAgeMs) * time.Millisecond), Reason: outcome.Reason(clip(s.Reason)), WritesRefused: s.WritesRefused}
 		if !slices.Contains(verdicts, o.Verdict) {
 			o.Verdict = health.Unknown
 		}
--- a/internal/observe/health/collector.go
+++ b/internal/observe/health/collector.go
@@ -37,6 +37,9 @@
 	// ConfigState returns the revision in force and how long ago the store
 	// or a peer confirmed it, -1 when not known. nil: 0 and -1.
 	ConfigState func() (revision uint64, ageMS int64)
+	// StoreDown tells whether the platform's store does not answer. nil: it
+	// does.
+	StoreDown func() bool
 	// MaxAge is the age from which on evidence does not count.
 	MaxAge time.Duration
 	// CanaryInterval is how long a search may be without evidence before a
@@ -126,8 +129,12 @@
 	if k.c.ConfigState != nil {
 		r.ConfigRevision, r.ConfigAgeMS = k.c.ConfigState()
 	}
+	defs := k.c.Searches()
+	down := k.c.StoreDown != nil && k.c.StoreDown()
 	for _, name := range k.names() {
-		r.States = append(r.States, k.state(name, now))
+		s := k.state(name, now)
+		s.WritesRefused = down && defs[name].Writes
+		r.States = append(r.States, s)
 	}
 	return r
 }
--- a/internal/observe/health/health_test.go
+++ b/internal/observe/health/health_test.go
@@ -147,10 +147,13 @@
 			}
 			return health.Report{Node: "b", States: []health.State{{Search: "s", Verdict: health.OK, Since: time.Now()}}}, nil
 		}
-		def := search.Definition{Name: "s", Deadline: 5 * time.Second}
-		k := health.New(health.Config{Node: "a", Domain: "home", MaxAge: maxAge, CanaryInterval: time.Second, Ask: answer, Fetch: far,
+		def := search.Definition{Name: "s", Deadline: 5 * time.Second, Writes: true}
+		k := health.New(health.Config{Node: "a", StoreDown: func() bool { return true }, Domain: "home", MaxAge: maxAge, CanaryInterval: time.Second, Ask: answer, Fetch: far,
 			Searches: func() map[string]search.Definition { return map[string]search.Definition{"s": def} },
 			Peers:    func() []health.Peer { return []health.Peer{{ID: "b", Domain: "far"}} }})
+		if s := k.Local().States[0]; !s.WritesRefused {
+			t.Errorf("the store is down: %+v", s)
+		}
 		verdict := func(d zone.Domain) health.State {
 			t.Helper()
 			for _, s := range k.Fleet(t.Context()).States {
--- a/internal/observe/health/judge.go
+++ b/internal/observe/health/judge.go
@@ -51,6 +51,9 @@
 	Nodes []string `json:"nodes,omitempty"`
 	// CutOff are the entry VMs that did not answer.
 	CutOff []string `json:"cut_off,omitempty"`
+	// WritesRefused tells that records are refused as not run, since the
+	// platform's store does not answer an entry VM.
+	WritesRefused bool `json:"writes_refused,omitempty"`
 	// Detail says more in words.
 	Detail string `json:"detail,omitempty"`
 }
@@ -130,6 +133,7 @@
 			s.Verdict = Unknown
 		}
 		out.Nodes = append(out.Nodes, s.Nodes...)
+		out.WritesRefused = out.WritesRefused || s.WritesRefused
 		counts[s.Verdict]++
 		if s.Verdict == Unknown {
 			continue
--- a/internal/observe/health/report.go
+++ b/internal/observe/health/report.go
@@ -32,6 +32,17 @@
 	return worst.Verdict
 }
 
+// WritesRefused counts the states of searches whose records are refused.
+func (r Report) WritesRefused() int {
+	n := 0
+	for _, s := range r.States {
+		if s.WritesRefused {
+			n++
+		}
+	}
+	return n
+}
+
 // WorstFirst returns the states from worst to ok, each sort in its order.
 func (r Report) WorstFirst() []State {
 	s := slices.Clone(r.States)
