Pace the commits of buckets whose slice is not the present one

Change: a late bucket waits 150 ms between commits in place of 25 ms, and all late buckets of the fleet share 150 commits a second; what can't be asked within its deadline is refused as shed. The bench counts the claims of paused nodes apart, and its rates over the time that the arm took. TestBacklogIsPaced is new.

--- a/internal/bench/writes/gate.go
+++ b/internal/bench/writes/gate.go
@@ -12,6 +12,8 @@
 type gate struct {
 	mu sync.Mutex
 	ch chan struct{}
+	// shuts is the number of pauses so far.
+	shuts int
 }
 
 func newGate() *gate {
@@ -24,6 +26,26 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.ch = make(chan struct{})
+	g.shuts++
+}
+
+// ran tells whether there was no pause since the number of pauses was taken.
+func (g *gate) ran(since int) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.shuts == since
+}
+
+// pauses is the number of pauses so far; it is false during one.
+func (g *gate) pauses() (int, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	select {
+	case <-g.ch:
+		return g.shuts, true
+	default:
+		return g.shuts, false
+	}
 }
 
 func (g *gate) open() {
--- a/internal/bench/writes/scenario.go
+++ b/internal/bench/writes/scenario.go
@@ -56,6 +56,8 @@
 	naive bool
 	// skew is the largest error of the callers' clocks, either way.
 	skew time.Duration
+	// backlog is how old keys may be, as of callers that were cut off.
+	backlog time.Duration
 }
 
 // plans are the arms.
@@ -71,6 +73,7 @@
 		{name: "paused_nodes", pauses: true},
 		{name: "ceilings", faults: ceiling},
 		{name: "skewed_clocks", skew: 5 * time.Second},
+		{name: "backlog", faults: ceiling, backlog: time.Hour},
 		{name: "all_at_once", faults: platform.Faults{DelayMS: 10, JitterMS: 40, LoseAnswers: 0.05}, outage: true, pauses: true},
 	}
 	switch baseline {
@@ -123,15 +126,17 @@
 	}
 	defer f.close()
 	f.platform.SetFaults(p.faults)
-	t := newTraffic(f, p.skew, r)
+	t := newTraffic(f, p, r)
 	stop := f.disturb(ctx, p, o.Duration, rand.New(rand.NewPCG(r.Uint64(), 0)))
+	began := time.Now()
 	calls := t.play(ctx, o.Rate, o.Duration)
+	took := time.Since(began)
 	stop()
 	f.platform.SetFaults(platform.Faults{})
 	t.repeatAll(ctx)
 	return scenario.Arm{
 		Name:      p.name,
-		Figures:   t.figures(calls, o.Duration, !p.naive),
+		Figures:   t.figures(calls, took, !p.naive),
 		Wrong:     t.oracle.verdict(),
 		LatencyMS: t.distribution(),
 	}, nil
--- a/internal/bench/writes/scenario_test.go
+++ b/internal/bench/writes/scenario_test.go
@@ -59,7 +59,7 @@
 	for _, n := range f.nodes {
 		n.claims = forgetful{n.claims}
 	}
-	r := newTraffic(f, 0, rand.New(rand.NewPCG(1, 1)))
+	r := newTraffic(f, plan{}, rand.New(rand.NewPCG(1, 1)))
 	r.caller(t.Context(), time.Now())
 	r.repeatAll(t.Context())
 	if w := r.oracle.verdict(); w.DoubleRuns != 1 {
--- a/internal/bench/writes/traffic.go
+++ b/internal/bench/writes/traffic.go
@@ -45,21 +45,24 @@
 type traffic struct {
 	fleet  *fleet
 	oracle *oracle
-	skew   time.Duration
+	plan   plan
 
 	mu     sync.Mutex
 	random *rand.Rand
 	claims *hdrhistogram.Histogram
+	// running holds those of claims whose node was not paused meanwhile.
+	running *hdrhistogram.Histogram
 	// sends counts requests, answers count their claims by status.
 	sends   int
 	answers map[once.Status]int
 	reasons map[outcome.Reason]int
 }
 
-func newTraffic(f *fleet, skew time.Duration, r *rand.Rand) *traffic {
+func newTraffic(f *fleet, p plan, r *rand.Rand) *traffic {
 	return &traffic{
-		fleet: f, oracle: newOracle(), skew: skew, random: r,
+		fleet: f, oracle: newOracle(), plan: p, random: r,
 		claims:  hdrhistogram.New(1, longest, digits),
+		running: hdrhistogram.New(1, longest, digits),
 		answers: map[once.Status]int{}, reasons: map[outcome.Reason]int{},
 	}
 }
@@ -108,8 +111,11 @@
 // key returns a UUIDv7 by the caller's clock.
 func (t *traffic) key(r *rand.Rand) string {
 	at := time.Now()
-	if t.skew > 0 {
-		at = at.Add(time.Duration(r.Int64N(int64(2*t.skew))) - t.skew)
+	if s := t.plan.skew; s > 0 {
+		at = at.Add(time.Duration(r.Int64N(int64(2*s))) - s)
+	}
+	if b := t.plan.backlog; b > 0 {
+		at = at.Add(-time.Duration(r.Int64N(int64(b))))
 	}
 	var u uuid.UUID
 	binary.BigEndian.PutUint64(u[:8], uint64(at.UnixMilli())<<16|r.Uint64()&0xffff)
@@ -124,9 +130,10 @@
 	n := t.fleet.nodes[r.IntN(len(t.fleet.nodes))]
 	ctx, cancel := context.WithDeadline(ctx, due.Add(deadline))
 	defer cancel()
+	pauses, up := n.gate.pauses()
 	n.gate.pass()
 	c := n.claims.Claim(ctx, once.Request{Key: key, Fingerprint: fingerprint})
-	t.note(c, time.Since(due))
+	t.note(c, time.Since(due), up && n.gate.ran(pauses))
 	t.oracle.tell(key, c)
 	if c.Status == once.Claimed {
 		n.gate.pass()
@@ -138,7 +145,8 @@
 	return c
 }
 
-func (t *traffic) note(c once.Claim, d time.Duration) {
+// note counts an answer; ran tells that its node was not paused.
+func (t *traffic) note(c once.Claim, d time.Duration, ran bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sends++
@@ -147,6 +155,9 @@
 		t.reasons[c.Reason]++
 	}
 	_ = t.claims.RecordValue(min(d.Microseconds(), longest))
+	if ran {
+		_ = t.running.RecordValue(min(d.Microseconds(), longest))
+	}
 }
 
 // repeatAll sends every key that ran once more; none may run again.
@@ -187,21 +198,22 @@
 	return append(calls,
 		figure.Of("kv_writes_per_second", float64(s.Writes)/d.Seconds()),
 		figure.Of("kv_reads_per_second", float64(s.Reads)/d.Seconds()),
-		figure.Of("claim_p50_ms", t.quantile(50)),
-		figure.Of("claim_p99_ms", t.quantile(99)),
-		figure.Of("claim_max_ms", t.quantile(100)),
+		figure.Of("claim_p50_ms", quantile(t.claims, 50)),
+		figure.Of("claim_p99_ms", quantile(t.claims, 99)),
+		figure.Of("claim_max_ms", quantile(t.claims, 100)),
+		figure.Of("claim_running_p99_ms", quantile(t.running, 99)),
 		figure.Of("requests", sends),
 		figure.Of("claimed", float64(t.answers[once.Claimed])),
 		figure.Of("repeated", float64(t.answers[once.Repeated])),
 		figure.Of("in_progress", float64(t.answers[once.InProgress])),
 		figure.Of("refused_store_down", float64(t.reasons[outcome.StoreDown])),
-		figure.Of("refused_other", float64(t.answers[once.Refused]-t.reasons[outcome.StoreDown])),
+		figure.Of("refused_shed", float64(t.reasons[outcome.Shed])),
 	)
 }
 
-// quantile of the claims, in milliseconds. The lock is held.
-func (t *traffic) quantile(q float64) float64 {
-	return float64(t.claims.ValueAtQuantile(q)) / float64(time.Millisecond/time.Microsecond)
+// quantile of the claims, in milliseconds.
+func quantile(h *hdrhistogram.Histogram, q float64) float64 {
+	return float64(h.ValueAtQuantile(q)) / float64(time.Millisecond/time.Microsecond)
 }
 
 func (t *traffic) distribution() []scenario.Point {
@@ -209,7 +221,7 @@
 	defer t.mu.Unlock()
 	var ps []scenario.Point
 	for _, q := range []float64{1, 5, 10, 25, 50, 75, 90, 95, 99, 99.9, 100} {
-		ps = append(ps, scenario.Point{X: q / 100, Y: t.quantile(q)})
+		ps = append(ps, scenario.Point{X: q / 100, Y: quantile(t.claims, q)})
 	}
 	return ps
 }
--- a/internal/state/once/claim.go
+++ b/internal/state/once/claim.go
@@ -146,6 +146,8 @@
 		c.Status, c.Reason = Refused, outcome.KeyReused
 	case claimrpc.Verdict_FULL:
 		c.Status, c.Reason = Refused, outcome.BucketFull
+	case claimrpc.Verdict_SHED:
+		c.Status, c.Reason = Refused, outcome.Shed
 	default:
 		c.Status, c.Reason = Refused, outcome.StoreDown
 	}
--- a/internal/state/once/committer.go
+++ b/internal/state/once/committer.go
@@ -22,6 +22,9 @@
 	// minPause and maxPause bound the waits between the tries of a commit.
 	minPause = 5 * time.Millisecond
 	maxPause = 100 * time.Millisecond
+	// lateGrace is how far a slice is prolonged either way before its bucket
+	// counts as late.
+	lateGrace = 500 * time.Millisecond
 	// downPause is how long claims are refused after the service refused
 	// all tries of a commit.
 	downPause = 150 * time.Millisecond
@@ -103,6 +106,13 @@
 	}
 }
 
+// shed answers that the ops were not tried.
+func shed(ps []pending) {
+	for _, p := range ps {
+		p.answer(&claimrpc.Result{Verdict: claimrpc.Verdict_SHED})
+	}
+}
+
 func (c *committer) run() {
 	for {
 		b := c.gather()
@@ -150,7 +160,7 @@
 		}
 		return nil, max(idle, time.Millisecond), false
 	}
-	if wait := c.due().Sub(now); wait > 0 && len(c.queue) < maxBatch {
+	if wait := c.due(now).Sub(now); wait > 0 && len(c.queue) < maxBatch {
 		return nil, wait, false
 	}
 	b := c.queue
@@ -161,15 +171,30 @@
 // due is when the queue is to be committed: with claims in it as soon as the
 // window since the last commit is over, else when the oldest has waited long
 // enough for claims to come.
-func (c *committer) due() time.Time {
+func (c *committer) due(now time.Time) time.Time {
 	for _, p := range c.queue {
 		if p.op.Action == claimrpc.Action_CLAIM {
-			return c.last.Add(c.window)
+			return c.last.Add(c.pause(now))
 		}
 	}
 	return c.queue[0].arrived.Add(c.s.config.RecordWindow)
 }
 
+// pause is the least time between two commits with claims.
+func (c *committer) pause(now time.Time) time.Duration {
+	if c.late(now) {
+		return max(c.window, c.s.config.LateWindow)
+	}
+	return c.window
+}
+
+// late tells whether the slice of the bucket is over or to come. Most claims
+// carry the present time, so late buckets are many and hold few claims each.
+func (c *committer) late(now time.Time) bool {
+	begin := time.UnixMilli(c.place.slice * c.s.config.Slice.Milliseconds())
+	return now.Before(begin.Add(-lateGrace)) || now.After(begin.Add(c.s.config.Slice+lateGrace))
+}
+
 // commit writes a batch and answers it.
 func (c *committer) commit(ps []pending) {
 	if ps = dropOverdue(ps, time.Now()); len(ps) == 0 {
@@ -183,6 +208,10 @@
 	}
 	ctx, cancel := context.WithDeadline(c.s.ctx, end)
 	defer cancel()
+	if c.late(time.Now()) && !c.s.pace.wait(ctx, c.s.config.LateWrites, len(c.s.config.Members.Live())) {
+		shed(ps)
+		return
+	}
 	t := try{c: c, batch: ps}
 	for n := 0; ; n++ {
 		if n > 0 && !c.s.sleep(ctx, c.s.jitter(min(minPause<<min(n, 16), maxPause))) {
--- a/internal/state/once/forward.go
+++ b/internal/state/once/forward.go
@@ -71,6 +71,11 @@
 	return false
 }
 
+// decided tells whether the bucket was asked about an op.
+func decided(r *claimrpc.Result) bool {
+	return r.Verdict != claimrpc.Verdict_STORE_DOWN && r.Verdict != claimrpc.Verdict_SHED
+}
+
 // local runs ops through this node's committer. Refusals are unsure if an
 // owner may have taken the ops before.
 func (s *Store) local(ctx context.Context, p place, ops []*claimrpc.Op, unsure bool) []*claimrpc.Result {
@@ -87,7 +92,7 @@
 		case <-ctx.Done():
 			rs[i] = &claimrpc.Result{Verdict: claimrpc.Verdict_STORE_DOWN, Unsure: true}
 		}
-		if unsure && rs[i].Verdict == claimrpc.Verdict_STORE_DOWN {
+		if unsure && !decided(rs[i]) {
 			rs[i].Unsure = true
 		}
 	}
--- a/internal/state/once/store.go
+++ b/internal/state/once/store.go
@@ -57,6 +57,10 @@
 	MaxBucket int
 	// Window is the least time between two commits of a bucket with claims.
 	Window time.Duration
+	// LateWindow is that time for a bucket whose slice is over or to come.
+	LateWindow time.Duration
+	// LateWrites bounds the commits a second of such buckets, by all nodes.
+	LateWrites float64
 	// RecordWindow is how long an outcome waits for claims to go with.
 	RecordWindow time.Duration
 	// SweepInterval is the time between two searches for expired buckets;
@@ -73,6 +77,8 @@
 	DefaultHashes        = 1
 	DefaultMaxBucket     = kv.MaxValue * 3 / 4
 	DefaultWindow        = 25 * time.Millisecond
+	DefaultLateWindow    = 150 * time.Millisecond
+	DefaultLateWrites    = 150.0
 	DefaultRecordWindow  = 250 * time.Millisecond
 	DefaultSweepInterval = 10 * time.Minute
 )
@@ -85,6 +91,8 @@
 	c.Hashes = or(c.Hashes, DefaultHashes)
 	c.MaxBucket = or(c.MaxBucket, DefaultMaxBucket)
 	c.Window = or(c.Window, DefaultWindow)
+	c.LateWindow = or(c.LateWindow, DefaultLateWindow)
+	c.LateWrites = or(c.LateWrites, DefaultLateWrites)
 	c.RecordWindow = or(c.RecordWindow, DefaultRecordWindow)
 	c.SweepInterval = or(c.SweepInterval, DefaultSweepInterval)
 	if c.Events == nil {
@@ -111,6 +119,7 @@
 	counts counters
 	owners *owners
 	outbox *outbox
+	pace   pace
 
 	mu         sync.Mutex
 	closed     bool
--- a/internal/state/once/store_test.go
+++ b/internal/state/once/store_test.go
@@ -131,6 +131,38 @@
 	})
 }
 
+// A backlog has a bucket for each key. What the service can't be asked within
+// the deadline is refused, and truly did not run.
+func TestBacklogIsPaced(t *testing.T) {
+	bubble(t, Config{}, func(m *memory, a, _ *Store) {
+		now := time.Now()
+		var w sync.WaitGroup
+		var claimed, refused, shed atomic.Int64
+		for i := range 2000 {
+			w.Go(func() {
+				c := claim(a, keyAt(now.Add(-time.Minute-time.Duration(i)*DefaultSlice)), 4*time.Second)
+				switch c.Status {
+				case Claimed:
+					claimed.Add(1)
+				case Refused:
+					refused.Add(1)
+				}
+				if c.Reason == outcome.Shed {
+					shed.Add(1)
+				}
+			})
+		}
+		w.Wait()
+		most := int64(minBurst + 4*DefaultLateWrites)
+		if n := claimed.Load(); n < most/2 || n > most || n+refused.Load() != 2000 || len(m.entries) != int(n) {
+			t.Fatalf("%d claimed, %d refused, %d buckets", n, refused.Load(), len(m.entries))
+		}
+		if shed.Load() < 1000 {
+			t.Fatalf("%d shed only", shed.Load())
+		}
+	})
+}
+
 func TestStoreDown(t *testing.T) {
 	bubble(t, Config{}, func(m *memory, a, b *Store) {
 		k, l := keyAt(time.Now()), keyAt(time.Now())
