Say in each problem what the reason means and what to do

Cause: a write refused for the store had the bare text Service Unavailable. Change: words for every reason, checked by the test of docs/API.md.

--- a/internal/front/caller/query.go
+++ b/internal/front/caller/query.go
@@ -102,7 +102,7 @@
 	if o.OK() {
 		o = outcome.Failed(outcome.IncompleteCoverage)
 	}
-	d := problemdetail.New(o, "the query has no answer")
+	d := problemdetail.New(o, "")
 	if len(res.Coverage.Covered) > 0 {
 		d.Detail = fmt.Sprintf("the answer covers %.4f of the key space and partial answers were not accepted", res.Coverage.Fraction())
 		if a.AcceptPartial {
--- a/internal/front/problemdetail/detail.go
+++ b/internal/front/problemdetail/detail.go
@@ -45,8 +45,12 @@
 	RetryAfter int `json:"-"`
 }
 
-// New returns the problem of an outcome that is not ok.
+// New returns the problem of an outcome that is not ok. Without a detail it
+// has the words for the reason.
 func New(o outcome.Outcome, detail string) Detail {
+	if detail == "" {
+		detail = words[o.Reason]
+	}
 	d := Detail{Type: typePrefix + string(o.Reason), Detail: detail, Outcome: o.Kind, Reason: o.Reason}
 	d.Status = status(o)
 	d.Title = http.StatusText(d.Status)
--- a/internal/front/problemdetail/page_test.go
+++ b/internal/front/problemdetail/page_test.go
@@ -25,6 +25,10 @@
 		for r := range strings.SplitSeq(m[1], ", ") {
 			seen++
 			d := problemdetail.New(outcome.NotRun(outcome.Reason(strings.Trim(r, "`"))), "")
+			own := d.Reason == outcome.BadRequest || d.Reason == outcome.UnknownSearch
+			if d.Detail == "" && !own {
+				t.Errorf("%s has no words", r)
+			}
 			if !strings.Contains(m[2], strconv.Itoa(d.Status)) {
 				t.Errorf("%s has status %d, the page says %s", r, d.Status, m[2])
 			}
