--- a/internal/platform/kv/outage.go
+++ b/internal/platform/kv/outage.go
@@ -8,10 +8,25 @@
 	"egrethaven/internal/observe/event"
 )
 
+// eventGap is the least time between two events of one sort about single
+// calls.
+const eventGap = time.Second
+
 // outage knows since when the service has not answered.
 type outage struct {
 	mu    sync.Mutex
 	since time.Time
+	// throttled and unsure are when the events of single calls were last sent.
+	throttled, unsure time.Time
+}
+
+// due tells whether an event may be sent again, and notes that it is.
+func due(last *time.Time, now time.Time) bool {
+	if now.Sub(*last) < eventGap {
+		return false
+	}
+	*last = now
+	return true
 }
 
 // note tells the outage state how a call ended. A throttled call shows that
@@ -25,10 +40,14 @@
 	case a.throttled:
 		c.counts.down.Add(1)
 		c.counts.throttled.Add(1)
-		c.config.Events.Emit(event.PlatformThrottled, c.config.Addr, "rate refused")
+		if due(&o.throttled, time.Now()) {
+			c.config.Events.Emit(event.PlatformThrottled, c.config.Addr, "rate refused")
+		}
 	case s == Unknown:
 		c.counts.unknown.Add(1)
-		c.config.Events.Emit(event.PlatformUnsure, c.config.Addr, "answer lost")
+		if due(&o.unsure, time.Now()) {
+			c.config.Events.Emit(event.PlatformUnsure, c.config.Addr, "answer lost")
+		}
 	case s == Down && o.since.IsZero():
 		c.counts.down.Add(1)
 		o.since = time.Now()
