member, spread: fuzz targets; answer peers before the start

Change: FuzzHeartbeat, FuzzDelta; Spread has an empty membership until Start; Members.Knows for admission by address.

--- /dev/null
+++ b/internal/peer/member/fuzz_test.go
@@ -0,0 +1,45 @@
+package member
+
+import (
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"egrethaven/internal/peer/memberrpc"
+	"egrethaven/internal/peer/rumor"
+)
+
+// FuzzHeartbeat takes in any bytes that pass for a heartbeat.
+func FuzzHeartbeat(f *testing.F) {
+	b, err := proto.Marshal(&memberrpc.Heartbeat{
+		From:    toUpdate(Update{VM: testVM(2), Incarnation: 1}),
+		Updates: []*memberrpc.Update{toUpdate(Update{VM: testVM(3), Incarnation: 2, State: Suspect})},
+		Rumors:  []*memberrpc.Rumor{{Kind: 1, Key: "s", Sequence: 1, TtlMs: 1000, Payload: []byte("{}")}},
+	})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var h memberrpc.Heartbeat
+		if proto.Unmarshal(b, &h) != nil {
+			return
+		}
+		m := New(Config{Self: testVM(1), Rumors: rumor.New(rumor.Config{Node: "e-1"})})
+		defer m.Close()
+		m.take(&h)
+		for _, x := range m.Members() {
+			if (Update{VM: x.VM, State: x.State}).Valid() != nil {
+				t.Errorf("took %+v", x)
+			}
+		}
+		for _, r := range m.c.Rumors.Held() {
+			if r.Valid() != nil {
+				t.Errorf("took %+v", r)
+			}
+		}
+		if n := proto.Size(m.heartbeat("e-2")); n > newsBytes+200 {
+			t.Errorf("the next heartbeat has %d bytes", n)
+		}
+	})
+}
--- a/internal/peer/member/service.go
+++ b/internal/peer/member/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -208,6 +209,19 @@
 	}
 }
 
+// Knows tells whether an address is that of a member that is not dead.
+func (m *Members) Knows(a netip.Addr) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, e := range m.t.all {
+		p, err := netip.ParseAddrPort(e.VM.Addr)
+		if err == nil && p.Addr() == a && e.State != Dead {
+			return true
+		}
+	}
+	return false
+}
+
 // Queued is how many changes of members wait to be handed out.
 func (m *Members) Queued() int {
 	m.mu.Lock()
--- /dev/null
+++ b/internal/state/spread/fuzz_test.go
@@ -0,0 +1,44 @@
+package spread
+
+import (
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"egrethaven/internal/peer/configrpc"
+	"egrethaven/internal/platform/fakekv"
+	"egrethaven/internal/state/config"
+	"egrethaven/internal/state/search"
+)
+
+// FuzzDelta offers any bytes that pass for a delta.
+func FuzzDelta(f *testing.F) {
+	m := config.New(config.Config{Store: fakekv.New(1), Mode: config.Idle})
+	defer m.Close()
+	m.Apply(f.Context(), config.Change{ID: "a", Put: []search.Definition{{Name: "s"}}})
+	x, docs := m.Documents()
+	b, err := proto.Marshal(toDelta(config.Between(config.Index{}, x, docs)))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var p configrpc.DeltaReply
+		if proto.Unmarshal(b, &p) != nil {
+			return
+		}
+		d, err := fromDelta(&p)
+		if err != nil {
+			return
+		}
+		m := config.New(config.Config{Store: fakekv.New(1), Mode: config.Idle})
+		defer m.Close()
+		took, err := m.Offer(d, "peer")
+		if took != (err == nil) && d.Revision > 0 {
+			t.Errorf("took is %v, error %v", took, err)
+		}
+		if took && (m.Index().Digest() != d.Digest || m.Index().Valid() != nil || len(m.Current().Searches) != len(m.Index().Refs)) {
+			t.Errorf("in force is %+v of %+v", m.Index(), d)
+		}
+	})
+}
--- a/internal/state/spread/role.go
+++ b/internal/state/spread/role.go
@@ -67,8 +67,8 @@
 	mode := config.Mode(-1)
 	seen, watch := ^uint64(0), false
 	for {
-		if v := s.peers.Version(); v != seen {
-			seen, watch = v, s.c.Everyone || watches(s.c.Self, s.peers.Live(s.c.Self.Domain))
+		if v := s.peers().Version(); v != seen {
+			seen, watch = v, s.c.Everyone || watches(s.c.Self, s.peers().Live(s.c.Self.Domain))
 		}
 		if m := s.role(begin, watch).mode(); m != mode {
 			s.enter(m, mode)
--- a/internal/state/spread/spread.go
+++ b/internal/state/spread/spread.go
@@ -26,6 +26,26 @@
 	Push(domains bool)
 }
 
+// joined holds the membership once Start has given it.
+type joined struct{ Peers }
+
+// alone is the membership before Start.
+type alone struct{}
+
+func (alone) Live(zone.Domain) []vm.VM { return nil }
+func (alone) LiveAll() []vm.VM         { return nil }
+func (alone) Members() []member.Member { return nil }
+func (alone) Version() uint64          { return 0 }
+func (alone) Push(bool)                {}
+
+// peers is the membership.
+func (s *Spread) peers() Peers {
+	if j := s.joined.Load(); j != nil {
+		return j
+	}
+	return alone{}
+}
+
 // Config configures a Spread.
 type Config struct {
 	Self    vm.VM
@@ -44,7 +64,7 @@
 	// patience is for how long the service's word may be missing before this
 	// node reads the root by itself.
 	patience time.Duration
-	peers    Peers
+	joined   atomic.Pointer[joined]
 	offers   chan offer
 	past     past
 	// confirmed is when the service last confirmed the revision in force, by
@@ -102,7 +122,7 @@
 
 // Start begins to follow the service and the peers.
 func (s *Spread) Start(p Peers) {
-	s.peers = p
+	s.joined.Store(&joined{p})
 	s.past.add(s.c.Manager.Index())
 	s.c.Manager.Subscribe(s.adopted)
 	s.wg.Go(s.loop)
@@ -127,11 +147,7 @@
 	if s.c.Manager.Ready() {
 		return true, ""
 	}
-	n := 0
-	if s.peers != nil {
-		n = len(s.peers.LiveAll()) - 1
-	}
-	if n <= 0 {
+	if len(s.peers().LiveAll()) <= 1 {
 		return false, "no configuration: the platform's service has not answered and no peer is known"
 	}
 	return false, "no configuration: the platform's service has not answered and no peer has passed one on yet"
@@ -140,7 +156,7 @@
 // adopted lets peers know of a new revision.
 func (s *Spread) adopted(_ *config.Snapshot, from config.Source) {
 	s.past.add(s.c.Manager.Index())
-	s.peers.Push(from != config.FromPeer)
+	s.peers().Push(from != config.FromPeer)
 }
 
 // Digest is what this node's heartbeats say.
--- a/internal/state/spread/status.go
+++ b/internal/state/spread/status.go
@@ -34,7 +34,7 @@
 // node. One node of each other failure domain is asked for all of its own.
 func (s *Spread) Status(ctx context.Context) []config.NodeStatus {
 	domains := map[zone.Domain][]vm.VM{}
-	for _, v := range s.peers.LiveAll() {
+	for _, v := range s.peers().LiveAll() {
 		domains[v.Domain] = append(domains[v.Domain], v)
 	}
 	var mu sync.Mutex
@@ -84,7 +84,7 @@
 // unreached is what was last heard from a node that does not answer.
 func (s *Spread) unreached(v vm.VM) config.NodeStatus {
 	n := config.NodeStatus{Node: v.ID, Domain: string(v.Domain), AgeMS: -1}
-	for _, m := range s.peers.Members() {
+	for _, m := range s.peers().Members() {
 		if m.VM.ID == v.ID && !m.Heard.IsZero() {
 			n.Revision, n.AgeMS = m.Digest.Revision, time.Since(m.Heard).Milliseconds()
 		}
@@ -152,7 +152,7 @@
 	s := x.Spread
 	ns := []config.NodeStatus{s.own()}
 	if in.GetWholeDomain() {
-		ns = s.askEach(ctx, s.peers.Live(s.c.Self.Domain))
+		ns = s.askEach(ctx, s.peers().Live(s.c.Self.Domain))
 	}
 	out := &configrpc.StatusReply{}
 	for _, n := range ns {
