Never overwrite a bucket that can't be read whole

Cause: a service that tells the revision, but not the value, at a conflict made the bucket look empty, and the next swap would have freed keys that ran; so would a value cut short between two entries. Change: a bucket carries its count of entries; an empty or short one is no bucket and is left alone, with an event; a conflict without a value is read. Conclusion: a corrupt bucket costs its keys their availability, not the promise.

--- a/internal/bench/writes/fleet.go
+++ b/internal/bench/writes/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -52,6 +53,8 @@
 	platform *platform.Platform
 	nodes    []*node
 	vms      []vm.VM
+	// bytes counts what swaps carried.
+	bytes atomic.Int64
 }
 
 // Live returns all nodes: a paused one is still listed.
@@ -86,7 +89,7 @@
 func (f *fleet) start(n *node, c fleetConfig, i uint64) error {
 	n.dialer = rpc.NewDialer(rpc.DialerConfig{SharedKey: sharedKey})
 	n.client = kv.New(kv.Config{Addr: f.platform.Addr(), Seed: c.seed + i})
-	store := gatedStore{Store: n.client, gate: n.gate}
+	store := gatedStore{Store: n.client, gate: n.gate, bytes: &f.bytes}
 	if c.naive {
 		n.claims = newSingle(store)
 		n.server.Serve()
--- a/internal/bench/writes/gate.go
+++ b/internal/bench/writes/gate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 
 	"egrethaven/internal/peer/claimrpc"
 	"egrethaven/internal/platform/kv"
@@ -71,6 +72,8 @@
 type gatedStore struct {
 	kv.Store
 	gate *gate
+	// bytes counts what swaps carry.
+	bytes *atomic.Int64
 }
 
 func (s gatedStore) Get(ctx context.Context, key string) (kv.Entry, kv.Status) {
@@ -82,6 +85,7 @@
 func (s gatedStore) Swap(ctx context.Context, key string, expect uint64, v []byte) (kv.Entry, kv.Status) {
 	s.gate.pass()
 	defer s.gate.pass()
+	s.bytes.Add(int64(len(v)))
 	return s.Store.Swap(ctx, key, expect, v)
 }
 
--- a/internal/bench/writes/traffic.go
+++ b/internal/bench/writes/traffic.go
@@ -198,6 +198,7 @@
 	return append(calls,
 		figure.Of("kv_writes_per_second", float64(s.Writes)/d.Seconds()),
 		figure.Of("kv_reads_per_second", float64(s.Reads)/d.Seconds()),
+		figure.Of("kv_written_kb_per_second", float64(t.fleet.bytes.Load())/1000/d.Seconds()),
 		figure.Of("claim_p50_ms", quantile(t.claims, 50)),
 		figure.Of("claim_p99_ms", quantile(t.claims, 99)),
 		figure.Of("claim_max_ms", quantile(t.claims, 100)),
--- a/internal/state/once/bucket.go
+++ b/internal/state/once/bucket.go
@@ -16,6 +16,8 @@
 	maxDetail = 256
 	// entryOverhead is what the list of a bucket adds to an entry, in bytes.
 	entryOverhead = 4
+	// countRoom is what the count of a bucket takes, in bytes.
+	countRoom = 6
 	// outcomeRoom is kept free for the outcome of each claim, in bytes.
 	outcomeRoom = 64
 )
@@ -57,7 +59,7 @@
 
 // fits tells whether the entry of a key may be set under a limit.
 func (b *bucket) fits(k key, e *claimrpc.Entry, limit int) bool {
-	n := b.size + room(e)
+	n := b.size + countRoom + room(e)
 	if old := b.entries[k]; old != nil {
 		n -= room(old)
 	}
@@ -158,7 +160,7 @@
 
 // encode returns the bucket's value.
 func (b bucket) encode() ([]byte, error) {
-	m := &claimrpc.Bucket{Entries: make([]*claimrpc.Entry, 0, len(b.entries))}
+	m := &claimrpc.Bucket{Entries: make([]*claimrpc.Entry, 0, len(b.entries)), Count: uint32(len(b.entries))}
 	for _, e := range b.entries {
 		m.Entries = append(m.Entries, e)
 	}
@@ -172,6 +174,10 @@
 	if err := proto.Unmarshal(v, &m); err != nil {
 		return bucket{}, errors.Annotate(err, "bucket")
 	}
+	// No bucket is written without entries, so an empty value is no bucket.
+	if len(m.Entries) == 0 || int(m.Count) != len(m.Entries) {
+		return bucket{}, errors.NotValidf("bucket of %d entries with a count of %d", len(m.Entries), m.Count)
+	}
 	b := bucket{entries: make(map[key]*claimrpc.Entry, len(m.Entries))}
 	for _, e := range m.Entries {
 		if err := check(e); err != nil {
--- a/internal/state/once/memory_test.go
+++ b/internal/state/once/memory_test.go
@@ -25,6 +25,8 @@
 	delay time.Duration
 	// lose is the fraction of answers that are lost.
 	lose float64
+	// mute leaves the value out of conflicts.
+	mute bool
 	// before runs ahead of each swap, without the lock.
 	before func(key string)
 }
@@ -97,6 +99,9 @@
 		m.entries[key] = e
 		return kv.Done
 	})
+	if s == kv.Conflict && m.mute {
+		e.Value = nil
+	}
 	if s != kv.Done && s != kv.Conflict {
 		e = kv.Entry{}
 	}
--- a/internal/state/once/store.go
+++ b/internal/state/once/store.go
@@ -28,6 +28,9 @@
 }
 
 // Config is what a Store is made from. Zero values mean the defaults.
+// Retention, Margin, Slice and Hashes have to be the same on all nodes, old
+// and new, since they decide where a key is looked for and for how long: they
+// are no settings of a VM.
 type Config struct {
 	// Store is the platform's key-value service.
 	Store kv.Store
--- a/internal/state/once/try.go
+++ b/internal/state/once/try.go
@@ -72,7 +72,8 @@
 	case kv.Conflict:
 		c.s.counts.conflicts.Add(1)
 		c.known = false
-		if e.Revision != 0 {
+		// Not every service tells the value that is in the way.
+		if e.Revision != 0 && len(e.Value) > 0 {
 			c.adopt(e)
 		}
 	case kv.Unknown:
