--- a/internal/query/scatter/call.go
+++ b/internal/query/scatter/call.go
@@ -1,7 +1,6 @@
 package scatter
 
 import (
-	"context"
 	"strconv"
 	"time"
 
@@ -57,20 +56,18 @@
 	s.tried = s.tried.With(k)
 	s.attempts++
 	q := r.query(i, s)
-	c, cancel := context.WithCancel(r.ctx)
-	s.flights = append(s.flights, flight{attempt: s.attempts, began: time.Now(), cancel: cancel})
+	c := &callContext{Context: r.ctx}
+	s.flights = append(s.flights, flight{attempt: s.attempts, began: time.Now(), ctx: c})
 	r.step(what, p.ID(), &s.Range, "")
 	res := result{shard: i, replica: k, attempt: s.attempts}
 	out, over := r.results, r.ctx.Done()
-	r.e.calls.Add(1)
-	go func() {
-		defer r.e.calls.Done()
+	r.e.workers.Go(func() {
 		res.reply = p.Search(c, q)
 		select {
 		case out <- res:
 		case <-over:
 		}
-	}()
+	})
 }
 
 // query is the message for the next call of a shard.
--- a/internal/query/scatter/delegate.go
+++ b/internal/query/scatter/delegate.go
@@ -114,15 +114,13 @@
 	r.step(what, h.ID(), nil, "")
 	r.push(due{at: now.Add(partDelays * r.delay), shard: noShard, part: k + 1})
 	c, out := r.ctx, r.parts
-	r.e.calls.Add(1)
-	go func() {
-		defer r.e.calls.Done()
+	r.e.workers.Go(func() {
 		res := partResult{group: k, reply: h.Part(c, p)}
 		select {
 		case out <- res:
 		case <-c.Done():
 		}
-	}()
+	})
 	return true
 }
 
--- a/internal/query/scatter/engine.go
+++ b/internal/query/scatter/engine.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -12,6 +11,7 @@
 	"egrethaven/internal/query/ask"
 	"egrethaven/internal/query/coverage"
 	"egrethaven/internal/query/outcome"
+	"egrethaven/internal/query/worker"
 	"egrethaven/internal/state/config"
 	"egrethaven/internal/state/search"
 	"egrethaven/internal/world/zone"
@@ -43,7 +43,7 @@
 	c       Config
 	lanes   lanes
 	queries atomic.Uint64
-	calls   sync.WaitGroup
+	workers *worker.Pool
 }
 
 // New returns an engine.
@@ -57,12 +57,12 @@
 	if c.Observe == nil {
 		c.Observe = func(ask.Ask, ask.Answer) {}
 	}
-	return &Engine{c: c, lanes: lanes{fixed: c.Policy.FixedAdmission, names: make(map[string]*lane)}}
+	return &Engine{c: c, workers: worker.New(), lanes: lanes{fixed: c.Policy.FixedAdmission, names: make(map[string]*lane)}}
 }
 
 // Close waits for the calls that answered queries left behind.
 func (e *Engine) Close() {
-	e.calls.Wait()
+	e.workers.Close()
 }
 
 // Ask answers one question. The answer always names its outcome; it is
--- a/internal/query/scatter/part.go
+++ b/internal/query/scatter/part.go
@@ -29,6 +29,7 @@
 	c, cancel := context.WithDeadline(ctx, p.Ask.Deadline)
 	defer cancel()
 	r.ctx = c
+	defer r.cancelCalls()
 	r.results = make(chan result, resultBuffer)
 	r.begin()
 	r.loop()
--- a/internal/query/scatter/run.go
+++ b/internal/query/scatter/run.go
@@ -127,6 +127,7 @@
 	c, cancel := context.WithDeadline(ctx, r.ask.Deadline.Add(-replyMargin))
 	defer cancel()
 	r.ctx = c
+	defer r.cancelCalls()
 	r.results = make(chan result, resultBuffer)
 	r.due = r.due[:0]
 	r.partHits = nil
@@ -138,6 +139,15 @@
 	return r.loop()
 }
 
+// cancelCalls ends every call in flight.
+func (r *run) cancelCalls() {
+	for i := range r.shards {
+		for _, f := range r.shards[i].flights {
+			f.ctx.cancel()
+		}
+	}
+}
+
 // pin chooses the version: the newest complete one, or for a caller who
 // accepts a partial answer the newest of all. After a restart only a newer
 // version than before will do.
--- a/internal/query/scatter/shard.go
+++ b/internal/query/scatter/shard.go
@@ -1,7 +1,6 @@
 package scatter
 
 import (
-	"context"
 	"time"
 
 	"egrethaven/internal/back/choice"
@@ -13,7 +12,7 @@
 type flight struct {
 	attempt int
 	began   time.Time
-	cancel  context.CancelFunc
+	ctx     *callContext
 }
 
 // shardState is one shard of a query on its way.
@@ -63,7 +62,7 @@
 func (s *shardState) land(attempt int) {
 	for i, f := range s.flights {
 		if f.attempt == attempt {
-			f.cancel()
+			f.ctx.cancel()
 			s.flights = append(s.flights[:i], s.flights[i+1:]...)
 			return
 		}
@@ -74,7 +73,7 @@
 // returns how long they had lasted.
 func (s *shardState) cancel(now time.Time, ds []time.Duration) []time.Duration {
 	for _, f := range s.flights {
-		f.cancel()
+		f.ctx.cancel()
 		ds = append(ds, now.Sub(f.began))
 	}
 	return ds
