Forget suspicions that are over; hold the word of other nodes for 20 s

Cause: requests that are never sent again were remembered for good; a searcher that returned stayed unused for a minute on nodes that were told of its drain. Change: a purge a minute; a bound on what was told.

--- a/internal/back/quarantine/quarantine.go
+++ b/internal/back/quarantine/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"sync"
 	"time"
 
@@ -15,6 +16,8 @@
 	// DefaultSpreadTime is how long a suspicion takes to reach all nodes when
 	// nothing tells that it has.
 	DefaultSpreadTime = 2 * time.Second
+	// purgeInterval is the time between two searches for what is over.
+	purgeInterval = time.Minute
 	// trustTime is how long an answered request is trusted.
 	trustTime = 5 * time.Minute
 	// mostTrusted bounds the answered requests that are remembered, in each of
@@ -62,6 +65,7 @@
 	held     map[uint64]time.Time
 	trusted  generations
 	lastLoss time.Time
+	purged   time.Time
 }
 
 // New returns a Quarantine.
@@ -217,6 +221,7 @@
 	if _, ok := q.held[fingerprint]; ok {
 		return time.Time{}, false
 	}
+	q.purge(i.At)
 	s := q.suspects[fingerprint]
 	s.Fingerprint = fingerprint
 	s = s.Lost(i)
@@ -231,6 +236,17 @@
 	return until, true
 }
 
+// purge drops what is over, now and then: requests that are never sent again
+// are never judged. The lock is held.
+func (q *Quarantine) purge(now time.Time) {
+	if now.Sub(q.purged) < purgeInterval {
+		return
+	}
+	q.purged = now
+	maps.DeleteFunc(q.suspects, func(_ uint64, s Suspicion) bool { return s.Expired(now) })
+	maps.DeleteFunc(q.held, func(_ uint64, until time.Time) bool { return !now.Before(until) })
+}
+
 // calm returns when no searcher will have been lost for the time of a wave.
 func (q *Quarantine) calm() time.Time {
 	q.mu.Lock()
--- a/internal/back/quarantine/quarantine_test.go
+++ b/internal/back/quarantine/quarantine_test.go
@@ -116,6 +116,12 @@
 	if v := q.Judge(1); v != Quarantined {
 		t.Fatalf("%v after a second searcher was lost in a trial", v)
 	}
+	q.Lost(2, "c", 1)
+	time.Sleep(DefaultTime + suspectTime)
+	q.Lost(3, "d", 1)
+	if len(q.suspects) != 1 || len(q.held) != 0 {
+		t.Fatalf("%d suspects, %d held after all is over", len(q.suspects), len(q.held))
+	}
 }
 
 func TestFingerprintKeepsFieldsApart(t *testing.T) {
--- a/internal/back/standing/standing.go
+++ b/internal/back/standing/standing.go
@@ -23,6 +23,9 @@
 const (
 	// holdFirst is how long evidence of a drain holds at first.
 	holdFirst = 10 * time.Second
+	// holdTold bounds how long the word of another node holds; the searcher's
+	// status page may remove the doubt after that.
+	holdTold = 20 * time.Second
 	// holdMost bounds how long it holds after repeats.
 	holdMost = 5 * time.Minute
 	// freshTime is how long an answer speaks against page and list.
@@ -79,6 +82,9 @@
 // Told takes from another node that the searcher leaves. It reports whether
 // this is the first evidence of a drain.
 func (r *Record) Told(now, until time.Time) bool {
+	if most := now.Add(holdTold); until.After(most) {
+		until = most
+	}
 	first := !r.doubted && until.After(now)
 	if until.After(r.drainTill) {
 		r.doubted, r.drainTill = r.doubted || until.After(now), until
--- a/internal/back/standing/standing_test.go
+++ b/internal/back/standing/standing_test.go
@@ -78,4 +78,8 @@
 	if !r.Told(start, start.Add(time.Minute)) || r.Use(start) != None {
 		t.Fatal("the word of another node is not believed")
 	}
+	late := start.Add(holdTold)
+	if r.Page(late.Add(-1), false) || !r.Page(late, false) || r.Use(late) != Normal {
+		t.Fatal("the page does not remove the doubt after the word of another node")
+	}
 }
