Test outcomes that come through another node's committer

Cause: with the read of the current bucket left out for outcomes, no test failed. Change: TestOutcomeThroughAnotherNode. Figures: it fails with that read left out and passes with it.

--- a/internal/state/once/store_test.go
+++ b/internal/state/once/store_test.go
@@ -131,6 +131,19 @@
 	})
 }
 
+// An outcome may come to a committer that knows an older state of the bucket.
+func TestOutcomeThroughAnotherNode(t *testing.T) {
+	bubble(t, Config{}, func(_ *memory, a, b *Store) {
+		now := time.Now()
+		want(t, "first", claim(a, keyAt(now), time.Second), Claimed, "")
+		k := keyAt(now)
+		c := claim(b, k, time.Second)
+		a.Record(c, Record{Outcome: outcome.OK()})
+		time.Sleep(time.Second)
+		want(t, "repeat", claim(b, k, time.Second), Repeated, "")
+	})
+}
+
 // A value that can't be read is never overwritten: it may hold keys that ran.
 func TestCorruptBucketIsLeftAlone(t *testing.T) {
 	bubble(t, Config{}, func(m *memory, a, b *Store) {
