Count a searcher as dead only when no attempt is left

Cause: TestRefusedConnectionsCostNoCall failed in 1 of 10 runs on a busy machine (-race -count=10): while two of eight connections were still being opened, the refusal of the others failed all waiting calls. Change: a pool is dead when an attempt failed and no link is open or being opened, until one opens.

--- a/internal/back/pool/open.go
+++ b/internal/back/pool/open.go
@@ -89,6 +89,7 @@
 // the link has carried a call. The lock is held.
 func (p *Pool) opened(l *link.Link, proven bool) {
 	p.s.Opened++
+	p.gone = false
 	if len(p.waiting) == 0 && p.open() >= p.c.Max {
 		l.Close()
 		return
@@ -109,6 +110,7 @@
 	}
 	p.s.Refused++
 	p.back.fail(time.Now())
+	p.gone = p.gone || p.open() == 0
 	if p.dead() {
 		p.fail(ErrRefused)
 	}
--- a/internal/back/pool/pool.go
+++ b/internal/back/pool/pool.go
@@ -45,17 +45,19 @@
 
 // Pool holds the links of one searcher.
 type Pool struct {
-	ctx      context.Context
-	stop     context.CancelFunc
-	wg       sync.WaitGroup
-	mu       sync.Mutex
-	c        Config
-	idle     []*link.Link
-	used     map[*link.Link]time.Time
-	dialing  int
-	waiting  []chan got
-	back     backOff
-	room     int
+	ctx     context.Context
+	stop    context.CancelFunc
+	wg      sync.WaitGroup
+	mu      sync.Mutex
+	c       Config
+	idle    []*link.Link
+	used    map[*link.Link]time.Time
+	dialing int
+	waiting []chan got
+	back    backOff
+	room    int
+	// gone tells that all attempts to open a link have failed.
+	gone     bool
 	usual    time.Duration
 	passed   time.Time
 	next     time.Time
@@ -171,7 +173,7 @@
 	p.fill()
 }
 
-// Dead tells that no link is open and the last attempt to open one failed.
+// Dead tells that no link is open and all attempts to open one have failed.
 func (p *Pool) Dead() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -211,7 +213,7 @@
 
 // dead is Dead with the lock held.
 func (p *Pool) dead() bool {
-	return len(p.idle)+len(p.used) == 0 && p.back.failing()
+	return p.gone && len(p.idle)+len(p.used) == 0
 }
 
 // open is the number of links open or being opened. The lock is held.
