--- a/internal/platform/kv/budget.go
+++ b/internal/platform/kv/budget.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
-	"time"
+
+	"egrethaven/internal/platform/tokens"
 )
 
 // Budget bounds what one node asks of the service. Zero means no bound.
@@ -34,58 +34,16 @@
 	}
 }
 
-// bucket is a token bucket. Callers wait in line for its tokens.
+// bucket bounds the rate of one sort of calls; 0 is no bound.
 type bucket struct {
-	rate float64
-
-	mu     sync.Mutex
-	tokens float64
-	at     time.Time
+	rate   float64
+	tokens tokens.Bucket
 }
 
-// wait takes a token, after a wait if need be. It is false, and takes none,
-// when the context ends before the token would be due.
+// wait takes a token, after a wait if need be. It is false when the context
+// ends before the token would be due.
 func (b *bucket) wait(ctx context.Context) bool {
-	if b.rate <= 0 {
-		return true
-	}
-	d, ok := b.reserve(ctx, time.Now())
-	if !ok {
-		return false
-	}
-	if d <= 0 {
-		return true
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
-// reserve takes the next token and tells how long until it is due.
-func (b *bucket) reserve(ctx context.Context, now time.Time) (time.Duration, bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	deep := max(1, b.rate*burst)
-	if b.at.IsZero() {
-		b.tokens = deep
-	} else {
-		b.tokens = min(deep, b.tokens+now.Sub(b.at).Seconds()*b.rate)
-	}
-	b.at = now
-	d := time.Duration(0)
-	if b.tokens < 1 {
-		d = time.Duration((1 - b.tokens) / b.rate * float64(time.Second))
-	}
-	if end, ok := ctx.Deadline(); ok && now.Add(d).After(end) {
-		return 0, false
-	}
-	b.tokens--
-	return d, true
+	return b.rate <= 0 || b.tokens.Wait(ctx, tokens.Rate{PerSecond: b.rate, Depth: b.rate * burst})
 }
 
 // slots bounds how many callers are inside at a time; 0 is no bound.
--- a/internal/standin/platform/meter.go
+++ b/internal/standin/platform/meter.go
@@ -1,6 +1,10 @@
 package platform
 
-import "time"
+import (
+	"time"
+
+	"egrethaven/internal/platform/tokens"
+)
 
 // Stats counts the calls that arrived. A waiting watch is one call.
 type Stats struct {
@@ -59,28 +63,10 @@
 	m.total.PeakWrites = max(m.total.PeakWrites, m.writes)
 }
 
-// bucket is a token bucket of one second's depth.
-type bucket struct {
-	tokens float64
-	at     time.Time
-}
-
-// take tells whether a call is within rate; 0 is no ceiling.
-func (b *bucket) take(rate float64, now time.Time) bool {
-	if rate <= 0 {
-		return true
-	}
-	if b.at.IsZero() {
-		b.tokens = rate
-	} else {
-		b.tokens = min(rate, b.tokens+now.Sub(b.at).Seconds()*rate)
-	}
-	b.at = now
-	if b.tokens < 1 {
-		return false
-	}
-	b.tokens--
-	return true
+// take tells whether a call is within a ceiling of calls a second, which may
+// be saved up for one second; 0 is no ceiling.
+func take(b *tokens.Bucket, ceiling float64, now time.Time) bool {
+	return ceiling <= 0 || b.Take(now, tokens.Rate{PerSecond: ceiling, Depth: ceiling})
 }
 
 // Stats returns the counts so far.
@@ -106,9 +92,9 @@
 	ok := true
 	switch k {
 	case writeCall:
-		ok = p.writes.take(p.faults.WritesPerSecond, now)
+		ok = take(&p.writes, p.faults.WritesPerSecond, now)
 	case readCall, watchCall:
-		ok = p.reads.take(p.faults.ReadsPerSecond, now)
+		ok = take(&p.reads, p.faults.ReadsPerSecond, now)
 	}
 	if p.faults.Down {
 		p.meter.total.Refused++
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -31,6 +31,7 @@
 	"github.com/juju/errors"
 
 	"egrethaven/internal/platform/kv"
+	"egrethaven/internal/platform/tokens"
 	"egrethaven/internal/world/vm"
 )
 
@@ -64,8 +65,8 @@
 	changed  chan struct{}
 	lists    []dated
 	meter    meter
-	writes   bucket
-	reads    bucket
+	writes   tokens.Bucket
+	reads    tokens.Bucket
 }
 
 // value is one key's content; a leased one vanishes with its lease.
--- a/internal/state/once/owners.go
+++ b/internal/state/once/owners.go
@@ -10,6 +10,9 @@
 // avoidTime is how long an owner that did not answer is passed over.
 const avoidTime = time.Second
 
+// forgetTime is how long after that it is remembered as one to probe.
+const forgetTime = time.Minute
+
 // owners chooses the owner of a bucket.
 type owners struct {
 	self    string
@@ -49,6 +52,12 @@
 func (o *owners) lost(id string, now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	for k, t := range o.avoid {
+		// Members come and go; those long gone are forgotten.
+		if now.Sub(t) > forgetTime {
+			delete(o.avoid, k)
+		}
+	}
 	o.avoid[id] = now.Add(avoidTime)
 }
 
--- a/internal/state/once/pace.go
+++ b/internal/state/once/pace.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"sync"
-	"time"
+
+	"egrethaven/internal/platform/tokens"
 )
 
 const (
@@ -18,27 +18,14 @@
 // touches a bucket with each key; without a bound that alone would use up the
 // writes that the service takes.
 type pace struct {
-	mu     sync.Mutex
-	tokens float64
-	at     time.Time
+	tokens tokens.Bucket
 }
 
 // wait takes this node's next share of a rate that all members share. It is
-// false, and takes none, when the context would end first.
+// false when the context would end first.
 func (p *pace) wait(ctx context.Context, rate float64, members int) bool {
 	members = max(1, members)
-	d, ok := p.reserve(ctx, time.Now(), rate/float64(members), burst(members))
-	if !ok || d <= 0 {
-		return ok
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return p.tokens.Wait(ctx, tokens.Rate{PerSecond: rate / float64(members), Depth: burst(members)})
 }
 
 // burst grows with the fleet: there a node owns buckets seldom, but then many
@@ -46,23 +33,3 @@
 func burst(members int) float64 {
 	return float64(min(maxBurst, max(minBurst, members/burstShare)))
 }
-
-// reserve takes the next token and tells how long until it is due.
-func (p *pace) reserve(ctx context.Context, now time.Time, rate, burst float64) (time.Duration, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.at.IsZero() {
-		p.tokens = burst
-	}
-	p.tokens = min(burst, p.tokens+now.Sub(p.at).Seconds()*rate)
-	p.at = now
-	d := time.Duration(0)
-	if p.tokens < 1 {
-		d = time.Duration((1 - p.tokens) / rate * float64(time.Second))
-	}
-	if end, ok := ctx.Deadline(); ok && now.Add(d).After(end) {
-		return 0, false
-	}
-	p.tokens--
-	return d, true
-}
