--- a/internal/back/directory/poll.go
+++ b/internal/back/directory/poll.go
@@ -113,6 +113,20 @@
 	if !sameShards(was, r.status) {
 		e.pause = 0
 		d.rebuild()
+		d.hurryAll(r.status.Service)
+	}
+}
+
+// hurryAll makes the pages of a service due when no version of its index is
+// known to be complete: queries wait then, so no answer tells of changes.
+func (d *Directory) hurryAll(service string) {
+	if len(d.Map(service).Versions) > 0 {
+		return
+	}
+	for id, e := range d.entries {
+		if e.known && e.status.Service == service && e.b.MaxLinks() > 0 {
+			d.hurry(id)
+		}
 	}
 }
 
--- a/internal/query/scatter/engine.go
+++ b/internal/query/scatter/engine.go
@@ -113,7 +113,7 @@
 	began := time.Now()
 	r := newRun(e, l, d, a, start)
 	ans := r.answer(ctx)
-	l.gate.Leave(a.Caller, admit.Feedback{Elapsed: time.Since(began), Congested: r.congested()})
+	l.gate.Leave(a.Caller, admit.Feedback{Elapsed: time.Since(began) - r.pinWait, Congested: r.congested()})
 	return ans
 }
 
--- a/internal/query/scatter/engine_test.go
+++ b/internal/query/scatter/engine_test.go
@@ -96,6 +96,25 @@
 	})
 }
 
+// TestWaitsForACompleteVersion asks while no version is complete, as in the
+// middle of a turnover.
+func TestWaitsForACompleteVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newIndex(4, 2, func(int, int, searcher.Query) behaviour { return ok(ms) })
+		x.versions, x.newest = nil, 1
+		e := engine(t, x, Current(), nil, search.Definition{ExtraLoad: 0.1})
+		time.AfterFunc(200*ms, func() { x.publish(2) })
+		checkWhole(t, e.Ask(context.Background(), question(false)), 4)
+		x.m.Lock()
+		x.versions = nil
+		x.m.Unlock()
+		a := e.Ask(context.Background(), question(false))
+		if a.Outcome != outcome.NotRun(outcome.NoReplica) || a.ElapsedMS > 600 {
+			t.Fatalf("no version ever: %v after %v ms", a.Outcome, a.ElapsedMS)
+		}
+	})
+}
+
 func TestPartialOnlyForThoseWhoAccept(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		x := newIndex(4, 2, func(shard, _ int, _ searcher.Query) behaviour {
--- a/internal/query/scatter/fake_test.go
+++ b/internal/query/scatter/fake_test.go
@@ -82,6 +82,7 @@
 type fakeIndex struct {
 	m        sync.Mutex
 	versions []uint64
+	newest   uint64
 	shards   []Shard
 }
 
@@ -97,7 +98,7 @@
 	if vs := x.Versions(); len(vs) > 0 {
 		return vs[0]
 	}
-	return 0
+	return x.newest
 }
 
 func (x *fakeIndex) Shards(uint64) []Shard { return x.shards }
--- a/internal/query/scatter/run.go
+++ b/internal/query/scatter/run.go
@@ -23,6 +23,10 @@
 	// patienceDelays is how many hedge delays a latency-first query waits
 	// for its last shards when its caller accepts a partial answer.
 	patienceDelays = 6
+	// mostPinWait bounds the wait for a complete version of the index.
+	mostPinWait = time.Second
+	// pinPause is the time between two looks for one.
+	pinPause = 5 * time.Millisecond
 	// resultBuffer is how many ended calls may wait for the query's goroutine.
 	resultBuffer = 16
 	// replyMargin is kept of the deadline to send the answer.
@@ -66,6 +70,8 @@
 	sent     bool
 	shed     int
 	late     bool
+	// pinWait is how long the query waited for a complete version.
+	pinWait time.Duration
 	// settle tells that the other nodes have to know what happened before
 	// the caller gets its answer and may send the request again.
 	settle bool
@@ -121,7 +127,7 @@
 // attempt runs the query on one version. It reports true when the version is
 // gone and the query should move to a newer one.
 func (r *run) attempt(ctx context.Context, v Verdict) bool {
-	if !r.pin() {
+	if !r.pinInTime(ctx) {
 		return false
 	}
 	c, cancel := context.WithDeadline(ctx, r.ask.Deadline.Add(-replyMargin))
@@ -148,6 +154,22 @@
 	}
 }
 
+// pinInTime pins a version. While searchers take up a new version there may
+// be a moment without a complete one: it waits for the end of it, for a part
+// of the time left.
+func (r *run) pinInTime(ctx context.Context) bool {
+	now := time.Now()
+	end := now.Add(min(mostPinWait, r.ask.Deadline.Sub(now)/2))
+	for !r.pin() {
+		if r.e.c.Source.Index(r.def.Service).Newest() == 0 || time.Now().After(end) || ctx.Err() != nil {
+			return false
+		}
+		time.Sleep(pinPause)
+	}
+	r.pinWait += time.Since(now)
+	return true
+}
+
 // pin chooses the version: the newest complete one, or for a caller who
 // accepts a partial answer the newest of all. After a restart only a newer
 // version than before will do.
