bench config: time every change; list config and control

A change refused in an overloaded run ended the scenario. Change: time counts from the first adoption anywhere, out-of-range times are clamped and none is dropped, refused changes are a figure; the two scenarios are in the catalog. Figures: the test now demands changes x nodes times in each arm, which the old code failed.

--- a/internal/bench/catalog/catalog.go
+++ b/internal/bench/catalog/catalog.go
@@ -6,6 +6,8 @@
 package catalog
 
 import (
+	"egrethaven/internal/bench/configspread"
+	"egrethaven/internal/bench/control"
 	"egrethaven/internal/bench/crash"
 	"egrethaven/internal/bench/drain"
 	"egrethaven/internal/bench/healthbench"
@@ -34,6 +36,8 @@
 		poison.Scenario,
 		writes.Scenario,
 		healthbench.Scenario,
+		configspread.Scenario,
+		control.Scenario,
 	}
 }
 
--- a/internal/bench/configspread/configspread.go
+++ b/internal/bench/configspread/configspread.go
@@ -32,11 +32,12 @@
 	defaultNodes = 200
 	// domains is how many failure domains there are.
 	domains = 12
-	// defaultDuration is how long changes are made in each arm.
-	defaultDuration = 4 * time.Second
-	// quietPart times the duration is how long calls to the platform are
-	// counted without changes.
-	quietPart = 3.0 / 2
+	// defaultDuration is the measured time of each fleet.
+	defaultDuration = 10 * time.Second
+	// changePart and quietPart are the parts of the duration in which changes
+	// are made, and in which calls to the platform are counted without any.
+	changePart = 0.4
+	quietPart  = 0.6
 	// settleTimeout bounds the start of a fleet.
 	settleTimeout = 60 * time.Second
 	// targetMS is the longest time to be in force, in milliseconds.
@@ -67,7 +68,7 @@
 		}
 	}
 	out.Notes = append(out.Notes,
-		"time counts from the moment the node that took the change had the swap confirmed",
+		"time counts from the moment a revision was first in force anywhere, as a rule on the node that took the change",
 		"a watch waits 2 s here and 25 s by default, so quiet calls are twelve times those of the product")
 	return out, nil
 }
@@ -79,9 +80,9 @@
 		name = "everyone_watches"
 	}
 	var nodes, calls []float64
-	for _, part := range sizes {
-		n := int(part * float64(o.Nodes))
-		last := part == sizes[len(sizes)-1]
+	for _, share := range sizes {
+		n := int(share * float64(o.Nodes))
+		last := share == sizes[len(sizes)-1]
 		quiet, err := size(ctx, o, n, everyone, last, name, out)
 		if err != nil {
 			return errors.Annotatef(err, "%d nodes", n)
@@ -110,11 +111,11 @@
 	}
 	settled := time.Since(begin)
 	t := newTimer(f)
-	arm, err := t.arm(ctx, name, n, o.Duration)
+	arm, err := t.arm(ctx, name, n, part(o, changePart))
 	if err != nil {
 		return 0, err
 	}
-	quiet := callRate(ctx, f, time.Duration(quietPart*float64(o.Duration)))
+	quiet := callRate(ctx, f, part(o, quietPart))
 	arm.Figures = append(arm.Figures,
 		figure.Of("kv_calls_per_second_quiet", quiet),
 		figure.Of("mass_start_settled_s", settled.Seconds()))
@@ -123,11 +124,16 @@
 		return quiet, nil
 	}
 	f.SetDark(peerfleet.DomainName(1), true)
-	arm, err = t.arm(ctx, name+"_one_domain_cut_off", n, o.Duration)
+	arm, err = t.arm(ctx, name+"_one_domain_cut_off", n, part(o, changePart))
 	out.Arms = append(out.Arms, arm)
 	return quiet, err
 }
 
+// part is a part of the duration.
+func part(o scenario.Options, p float64) time.Duration {
+	return time.Duration(p * float64(o.Duration))
+}
+
 // callRate counts calls to the platform for a while.
 func callRate(ctx context.Context, f *peerfleet.Fleet, d time.Duration) float64 {
 	before := f.Calls()
--- a/internal/bench/configspread/configspread_test.go
+++ b/internal/bench/configspread/configspread_test.go
@@ -12,15 +12,21 @@
 
 // TestScenario runs a small fleet.
 func TestScenario(t *testing.T) {
-	r, err := configspread.Scenario.Run(context.Background(), scenario.Options{Nodes: 24, Seed: 1, Duration: time.Second})
+	r, err := configspread.Scenario.Run(context.Background(), scenario.Options{Nodes: 24, Seed: 1, Duration: 2 * time.Second})
 	if err != nil {
 		t.Fatal(err)
 	}
 	if len(r.Arms) != 4 {
 		t.Errorf("%d arms", len(r.Arms))
 	}
-	for _, a := range r.Arms {
+	nodes := []float64{6, 12, 24, 24}
+	for i, a := range r.Arms {
 		missing, ok := figure.Find(a, "nodes_without_last_change")
+		changes, _ := figure.Find(a, "changes")
+		timed, _ := figure.Find(a, "in_force")
+		if timed == 0 || timed != changes*nodes[i] {
+			t.Errorf("%s: %v times of %v changes", a.Name, timed, changes)
+		}
 		if a.Wrong.Total() > 0 || !ok || missing > 0 {
 			t.Errorf("%s: %+v, %v nodes without the last change", a.Name, a.Wrong, missing)
 		}
--- a/internal/bench/configspread/timer.go
+++ b/internal/bench/configspread/timer.go
@@ -31,7 +31,8 @@
 type timer struct {
 	f  *peerfleet.Fleet
 	mu sync.Mutex
-	// accepted is when the swap of each revision was confirmed.
+	// accepted is when each revision was first in force anywhere: on the node
+	// that had the swap confirmed, or on one whose watch was as fast.
 	accepted map[uint64]time.Time
 	// seen is when each node came to at least some revision.
 	seen    map[string][]sight
@@ -48,16 +49,16 @@
 func newTimer(f *peerfleet.Fleet) *timer {
 	t := &timer{f: f, accepted: map[uint64]time.Time{}, seen: map[string][]sight{}}
 	for _, n := range f.Nodes() {
-		n.Manager.Subscribe(func(s *config.Snapshot, from config.Source) { t.note(n.VM.ID, s.Revision, from) })
+		n.Manager.Subscribe(func(s *config.Snapshot, _ config.Source) { t.note(n.VM.ID, s.Revision) })
 	}
 	return t
 }
 
-func (t *timer) note(id string, revision uint64, from config.Source) {
+func (t *timer) note(id string, revision uint64) {
 	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if from == config.FromChange {
+	if _, ok := t.accepted[revision]; !ok {
 		t.accepted[revision] = now
 	}
 	ss := t.seen[id]
@@ -72,6 +73,7 @@
 	ns := t.f.Nodes()
 	begin, calls := time.Now(), t.f.Calls()
 	var revs []uint64
+	failed := 0
 	for i := 0; time.Since(begin) < d && ctx.Err() == nil; i++ {
 		// The nodes of the domain that may be cut off are not asked.
 		at := ns[(i*7)%len(ns)]
@@ -83,12 +85,16 @@
 		r := at.Manager.Apply(ctx, config.Change{ID: id, Author: "bench", Put: []search.Definition{{
 			Name: fmt.Sprint("search-", t.changes%20), Service: "claims_desk", MaxLimit: t.changes,
 		}}})
-		if r.Verdict != config.Accepted {
-			return scenario.Arm{}, errors.Errorf("change %s: %+v", id, r)
+		if r.Verdict == config.Accepted {
+			revs = append(revs, r.Revision)
+		} else {
+			failed++
 		}
-		revs = append(revs, r.Revision)
 		time.Sleep(time.Until(begin.Add(time.Duration(i+1) * changeEvery)))
 	}
+	if len(revs) == 0 {
+		return scenario.Arm{}, errors.Errorf("none of %d changes was accepted", failed)
+	}
 	rate := float64(t.f.Calls()-calls) / time.Since(begin).Seconds()
 	c, cancel := context.WithTimeout(ctx, grace)
 	defer cancel()
@@ -96,6 +102,7 @@
 	a := t.figures(revs)
 	a.Name = fmt.Sprintf("%s_%d_nodes", name, n)
 	a.Figures = append(a.Figures,
+		figure.AtMost("changes_not_accepted", float64(failed), 0),
 		figure.AtMost("nodes_without_last_change", float64(late), 0),
 		figure.Of("kv_calls_per_second_with_4_changes_per_second", rate))
 	return a, nil
@@ -132,7 +139,7 @@
 		for _, ss := range t.seen {
 			for _, s := range ss {
 				if s.revision >= r {
-					_ = h.RecordValue(max(1, s.at.Sub(t.accepted[r]).Microseconds()))
+					record(h, s.at.Sub(t.accepted[r]))
 					break
 				}
 			}
@@ -151,3 +158,10 @@
 	}
 	return a
 }
+
+// record adds a time within the bounds of the histogram.
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	if err := h.RecordValue(min(max(1, d.Microseconds()), longest.Microseconds())); err != nil {
+		panic(err)
+	}
+}
