Give no calls to another server at a searcher's address

Cause: TestFaults failed in 1 of 6 runs (-race -count=6, busy machine) with 27 bad answers after a searcher had died. Its port was free for any other process by then; a reused address explains the answers, but was not observed itself. Change: the status page has to carry the searcher's id, when it is polled and when a new link is proven after a failure; a bad answer has it read soon; if another server answers, all links are closed and the searcher is not usable until its own page is back.

--- a/internal/back/backend/backend.go
+++ b/internal/back/backend/backend.go
@@ -93,7 +93,7 @@
 	b := &Backend{c: c, proofAge: proofAge, weight: 1, since: c.Since, gate: newGate(c.MaxLinks, c.Fixed)}
 	b.maxLinks.Store(int64(c.MaxLinks))
 	b.pool = pool.New(pool.Config{Link: c.Link, Max: c.MaxLinks, Warm: c.WarmLinks,
-		Probe: alive, Watcher: c.Watcher, OnSilent: b.silent, NoSilence: c.NoSilence})
+		Probe: b.alive, Watcher: c.Watcher, OnSilent: b.silent, NoSilence: c.NoSilence})
 	return b
 }
 
--- a/internal/back/backend/link_test.go
+++ b/internal/back/backend/link_test.go
@@ -209,6 +209,38 @@
 	}
 }
 
+// TestForeignServerGetsNoCalls has another searcher answer at the address.
+func TestForeignServerGetsNoCalls(t *testing.T) {
+	var foreign atomic.Bool
+	b := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if !foreign.Load() {
+			echo(w, r)
+			return
+		}
+		if r.URL.Path == searcher.StatusPath {
+			reply(w, http.StatusOK, searcher.Status{ID: "s-2"})
+			return
+		}
+		http.NotFound(w, r)
+	})
+	if _, err := b.Poll(within(t)); err != nil {
+		t.Fatal(err)
+	}
+	foreign.Store(true)
+	if r := b.Search(within(t), query("a")); r.Outcome != outcome.Unknown(outcome.BadAnswer) {
+		t.Fatal(r.Outcome)
+	}
+	if _, err := b.Poll(within(t)); err == nil {
+		t.Fatal("took the page of another searcher")
+	}
+	eventually(t, "not usable", func() bool { return !b.Standing().Usable })
+	if r := b.Search(within(t), query("b")); r.Outcome != outcome.NotRun(outcome.ConnectionRefused) {
+		t.Fatal(r.Outcome)
+	}
+	foreign.Store(false)
+	eventually(t, "usable again", func() bool { return b.Standing().Usable })
+}
+
 func TestWithoutContractNoLinkStays(t *testing.T) {
 	b := serve(t, echo)
 	b.SetMaxLinks(0)
--- a/internal/back/backend/search.go
+++ b/internal/back/backend/search.go
@@ -101,12 +101,14 @@
 	return a.QueryID == q.QueryID && a.AttemptID == q.AttemptID && a.Version == q.Version && a.Range == q.Range
 }
 
-// finish gives the link back. A link that brought a wrong answer is closed.
+// finish gives the link back. A link that brought a wrong answer is closed,
+// and the status page is read soon: another server may have the address now.
 func (b *Backend) finish(l *link.Link, o outcome.Outcome, res link.Result) {
 	if o.Reason == outcome.BadAnswer {
 		b.dropped.Add(1)
 		b.c.Events.Emit(event.AnswerDropped, b.ID(), "answer to no call of this node")
 		l.Close()
+		b.changed()
 	}
 	if o.Reason == outcome.ConnectionLost {
 		b.c.Events.Emit(event.LinkLost, b.ID(), res.Err.Error())
--- a/internal/back/pool/watch.go
+++ b/internal/back/pool/watch.go
@@ -167,6 +167,22 @@
 	}
 }
 
+// Distrust closes all links: what answers at the address is not the searcher.
+// New links have to bring a sign of life first.
+func (p *Pool) Distrust() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.idle {
+		l.Close()
+	}
+	p.idle = nil
+	for l := range p.used {
+		l.Abort(link.ErrClosed)
+	}
+	p.gone = true
+	p.refused()
+}
+
 // abandon ends the calls and drops the idle links that made no progress since
 // began. The lock is held.
 func (p *Pool) abandon(began time.Time) {
