Pass over a silent owner after 200 ms

Cause: with a paused owner, claims on running nodes waited 400 ms to go on. Change: an owner that waits says so every 50 ms; 200 ms of silence mean gone.

--- a/internal/state/once/forward.go
+++ b/internal/state/once/forward.go
@@ -14,9 +14,9 @@
 	// maxForwards is how many members are asked before this node swaps itself.
 	maxForwards = 2
 	// silence is how long an owner may say nothing before it counts as gone.
-	silence = 400 * time.Millisecond
+	silence = 200 * time.Millisecond
 	// progressInterval is how often an owner says that it still waits.
-	progressInterval = 100 * time.Millisecond
+	progressInterval = 50 * time.Millisecond
 	// resolveShare of the time left is kept for this node's own swap.
 	resolveShare = 3
 	// maxTTL bounds how long an owner works for another node.
