Count forwards and conflicts in the writes scenario

Cause: with forwarding to owners broken, the scenario's test still passed: the nodes swap by themselves then. Change: figures forwards, forward_failures, kv_conflicts, unresolved; in the calm arm some forwards have to succeed. Figures: with the forward's context cancelled the test fails; it passes as is. Conclusion: the path to the owner is guarded.

--- a/internal/bench/writes/fleet.go
+++ b/internal/bench/writes/fleet.go
@@ -119,6 +119,23 @@
 	_ = f.platform.Close()
 }
 
+// counts adds up what the claim stores did; the baseline counts nothing.
+func (f *fleet) counts() once.Counts {
+	var sum once.Counts
+	for _, n := range f.nodes {
+		s, ok := n.claims.(*once.Store)
+		if !ok {
+			continue
+		}
+		c := s.Counts()
+		sum.Forwards += c.Forwards
+		sum.ForwardFailures += c.ForwardFailures
+		sum.Conflicts += c.Conflicts
+		sum.Unresolved += c.Unresolved
+	}
+	return sum
+}
+
 // disturb lets the plan's faults come and go until the returned function is
 // called; that one waits.
 func (f *fleet) disturb(ctx context.Context, p plan, d time.Duration, r *rand.Rand) func() {
--- a/internal/bench/writes/scenario_test.go
+++ b/internal/bench/writes/scenario_test.go
@@ -36,6 +36,11 @@
 			if n, _ := figure.Find(a, "claimed"); n == 0 {
 				t.Error("nothing ran")
 			}
+			sent, _ := figure.Find(a, "forwards")
+			failed, _ := figure.Find(a, "forward_failures")
+			if p.name == "calm" && sent <= failed {
+				t.Errorf("%v of %v forwards failed", failed, sent)
+			}
 		})
 	}
 }
--- a/internal/bench/writes/traffic.go
+++ b/internal/bench/writes/traffic.go
@@ -189,6 +189,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	sends := float64(t.sends)
+	c := t.fleet.counts()
 	perWrite := figure.Ratio(float64(s.Reads+s.Writes+s.Watches), sends)
 	peak := float64(s.PeakWrites)
 	calls := []scenario.Figure{figure.Of("kv_calls_per_write", perWrite), figure.Of("kv_writes_peak_per_second", peak)}
@@ -208,6 +209,10 @@
 		figure.Of("repeated", float64(t.answers[once.Repeated])),
 		figure.Of("in_progress", float64(t.answers[once.InProgress])),
 		figure.Of("refused_store_down", float64(t.reasons[outcome.StoreDown])),
+		figure.Of("forwards", float64(c.Forwards)),
+		figure.Of("forward_failures", float64(c.ForwardFailures)),
+		figure.Of("kv_conflicts", float64(c.Conflicts)),
+		figure.Of("unresolved", float64(c.Unresolved)),
 		figure.Of("refused_shed", float64(t.reasons[outcome.Shed])),
 	)
 }
