Recover from a cut within the target: sooner doubt, bounded hedge delay, true ends

Change: the hedge delay is at most 4 medians and the histogram forgets four times sooner; the sign of life has as long as a call before it is doubted (200 ms at least); the proxy passes ends on once healed and connects only then.

--- a/internal/back/pool/open.go
+++ b/internal/back/pool/open.go
@@ -10,6 +10,8 @@
 const (
 	// backOffFirst is the wait after the first refused connection.
 	backOffFirst = 20 * time.Millisecond
+	// signLeast is the least time that a new link has for a sign of life.
+	signLeast = 200 * time.Millisecond
 	// backOffMost bounds the wait after refused connections.
 	backOffMost = time.Second
 )
@@ -78,9 +80,17 @@
 	}
 }
 
-// signOfLife asks for a sign of life on a new link.
+// signOfLife asks for a sign of life on a new link. A searcher that is known
+// to answer soon gets no longer than a call has before it is doubted: while
+// the answer is awaited, queries wait as well.
 func (p *Pool) signOfLife(l *link.Link) bool {
-	ctx, cancel := context.WithTimeout(p.ctx, silentMost)
+	p.mu.Lock()
+	wait := silentMost
+	if p.usual > 0 {
+		wait = max(Patience(p.usual), signLeast)
+	}
+	p.mu.Unlock()
+	ctx, cancel := context.WithTimeout(p.ctx, wait)
 	defer cancel()
 	return p.c.Probe(ctx, l)
 }
--- a/internal/query/latency/histogram.go
+++ b/internal/query/latency/histogram.go
@@ -25,7 +25,7 @@
 	// buckets cover lowest to about ten minutes.
 	buckets = 440
 	// fullWeight is the weight at which every bucket is halved.
-	fullWeight = 16384
+	fullWeight = 4096
 	// leastWeight is the weight that an estimate needs.
 	leastWeight = 200
 )
--- a/internal/query/scatter/lane.go
+++ b/internal/query/scatter/lane.go
@@ -15,6 +15,9 @@
 	// hedgePart is the part of the extra-load budget that the hedge delay
 	// aims to spend; the rest is left to retries and second hedges.
 	hedgePart = 0.75
+	// mostMedians bounds the hedge delay in medians of the latency: after an
+	// outage the quantile is that of the timeouts for a while.
+	mostMedians = 4
 	// delayWhenUnknown is the hedge delay before latencies are known.
 	delayWhenUnknown = 100 * time.Millisecond
 )
@@ -36,7 +39,8 @@
 	if !ok {
 		return delayWhenUnknown
 	}
-	return d
+	m, _ := l.latency.Quantile(0.5)
+	return min(d, mostMedians*m)
 }
 
 // lanes holds the lane of each search by name.
--- a/internal/standin/faultproxy/pair.go
+++ b/internal/standin/faultproxy/pair.go
@@ -13,6 +13,9 @@
 // slowPieces is how many pieces a second a bounded connection passes on.
 const slowPieces = 50
 
+// silentPoll is the time between two looks at whether a way is still silent.
+const silentPoll = 5 * time.Millisecond
+
 // pair is the two sides of one connection.
 type pair struct {
 	fault  atomic.Pointer[Fault]
@@ -33,8 +36,12 @@
 
 func (c *pair) set(f Fault) { c.fault.Store(&f) }
 
-// run connects to the target and passes data both ways until both end.
+// run connects to the target and passes data both ways until both end. While
+// the way to the target is silent, nothing of the connection gets there.
 func (c *pair) run(target string) {
+	if !c.awaken(func(f *Fault) Way { return f.Up }) {
+		return
+	}
 	t, err := net.Dial("tcp", target)
 	if err != nil {
 		c.reset()
@@ -72,16 +79,27 @@
 	}
 }
 
-// sideEnded passes the end of one side on, unless its way is silent.
+// sideEnded passes the end of one side on. Where its way is silent, it gets
+// through once the way is healed, as a repeated segment would.
 func (c *pair) sideEnded(to *net.TCPConn, way func(*Fault) Way) {
 	c.mu.Lock()
 	half := c.half
 	c.mu.Unlock()
-	if !half && !way(c.fault.Load()).Silent {
+	if !half && c.awaken(way) {
 		_ = to.CloseWrite()
 	}
 }
 
+// awaken waits while a way is silent; it is false once the pair has ended.
+func (c *pair) awaken(way func(*Fault) Way) bool {
+	for way(c.fault.Load()).Silent {
+		if !c.sleep(silentPoll) {
+			return false
+		}
+	}
+	return true
+}
+
 // send writes b, in small pieces when the throughput is bounded.
 func (c *pair) send(to *net.TCPConn, b []byte, w Way) bool {
 	if w.BytesPerSecond == 0 {
--- a/internal/standin/faultproxy/proxy_test.go
+++ b/internal/standin/faultproxy/proxy_test.go
@@ -98,6 +98,32 @@
 	}
 }
 
+// TestCutConnectionsEndOnceHealed closes connections during a cut: the target
+// hears of it when the cut is over, and keeps none of them.
+func TestCutConnectionsEndOnceHealed(t *testing.T) {
+	p := start(t)
+	old := dial(t, p)
+	if err := echo(old, giveUp); err != nil {
+		t.Fatal(err)
+	}
+	p.Set(faultproxy.All, faultproxy.Blackhole)
+	fresh := dial(t, p)
+	if err := echo(fresh, quiet); !timedOut(err) {
+		t.Error("cut:", err)
+	}
+	_ = old.Close()
+	_ = fresh.Close()
+	p.Heal()
+	for end := time.Now().Add(giveUp); ; time.Sleep(time.Millisecond) {
+		if open, _ := p.Connections(); open == 0 {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatal("connections closed during the cut stay open")
+		}
+	}
+}
+
 func TestCutResetAndHalfOpen(t *testing.T) {
 	p := start(t)
 	c := dial(t, p)
