Draw goodput over load, not over time

Cause: the page named the x axis of every series seconds. Change: a series says what it is drawn over.

--- a/internal/bench/overload/overload.go
+++ b/internal/bench/overload/overload.go
@@ -133,7 +133,7 @@
 			out[i].Figures = append(out[i].Figures, figure.AtMost("extra_load_asked", extra, extraLoad))
 		}
 		out[i].Figures = append(out[i].Figures, last)
-		out[i].Series = []scenario.Series{{Name: "goodput by load", Points: c}}
+		out[i].Series = []scenario.Series{{Name: "goodput", Over: "load", Points: c}}
 	}
 	return out
 }
--- a/internal/bench/page/plot.go
+++ b/internal/bench/page/plot.go
@@ -54,9 +54,9 @@
 			return nil, err
 		}
 	}
-	for _, name := range seriesNames(r) {
-		p, err := overTime(r, name)
-		if err := add(name+" over time", p, err); err != nil {
+	for _, s := range kinds(r) {
+		p, err := over(r, s)
+		if err := add(s.Name+" over "+s.Over, p, err); err != nil {
 			return nil, err
 		}
 	}
@@ -117,29 +117,36 @@
 	return p, nil
 }
 
-// seriesNames returns the names of all series, each once.
-func seriesNames(r scenario.Report) []string {
-	var ns []string
+// seconds is what a series is drawn over, unless it says otherwise.
+const seconds = "second"
+
+// kinds returns one series of each name, without its points.
+func kinds(r scenario.Report) []scenario.Series {
+	var ks []scenario.Series
 	seen := map[string]bool{}
 	for _, a := range r.Arms {
 		for _, s := range a.Series {
-			if !seen[s.Name] {
-				seen[s.Name] = true
-				ns = append(ns, s.Name)
+			if seen[s.Name] {
+				continue
 			}
+			seen[s.Name] = true
+			if s.Over == "" {
+				s.Over = seconds
+			}
+			ks = append(ks, scenario.Series{Name: s.Name, Over: s.Over})
 		}
 	}
-	return ns
+	return ks
 }
 
-// overTime draws one series of all arms with the events of the run.
-func overTime(r scenario.Report, name string) (*plot.Plot, error) {
+// over draws one series of all arms; over time, with the events of the run.
+func over(r scenario.Report, kind scenario.Series) (*plot.Plot, error) {
 	p := plot.New()
-	p.X.Label.Text, p.Y.Label.Text = "second", name
+	p.X.Label.Text, p.Y.Label.Text = kind.Over, kind.Name
 	n := 0
 	for _, a := range r.Arms {
 		for _, s := range a.Series {
-			if s.Name != name || len(s.Points) == 0 {
+			if s.Name != kind.Name || len(s.Points) == 0 {
 				continue
 			}
 			xy := make(plotter.XYs, len(s.Points))
@@ -156,6 +163,9 @@
 		return nil, nil
 	}
 	p.Y.Min = 0
+	if kind.Over != seconds {
+		return p, nil
+	}
 	return p, errors.Trace(marks(p, r.Timeline))
 }
 
--- a/internal/bench/scenario/scenario.go
+++ b/internal/bench/scenario/scenario.go
@@ -75,9 +75,11 @@
 	Series []Series `json:"series,omitempty"`
 }
 
-// Series is a value over time; X is in seconds.
+// Series is a value over the time of the run, or over something else.
 type Series struct {
-	Name   string  `json:"name"`
+	Name string `json:"name"`
+	// Over names X; empty is seconds since the start.
+	Over   string  `json:"over,omitempty"`
 	Points []Point `json:"points"`
 }
 
