spread, rumor: shorter fetches; drop the kind that nothing uses

Cause: a fetch from a peer that went silent held up the others for 3 s, which is the whole time to be in force; reports of domains go by calls between nodes, not by rumors. Change: a fetch is given up after 1 s; rumor.DomainReport is gone, its number stays free. Conclusion: one silent peer costs at most a third of the bound.

--- a/internal/peer/rumor/doc.go
+++ b/internal/peer/rumor/doc.go
@@ -1,5 +1,5 @@
 // Package rumor spreads small facts to all nodes: the drain of a searcher, a
-// quarantine, the report of a failure domain.
+// quarantine.
 //
 // A Set holds at most one rumor for each kind and key, the one with the highest
 // sequence, until it expires. It hands each rumor to heartbeats a bounded
--- a/internal/peer/rumor/rumor.go
+++ b/internal/peer/rumor/rumor.go
@@ -13,7 +13,6 @@
 const (
 	SearcherDrain Kind = 1
 	Quarantine    Kind = 2
-	DomainReport  Kind = 3
 )
 
 const (
--- a/internal/state/spread/spread.go
+++ b/internal/state/spread/spread.go
@@ -98,7 +98,7 @@
 	// peers before it reads the service.
 	waitForPeers = time.Second
 	// fetchTimeout bounds one fetch from a peer.
-	fetchTimeout = 3 * time.Second
+	fetchTimeout = time.Second
 	// offersKept bounds the offers that wait for a fetch.
 	offersKept = 8
 )
