bench config, control: refuse fleets too small to compare

Cause: a trial with fleets of one size ended in a slope that is no number, which JSON can't carry. Change: fewer than 24 nodes are refused by name.

--- a/internal/bench/configspread/configspread.go
+++ b/internal/bench/configspread/configspread.go
@@ -30,6 +30,8 @@
 	title = "config"
 	// defaultNodes is the size of the fleet of the main arms.
 	defaultNodes = 200
+	// leastNodes gives fleets of different sizes with a node in some domains.
+	leastNodes = 24
 	// domains is how many failure domains there are.
 	domains = 12
 	// defaultDuration is the measured time of each fleet.
@@ -54,6 +56,9 @@
 	if o.Nodes == 0 {
 		o.Nodes = defaultNodes
 	}
+	if o.Nodes < leastNodes {
+		return scenario.Report{}, errors.NotValidf("fewer than %d nodes", leastNodes)
+	}
 	if o.Duration == 0 {
 		o.Duration = defaultDuration
 	}
--- a/internal/bench/control/control.go
+++ b/internal/bench/control/control.go
@@ -29,6 +29,9 @@
 const (
 	// title names the scenario.
 	title = "control"
+	// leastNodes gives fleets of different sizes with a node in each domain of
+	// the largest.
+	leastNodes = 24
 	// domains is how many failure domains there are.
 	domains = 12
 	// meshNodes is the size of the fleet of the baseline.
@@ -61,6 +64,9 @@
 		o.Duration = defaultDuration
 	}
 	ns := sizes
+	if o.Nodes > 0 && o.Nodes < leastNodes {
+		return scenario.Report{}, errors.NotValidf("fewer than %d nodes", leastNodes)
+	}
 	if o.Nodes > 0 {
 		ns = []int{o.Nodes / 4, o.Nodes / 2, o.Nodes}
 	}
