Restart a query that finds its version gone; learn usual times from work only

Cause: two scripts failed. fail_repartition: 83 of 281 answers were not complete, since a query gave up when its version was gone and the next was not known yet, and a trial call that found it gone left the query waiting for nothing. fail_slow_service: with a median of 300 ms every call was taken for silent, since status pages, which come at once, counted as usual service time. Change: such a query restarts and waits for a newer version; it pays for the calls that ran, not for refusals; primaries are counted once a shard. Links that did no work (pages, refusals) teach no service time, and before one is known nothing is doubted for 2 s.

--- a/internal/back/backend/poll.go
+++ b/internal/back/backend/poll.go
@@ -26,7 +26,7 @@
 		return s, errors.Annotatef(pool.ErrRefused, "read status of %s", b.ID())
 	}
 	err = readStatus(res, &s)
-	b.pool.Put(l)
+	b.pool.PutIdle(l)
 	if b.foreign(res, s) {
 		err = errors.Errorf("another server answers at %s", b.c.VM.Addr)
 		b.c.Events.Emit(event.AnswerDropped, b.ID(), err.Error())
--- a/internal/back/backend/search.go
+++ b/internal/back/backend/search.go
@@ -63,7 +63,7 @@
 	q.DeadlineMS = remaining(ctx)
 	body, err := json.Marshal(q)
 	if err != nil {
-		b.pool.Put(l)
+		b.pool.PutIdle(l)
 		r.Outcome = outcome.NotRun(outcome.BadRequest)
 		return false
 	}
@@ -113,5 +113,9 @@
 	if o.Reason == outcome.ConnectionLost {
 		b.c.Events.Emit(event.LinkLost, b.ID(), res.Err.Error())
 	}
-	b.pool.Put(l)
+	if o.OK() {
+		b.pool.Put(l)
+		return
+	}
+	b.pool.PutIdle(l)
 }
--- a/internal/back/pool/judge.go
+++ b/internal/back/pool/judge.go
@@ -10,8 +10,6 @@
 	silentLeast = 50 * time.Millisecond
 	// silentMost is the longest time before a connection is doubted.
 	silentMost = 2 * time.Second
-	// usualUnknown stands for the usual service time before one is known.
-	usualUnknown = 5 * time.Millisecond
 )
 
 // Verdict is what the lack of progress on a connection means.
@@ -51,10 +49,11 @@
 	return Doubtful
 }
 
-// Patience is how long a call may go without progress.
+// Patience is how long a call may go without progress. Of a searcher whose
+// service time is not known nothing can be said before the longest time.
 func Patience(usual time.Duration) time.Duration {
 	if usual == 0 {
-		usual = usualUnknown
+		return silentMost
 	}
 	return min(max(silentFactor*usual, silentLeast), silentMost)
 }
--- a/internal/back/pool/pool.go
+++ b/internal/back/pool/pool.go
@@ -134,12 +134,20 @@
 	}
 }
 
-// Put gives a link back after its call. A link that is not reusable is
-// closed, and replaced in the background.
-func (p *Pool) Put(l *link.Link) {
+// Put gives a link back after a call that did work. A link that is not
+// reusable is closed, and replaced in the background.
+func (p *Pool) Put(l *link.Link) { p.put(l, true) }
+
+// PutIdle is Put of a link that did no work, such as one that was not used or
+// brought the status page: how long that took says nothing of the time that
+// work takes.
+func (p *Pool) PutIdle(l *link.Link) { p.put(l, false) }
+
+// put gives a link back.
+func (p *Pool) put(l *link.Link, worked bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.learn(l)
+	p.learn(l, worked)
 	delete(p.used, l)
 	if !l.Reusable() || p.closed || p.open() >= p.c.Max {
 		l.Close()
--- a/internal/back/pool/watch.go
+++ b/internal/back/pool/watch.go
@@ -95,8 +95,9 @@
 	}
 }
 
-// learn takes the time of the last call on l. The lock is held.
-func (p *Pool) learn(l *link.Link) {
+// learn takes the time of the last call on l, for the usual one if it did
+// work. The lock is held.
+func (p *Pool) learn(l *link.Link, worked bool) {
 	began, ok := p.used[l]
 	if !ok || !l.Reusable() || l.Calls() == 0 {
 		return
@@ -106,6 +107,9 @@
 	}
 	p.back = backOff{}
 	p.room = min(max(p.room, p.open()+1), p.c.Max)
+	if !worked {
+		return
+	}
 	d := l.IdleSince().Sub(began)
 	if p.usual == 0 {
 		p.usual = d
--- a/internal/query/scatter/call.go
+++ b/internal/query/scatter/call.go
@@ -86,12 +86,11 @@
 	}
 }
 
-// take handles the end of a call. It reports true when the query should
-// restart on a newer version.
-func (r *run) take(res result) bool {
+// take handles the end of a call.
+func (r *run) take(res result) {
 	s := &r.shards[res.shard]
 	if s.done() {
-		return false
+		return
 	}
 	r.land(res)
 	o := res.reply.Outcome
@@ -104,9 +103,9 @@
 	r.step("answer", id, &s.Range, o.String())
 	if o.OK() {
 		r.accept(res.shard, &res.reply.Answer)
-		return false
+		return
 	}
-	return r.failed(res, o)
+	r.failed(res, o)
 }
 
 // land counts a call that has ended.
@@ -130,7 +129,7 @@
 }
 
 // failed decides what follows a call that gave no answer.
-func (r *run) failed(res result, o outcome.Outcome) bool {
+func (r *run) failed(res result, o outcome.Outcome) {
 	s := &r.shards[res.shard]
 	s.last = o.Reason
 	switch o.Reason {
@@ -141,17 +140,17 @@
 		r.shed++
 	}
 	if len(s.flights) > 0 || r.ctx.Err() != nil {
-		return false
+		return
 	}
 	if o.Reason == outcome.VersionGone && !s.untried() {
-		return r.versionGone(res.shard)
+		r.versionGone(res.shard)
+		return
 	}
 	if !r.e.c.Policy.Retry {
 		r.giveUp(res.shard, o.Reason)
-		return false
+		return
 	}
 	r.retry(res.shard, o)
-	return false
 }
 
 // lost notes that a call died with its connection. Only when the call made
@@ -202,9 +201,13 @@
 	}
 }
 
-// unplaced tells that a call ended before it reached a backend server.
+// unplaced tells that a call placed no load: it ended before it reached a
+// backend server, or was refused for what the server does not hold.
 func unplaced(o outcome.Outcome) bool {
-	return o.Kind == outcome.KindNotRun && (o.Reason == outcome.ConnectionRefused || o.Reason == outcome.Draining)
+	if o.Kind != outcome.KindNotRun {
+		return false
+	}
+	return o.Reason == outcome.ConnectionRefused || o.Reason == outcome.Draining || o.Reason == outcome.VersionGone
 }
 
 // later asks for another round over the replicas of a shard after a pause
@@ -239,16 +242,26 @@
 	r.schedule(i, time.Now())
 }
 
-// versionGone restarts the query on a newer version where there is one that
-// the budget can pay for, and gives the shard up otherwise.
-func (r *run) versionGone(i int) bool {
-	vs := r.e.c.Source.Index(r.def.Service).Versions()
-	newer := len(vs) > 0 && vs[0] > r.version
-	if newer && !r.part && r.restarts < r.e.c.Policy.Restarts && r.lane.budget.Spend(len(r.shards)) {
-		return true
+// versionGone has the query restart on a newer version, if the budget can pay
+// for the calls whose work is lost, and gives the shard up otherwise.
+func (r *run) versionGone(i int) {
+	if r.part || r.restarts >= r.e.c.Policy.Restarts || !r.lane.budget.Spend(r.placed()) {
+		r.giveUp(i, outcome.VersionGone)
+		return
+	}
+	r.cost.Retries += r.placed()
+	r.restart = true
+}
+
+// placed counts the shards on which a call has run or is in flight.
+func (r *run) placed() int {
+	n := 0
+	for i := range r.shards {
+		if s := &r.shards[i]; s.answer != nil || len(s.flights) > 0 {
+			n++
+		}
 	}
-	r.giveUp(i, outcome.VersionGone)
-	return false
+	return n
 }
 
 // giveUp names a shard missing.
--- a/internal/query/scatter/delegate.go
+++ b/internal/query/scatter/delegate.go
@@ -92,10 +92,7 @@
 // delegate asks the first holder of each group.
 func (r *run) delegate(now time.Time) {
 	for k := range r.groups {
-		g := &r.groups[k]
-		if r.restarts == 0 {
-			r.cost.Primaries += len(g.shards)
-		}
+		r.countPrimaries(len(r.groups[k].shards))
 		r.askHolder(k, now, "part")
 	}
 }
@@ -135,9 +132,8 @@
 	return rs
 }
 
-// takePart handles the end of a part. It reports true when the query should
-// restart on a newer version.
-func (r *run) takePart(res partResult) bool {
+// takePart handles the end of a part.
+func (r *run) takePart(res partResult) {
 	g := &r.groups[res.group]
 	g.flights--
 	o := res.reply.Outcome
@@ -145,24 +141,24 @@
 	r.sent = r.sent || o.Kind != outcome.KindNotRun
 	r.addCost(res.reply)
 	if o.OK() {
-		return r.settlePart(g, res.reply)
+		r.settlePart(g, res.reply)
+		return
 	}
 	if g.flights > 0 || r.ctx.Err() != nil {
-		return false
+		return
 	}
 	n := len(r.openRanges(g))
 	if (unplaced(o) || r.lane.budget.Spend(n)) && r.askHolder(res.group, time.Now(), "part again") {
 		if !unplaced(o) {
 			r.cost.Retries += n
 		}
-		return false
+		return
 	}
 	r.giveUpGroup(g, o.Reason)
-	return false
 }
 
 // settlePart takes the ranges of a part that have an end.
-func (r *run) settlePart(g *group, p PartReply) bool {
+func (r *run) settlePart(g *group, p PartReply) {
 	fresh := false
 	for _, i := range g.shards {
 		s := &r.shards[i]
@@ -177,18 +173,18 @@
 		if why, ok := gapOf(p.Gaps, s.Range); ok && g.flights == 0 {
 			s.last = why
 			if why == outcome.VersionGone {
-				if r.versionGone(i) {
-					return true
-				}
-				continue
+				r.versionGone(i)
+			} else {
+				r.giveUp(i, why)
+			}
+			if r.restart {
+				return
 			}
-			r.giveUp(i, why)
 		}
 	}
 	if fresh {
 		r.partHits = append(r.partHits, p.Hits)
 	}
-	return false
 }
 
 // hedgePart asks another holder when one takes too long.
--- a/internal/query/scatter/engine_test.go
+++ b/internal/query/scatter/engine_test.go
@@ -98,6 +98,26 @@
 
 // TestWaitsForACompleteVersion asks while no version is complete, as in the
 // middle of a turnover.
+// TestVersionGoneInTheTrial refuses the trial call before the newer version
+// is known: the restart waits for it and costs nothing.
+func TestVersionGoneInTheTrial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newIndex(4, 2, func(_, _ int, q searcher.Query) behaviour {
+			if q.Version == 1 {
+				return behaviour{delay: ms, outcome: outcome.NotRun(outcome.VersionGone)}
+			}
+			return ok(ms)
+		})
+		e := engine(t, x, Current(), &fakeGuard{}, search.Definition{})
+		time.AfterFunc(100*ms, func() { x.publish(2) })
+		a := e.Ask(context.Background(), question(false))
+		checkWhole(t, a, 4)
+		if a.Cost.Primaries != 4 || a.Cost.Retries != 0 || a.ElapsedMS > 200 {
+			t.Fatalf("cost %+v, %v ms", a.Cost, a.ElapsedMS)
+		}
+	})
+}
+
 func TestWaitsForACompleteVersion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		x := newIndex(4, 2, func(int, int, searcher.Query) behaviour { return ok(ms) })
--- a/internal/query/scatter/run.go
+++ b/internal/query/scatter/run.go
@@ -57,6 +57,8 @@
 	due     []due
 	open    int
 	gaveUp  bool
+	// restart tells that the version is gone and a newer one is to be used.
+	restart bool
 	// part tells that this node answers as a holder, for a coordinator.
 	part     bool
 	partHits [][]ask.Hit
@@ -64,6 +66,7 @@
 	candidates []choice.Candidate
 
 	cost     ask.Cost
+	unearned int
 	steps    []ask.Step
 	samples  []time.Duration
 	restarts int
@@ -139,10 +142,11 @@
 	r.partHits = nil
 	r.gather()
 	if v != Trusted && !r.e.c.Policy.NoTrial && !r.trial(v) {
-		return false
+		return r.restart
 	}
 	r.begin()
-	return r.loop()
+	r.loop()
+	return r.restart
 }
 
 // cancelCalls ends every call in flight.
@@ -193,26 +197,21 @@
 	}
 	r.open = len(shards)
 	r.gaveUp = false
+	r.restart = false
 	return true
 }
 
 // begin makes the first call of every shard that has none.
 func (r *run) begin() {
-	if r.restarts > 0 {
-		r.cost.Retries += r.open
-	}
 	now := time.Now()
-	n := 0
 	for i := range r.shards {
 		s := &r.shards[i]
-		if len(s.Holders) == 0 && s.attempts == 0 && r.first(i, now) {
-			n++
+		if len(s.Holders) == 0 && s.attempts == 0 {
+			r.first(i, now)
 		}
 	}
+	r.earn()
 	r.delegate(now)
-	if r.restarts == 0 {
-		r.lane.budget.Earn(n)
-	}
 }
 
 // first makes the first call of a shard.
@@ -221,13 +220,25 @@
 		r.giveUp(i, r.shards[i].why())
 		return false
 	}
-	if r.restarts == 0 {
-		r.cost.Primaries++
-	}
+	r.unearned += r.countPrimaries(1)
 	r.schedule(i, now)
 	return true
 }
 
+// countPrimaries counts up to n primary calls: one for each shard, however
+// often the query restarts.
+func (r *run) countPrimaries(n int) int {
+	n = max(0, min(n, len(r.shards)-r.cost.Primaries))
+	r.cost.Primaries += n
+	return n
+}
+
+// earn gives the budget what the primary calls of this node earn.
+func (r *run) earn() {
+	r.lane.budget.Earn(r.unearned)
+	r.unearned = 0
+}
+
 // schedule asks for a decision on a hedge one hedge delay from now.
 func (r *run) schedule(i int, now time.Time) {
 	if r.e.c.Policy.Hedges > 0 {
@@ -235,39 +246,33 @@
 	}
 }
 
-// loop takes results and decisions until the query ends. It reports true
-// when the query should restart.
-func (r *run) loop() bool {
+// loop takes results and decisions until the query ends or has to restart.
+func (r *run) loop() {
 	t := time.NewTimer(time.Hour)
 	defer t.Stop()
 	if r.impatient() {
 		r.push(due{at: r.start.Add(patienceDelays*r.delay + time.Millisecond), shard: noShard})
 	}
-	for r.open > 0 && !r.hopeless() {
+	for r.open > 0 && !r.restart && !r.hopeless() {
 		if len(r.due) > 0 {
 			t.Reset(time.Until(r.due[0].at))
 		}
 		select {
 		case res := <-r.results:
-			if r.take(res) {
-				return true
-			}
+			r.take(res)
 		case res := <-r.parts:
-			if r.takePart(res) {
-				return true
-			}
+			r.takePart(res)
 		case <-t.C:
 			r.decideDue(time.Now())
 		case <-r.ctx.Done():
 			r.deadlinePast()
-			return false
+			return
 		}
 		if r.patienceOver() {
 			r.ended = outcome.Timeout
-			return false
+			return
 		}
 	}
-	return false
 }
 
 // hopeless tells whether a shard was given up and the caller has no use for
--- a/internal/query/scatter/trial.go
+++ b/internal/query/scatter/trial.go
@@ -21,7 +21,7 @@
 			r.ended = outcome.Quarantined
 			return false
 		}
-		if r.hopeless() || r.ctx.Err() != nil {
+		if r.restart || r.hopeless() || r.ctx.Err() != nil {
 			return false
 		}
 	}
@@ -32,13 +32,13 @@
 // fan out: a searcher answered, or the calls are slow but alive.
 func (r *run) trialShard(i int, v Verdict) bool {
 	s := &r.shards[i]
-	r.lane.budget.Earn(1)
 	if !r.first(i, time.Now()) {
 		return false
 	}
+	r.earn()
 	t := time.NewTimer(r.delay)
 	defer t.Stop()
-	for delays := 0; !s.done(); {
+	for delays := 0; !s.done() && !r.restart; {
 		select {
 		case res := <-r.results:
 			r.takeTrial(res, v)
