Keep faults out of the reserve for hedges; find turnovers that pages hide; fixed ports in scripts

(3) promise_coverage once refused an innocent request as quarantined: one loss in each of two trials counted as two in sequence. (4) a node of a script ended at its start, its port taken. Change: the budget has a purse for hedges and shed calls and a reserve for calls that failed otherwise; a page that shows other shards than the last answer is read again; searchers behind the newest version are looked at when one changes; LostAgain only for losses within one query; canaries are evidence once; members may connect as listed VMs may; scripts take ports below those of outgoing connections.

--- a/internal/back/backend/backend.go
+++ b/internal/back/backend/backend.go
@@ -61,6 +61,8 @@
 	wg       sync.WaitGroup
 	inFlight atomic.Int64
 	revision atomic.Uint64
+	// told is the revision of the shards in the last answer; 0 for none.
+	told     atomic.Uint64
 	dropped  atomic.Int64
 	maxLinks atomic.Int64
 	gate     *gate
--- a/internal/back/backend/evidence.go
+++ b/internal/back/backend/evidence.go
@@ -150,8 +150,18 @@
 	b.changed()
 }
 
+// Behind tells whether the status page that was read last shows other shards
+// than the searcher's last answer did: the page lags.
+func (b *Backend) Behind() bool {
+	told := b.told.Load()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return told != 0 && told != b.status.Load.MapRevision
+}
+
 // revised tells when the searcher's shards changed.
 func (b *Backend) revised(revision uint64) {
+	b.told.Store(revision)
 	if b.revision.Swap(revision) != revision {
 		b.changed()
 	}
--- a/internal/back/directory/directory.go
+++ b/internal/back/directory/directory.go
@@ -26,7 +26,7 @@
 	// doubles to hurryMost while early reads bring nothing new: the revision
 	// that answers carry may lag.
 	leastInterval = 20 * time.Millisecond
-	hurryMost     = 100 * time.Millisecond
+	hurryMost     = 200 * time.Millisecond
 	// pollTimeout bounds one read of a status page.
 	pollTimeout = 2 * time.Second
 	// rareFactor is how many times longer the page of a searcher waits with
--- a/internal/back/directory/poll.go
+++ b/internal/back/directory/poll.go
@@ -113,23 +113,41 @@
 	if !sameShards(was, r.status) {
 		e.pause = 0
 		d.rebuild()
-		d.hurryAll(r.status.Service)
+		d.hurryBehind(r.status.Service)
+	}
+	if e.b.Behind() {
+		d.hurry(r.id)
 	}
 }
 
-// hurryAll makes the pages of a service due when no version of its index is
-// known to be complete: queries wait then, so no answer tells of changes.
-func (d *Directory) hurryAll(service string) {
-	if len(d.Map(service).Versions) > 0 {
-		return
+// hurryBehind makes the pages of a service due whose searchers were not seen
+// to hold its newest version, and all of them when no version is known to be
+// complete. A query that finds its version gone waits for a newer one then,
+// so that no answers tell of the searchers that have it.
+func (d *Directory) hurryBehind(service string) {
+	newest := uint64(0)
+	for _, e := range d.entries {
+		if e.known && e.status.Service == service {
+			newest = max(newest, newestVersion(e.status))
+		}
 	}
+	none := len(d.Map(service).Versions) == 0
 	for id, e := range d.entries {
-		if e.known && e.status.Service == service && e.b.MaxLinks() > 0 {
+		if e.known && e.status.Service == service && e.b.MaxLinks() > 0 && (none || newestVersion(e.status) < newest) {
 			d.hurry(id)
 		}
 	}
 }
 
+// newestVersion returns the newest version that a searcher holds.
+func newestVersion(s searcher.Status) uint64 {
+	v := uint64(0)
+	for _, h := range s.Holdings {
+		v = max(v, h.Version)
+	}
+	return v
+}
+
 // jittered returns the interval, a quarter more or less.
 func (d *Directory) jittered() time.Duration {
 	return time.Duration(float64(d.c.Interval) * (0.75 + d.rand.Float64()/2))
--- a/internal/e2e/world_test.go
+++ b/internal/e2e/world_test.go
@@ -1,13 +1,16 @@
 package e2e
 
 import (
+	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"egrethaven/internal/query/keyrange"
@@ -297,12 +300,29 @@
 	}
 }
 
-// freeAddr returns an address that nothing listens on.
+// The ports of the nodes lie below those that the system gives to outgoing
+// connections, which could take one between its choice and its use.
+const (
+	firstPort = 20_000
+	lastPort  = 30_000
+)
+
+// usedPorts counts the ports that were given out.
+var usedPorts atomic.Int64
+
+// freeAddr returns an address of a port that nothing listens on.
 func freeAddr(c *call) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Check(err)
-	defer l.Close()
-	return l.Addr().String()
+	for range lastPort - firstPort {
+		n := int64(os.Getpid()) + usedPorts.Add(1)
+		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+n%(lastPort-firstPort))
+		l, err := net.Listen("tcp", addr)
+		if err == nil {
+			c.Check(l.Close())
+			return addr
+		}
+	}
+	c.Fatalf("no free port from %d to %d", firstPort, lastPort)
+	return ""
 }
 
 // file returns a path in the script's directory.
--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -78,8 +78,11 @@
 }
 
 // known tells whether an address belongs to an entry VM of the platform's
-// list.
+// list or to a member.
 func (n *Node) known(a netip.Addr) bool {
+	if n.members.Knows(a) {
+		return true
+	}
 	vms, _ := n.vms.List()
 	for _, v := range vms {
 		p, err := netip.ParseAddrPort(v.Addr)
--- a/internal/node/entry/query.go
+++ b/internal/node/entry/query.go
@@ -63,9 +63,12 @@
 	return ws
 }
 
-// observe takes each answered query as evidence.
+// observe takes each answered query of a caller as evidence. The health
+// collector sees the answers to its own canary queries by itself.
 func (n *Node) observe(a ask.Ask, ans ask.Answer) {
-	n.health.Observe(a.Search, ans)
+	if !a.Canary {
+		n.health.Observe(a.Search, ans)
+	}
 }
 
 // Ask answers one question.
--- a/internal/query/scatter/call.go
+++ b/internal/query/scatter/call.go
@@ -31,7 +31,7 @@
 		r.candidates = append(r.candidates, choice.Candidate{
 			Home:   p.Domain() == r.e.c.Home,
 			Usable: st.Usable,
-			Load:   float64(st.InFlight) + st.Reported,
+			Load:   choice.Load(st.InFlight, st.Reported),
 			Weight: st.Weight,
 		})
 	}
@@ -189,9 +189,16 @@
 }
 
 // pay spends the budget for a repeated call. A call that placed no load on a
-// backend server is repeated for nothing.
+// backend server is repeated for nothing; only what a server shed must not
+// draw on the reserve, since it would come back as more load.
 func (r *run) pay(o outcome.Outcome) bool {
-	return unplaced(o) || r.lane.budget.Spend(1)
+	switch {
+	case unplaced(o):
+		return true
+	case o.Reason == outcome.Shed:
+		return r.lane.budget.Spend(1)
+	}
+	return r.lane.budget.SpendReserve(1)
 }
 
 // countRetry counts a repeated call, unless the first placed no load.
@@ -214,6 +221,10 @@
 // that doubles with each round.
 func (r *run) later(i int) {
 	s := &r.shards[i]
+	if s.last == outcome.VersionGone {
+		r.versionGone(i)
+		return
+	}
 	s.rounds++
 	pause := max(leastPause, r.delay/4) << s.rounds
 	at := time.Now().Add(pause)
@@ -233,7 +244,7 @@
 	s.tried = 0
 	s.shed = false
 	k := r.pick(i)
-	if k < 0 || !r.lane.budget.Spend(1) {
+	if k < 0 || !r.pay(outcome.Unknown(s.last)) {
 		r.later(i)
 		return
 	}
@@ -245,7 +256,7 @@
 // versionGone has the query restart on a newer version, if the budget can pay
 // for the calls whose work is lost, and gives the shard up otherwise.
 func (r *run) versionGone(i int) {
-	if r.part || r.restarts >= r.e.c.Policy.Restarts || !r.lane.budget.Spend(r.placed()) {
+	if r.part || r.restarts >= r.e.c.Policy.Restarts || !r.lane.budget.SpendReserve(r.placed()) {
 		r.giveUp(i, outcome.VersionGone)
 		return
 	}
--- a/internal/query/scatter/delegate.go
+++ b/internal/query/scatter/delegate.go
@@ -148,7 +148,7 @@
 		return
 	}
 	n := len(r.openRanges(g))
-	if (unplaced(o) || r.lane.budget.Spend(n)) && r.askHolder(res.group, time.Now(), "part again") {
+	if (unplaced(o) || r.lane.budget.SpendReserve(n)) && r.askHolder(res.group, time.Now(), "part again") {
 		if !unplaced(o) {
 			r.cost.Retries += n
 		}
--- a/internal/query/scatter/policy.go
+++ b/internal/query/scatter/policy.go
@@ -32,7 +32,7 @@
 
 // Current returns the policy that the product runs.
 func Current() Policy {
-	return Policy{Name: "current", Hedges: 2, Retry: true, Restarts: 3}
+	return Policy{Name: "current", Hedges: 2, Retry: true, Restarts: 8}
 }
 
 // Naive returns the baseline of measurements: a random replica, a fixed
--- a/internal/query/scatter/run.go
+++ b/internal/query/scatter/run.go
@@ -327,6 +327,7 @@
 		return
 	}
 	if !r.lane.budget.Spend(1) {
+		r.e.c.Events.Emit(event.BudgetSpent, r.ask.Search, r.ask.QueryID)
 		r.schedule(i, now)
 		return
 	}
--- a/internal/query/scatter/trial.go
+++ b/internal/query/scatter/trial.go
@@ -41,7 +41,7 @@
 	for delays := 0; !s.done() && !r.restart; {
 		select {
 		case res := <-r.results:
-			r.takeTrial(res, v)
+			r.takeTrial(res)
 		case <-t.C:
 			t.Reset(r.delay)
 			delays++
@@ -71,7 +71,7 @@
 // takeTrial handles the end of a trial call. When its connection died,
 // another searcher is tried alone, unless this was the second that the
 // request took with it.
-func (r *run) takeTrial(res result, v Verdict) {
+func (r *run) takeTrial(res result) {
 	s := &r.shards[res.shard]
 	if res.reply.Outcome.Reason != outcome.ConnectionLost || s.done() {
 		r.take(res)
@@ -84,12 +84,15 @@
 	s.lost++
 	r.settle = true
 	n := p.Standing().InFlight + 1
-	if v == Suspect || s.lost > 1 {
+	if s.lost > 1 {
 		r.e.c.Guard.LostAgain(r.print, p.ID(), n)
+	} else {
+		r.e.c.Guard.Lost(r.print, p.ID(), n)
+	}
+	if s.lost > 1 || r.e.c.Guard.Judge(r.print) == Quarantined {
 		r.giveUp(res.shard, outcome.Quarantined)
 		return
 	}
-	r.e.c.Guard.Lost(r.print, p.ID(), n)
 	if len(s.flights) == 0 {
 		r.retryNow(res.shard, res.reply.Outcome)
 	}
