--- a/internal/back/choice/choice_test.go
+++ b/internal/back/choice/choice_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	_ "egrethaven/internal/proof/fixedseed"
 )
 
 func TestPickKeepsTheRules(t *testing.T) {
--- a/internal/back/contract/contract_test.go
+++ b/internal/back/contract/contract_test.go
@@ -6,6 +6,8 @@
 
 	"pgregory.net/rapid"
 
+	_ "egrethaven/internal/proof/fixedseed"
+
 	"egrethaven/internal/query/keyrange"
 	"egrethaven/internal/world/zone"
 )
--- a/internal/back/directory/choose_test.go
+++ b/internal/back/directory/choose_test.go
@@ -5,6 +5,8 @@
 
 	"pgregory.net/rapid"
 
+	_ "egrethaven/internal/proof/fixedseed"
+
 	"egrethaven/internal/query/keyrange"
 )
 
--- a/internal/back/quarantine/quarantine_test.go
+++ b/internal/back/quarantine/quarantine_test.go
@@ -8,6 +8,8 @@
 
 	"pgregory.net/rapid"
 
+	_ "egrethaven/internal/proof/fixedseed"
+
 	"egrethaven/internal/query/ask"
 )
 
--- a/internal/back/queue/queue_test.go
+++ b/internal/back/queue/queue_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	_ "egrethaven/internal/proof/fixedseed"
 )
 
 // TestServesInTimeInOrder pushes and pops at random: what comes out can be
--- a/internal/back/standing/standing_test.go
+++ b/internal/back/standing/standing_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	_ "egrethaven/internal/proof/fixedseed"
 )
 
 var start = time.Unix(1_000_000, 0)
--- a/internal/observe/clock/clock_test.go
+++ b/internal/observe/clock/clock_test.go
@@ -6,6 +6,8 @@
 
 	"pgregory.net/rapid"
 
+	_ "egrethaven/internal/proof/fixedseed"
+
 	"egrethaven/internal/observe/clock"
 	"egrethaven/internal/observe/event"
 )
--- a/internal/observe/fleet/fleet_test.go
+++ b/internal/observe/fleet/fleet_test.go
@@ -9,6 +9,8 @@
 	"go.uber.org/goleak"
 	"pgregory.net/rapid"
 
+	_ "egrethaven/internal/proof/fixedseed"
+
 	"egrethaven/internal/observe/clock"
 	"egrethaven/internal/observe/event"
 	"egrethaven/internal/observe/fleet"
--- a/internal/observe/health/health_test.go
+++ b/internal/observe/health/health_test.go
@@ -10,6 +10,8 @@
 
 	"pgregory.net/rapid"
 
+	_ "egrethaven/internal/proof/fixedseed"
+
 	"egrethaven/internal/observe/health"
 	"egrethaven/internal/query/ask"
 	"egrethaven/internal/query/coverage"
--- a/internal/peer/member/table_test.go
+++ b/internal/peer/member/table_test.go
@@ -7,6 +7,8 @@
 
 	"pgregory.net/rapid"
 
+	_ "egrethaven/internal/proof/fixedseed"
+
 	"egrethaven/internal/world/vm"
 	"egrethaven/internal/world/zone"
 )
--- a/internal/platform/tokens/bucket_test.go
+++ b/internal/platform/tokens/bucket_test.go
@@ -9,6 +9,8 @@
 
 	"pgregory.net/rapid"
 
+	_ "egrethaven/internal/proof/fixedseed"
+
 	"egrethaven/internal/platform/tokens"
 )
 
--- a/internal/query/budget/budget_test.go
+++ b/internal/query/budget/budget_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	_ "egrethaven/internal/proof/fixedseed"
 )
 
 // TestBound checks the promise of the package: whatever the order of calls,
--- a/internal/query/keyrange/range_test.go
+++ b/internal/query/keyrange/range_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	_ "egrethaven/internal/proof/fixedseed"
 )
 
 func TestSplitTiles(t *testing.T) {
--- a/internal/standin/deployment/deployment_test.go
+++ b/internal/standin/deployment/deployment_test.go
@@ -11,6 +11,8 @@
 
 	"go.uber.org/goleak"
 	"pgregory.net/rapid"
+
+	_ "egrethaven/internal/proof/fixedseed"
 )
 
 // held returns the ranges that the searchers hold of a version.
--- a/internal/state/config/manager_test.go
+++ b/internal/state/config/manager_test.go
@@ -12,6 +12,8 @@
 	"go.uber.org/goleak"
 	"pgregory.net/rapid"
 
+	_ "egrethaven/internal/proof/fixedseed"
+
 	"egrethaven/internal/platform/fakekv"
 	"egrethaven/internal/platform/kv"
 	"egrethaven/internal/state/config"
--- a/internal/state/once/store_test.go
+++ b/internal/state/once/store_test.go
@@ -16,6 +16,8 @@
 	"go.uber.org/goleak"
 	"pgregory.net/rapid"
 
+	_ "egrethaven/internal/proof/fixedseed"
+
 	"egrethaven/internal/platform/kv"
 	"egrethaven/internal/query/outcome"
 	"egrethaven/internal/world/vm"
