Tell a holder that was never reached from one whose reply was lost

Cause: a test of the parts over drpc found that a holder which is gone ended as unknown(connection_lost): connections are opened with the first call, so the error came from there. The coordinator then paid for calls never made. Change: peer/rpc types such errors as ErrUnreachable; node/holders maps them to not_run(connection_refused).

--- a/internal/node/holders/client.go
+++ b/internal/node/holders/client.go
@@ -4,8 +4,10 @@
 	"context"
 	"time"
 
+	"github.com/juju/errors"
 	"storj.io/drpc"
 
+	"egrethaven/internal/peer/rpc"
 	"egrethaven/internal/peer/scatterrpc"
 	"egrethaven/internal/query/ask"
 	"egrethaven/internal/query/coverage"
@@ -38,6 +40,9 @@
 		return scatter.PartReply{Outcome: outcome.NotRun(outcome.ConnectionRefused)}
 	}
 	m, err := scatterrpc.NewDRPCScatterClient(c).Part(ctx, request(p))
+	if errors.Is(err, rpc.ErrUnreachable) {
+		return scatter.PartReply{Outcome: outcome.NotRun(outcome.ConnectionRefused)}
+	}
 	if err != nil {
 		return scatter.PartReply{Outcome: outcome.Unknown(outcome.ConnectionLost)}
 	}
--- a/internal/peer/rpc/dialer.go
+++ b/internal/peer/rpc/dialer.go
@@ -35,6 +35,10 @@
 	MaxMessage int
 }
 
+// ErrUnreachable is the type of the error of a call for which no connection
+// came about: nothing of it was sent.
+const ErrUnreachable = errors.ConstError("no connection to the peer")
+
 // Dialer opens and keeps connections to other entry VMs.
 type Dialer struct {
 	c    DialerConfig
@@ -98,7 +102,17 @@
 	return true
 }
 
+// dial opens a connection. Its errors are ErrUnreachable.
 func (d *Dialer) dial(ctx context.Context, addr string) (*conn, error) {
+	c, err := d.connect(ctx, addr)
+	if err != nil {
+		return nil, errors.WithType(err, ErrUnreachable)
+	}
+	return c, nil
+}
+
+// connect opens a connection and makes the first exchange on it.
+func (d *Dialer) connect(ctx context.Context, addr string) (*conn, error) {
 	n := net.Dialer{Timeout: d.c.Timeout, KeepAliveConfig: keepAlive, Control: setUserTimeout}
 	c, err := n.DialContext(ctx, "tcp", addr)
 	if err != nil {
