One wait that a context cuts short, one verdict on requests

Change: platform/pause; the engine takes quarantine.Verdict, the adapters go. Conclusion: behaviour as before.

--- a/internal/back/quarantine/quarantine.go
+++ b/internal/back/quarantine/quarantine.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"egrethaven/internal/observe/event"
+	"egrethaven/internal/platform/pause"
 )
 
 const (
@@ -170,14 +171,14 @@
 	if q.c.Spread != nil {
 		q.c.Spread(ctx, fingerprint)
 	} else {
-		wait(ctx, DefaultSpreadTime)
+		pause.Sleep(ctx, DefaultSpreadTime)
 	}
 	for ctx.Err() == nil {
 		d := time.Until(q.calm())
 		if d <= 0 {
 			return
 		}
-		wait(ctx, d)
+		pause.Sleep(ctx, d)
 	}
 }
 
@@ -254,16 +255,6 @@
 	return q.lastLoss.Add(waveTime)
 }
 
-// wait waits for d or the end of ctx.
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // name is the text form of a fingerprint.
 func name(fingerprint uint64) string {
 	return fmt.Sprintf("%016x", fingerprint)
--- a/internal/bench/rig/node.go
+++ b/internal/bench/rig/node.go
@@ -76,7 +76,7 @@
 		Seed:       r.c.Seed,
 	})
 	if c.Guard == nil && !c.Plain {
-		c.Guard = guard{quarantine.New(quarantine.Config{})}
+		c.Guard = quarantine.New(quarantine.Config{})
 	}
 	n := &Node{Directory: d, Engine: scatter.New(scatter.Config{
 		Source:   source.New(source.Config{Map: d.Map}),
@@ -93,25 +93,6 @@
 	return n
 }
 
-// guard is a quarantine as the engine sees it.
-type guard struct {
-	*quarantine.Quarantine
-}
-
-// Judge tells how a request may run.
-func (g guard) Judge(fingerprint uint64) scatter.Verdict {
-	switch g.Quarantine.Judge(fingerprint) {
-	case quarantine.Trusted:
-		return scatter.Trusted
-	case quarantine.Suspect:
-		return scatter.Suspect
-	case quarantine.Quarantined:
-		return scatter.Quarantined
-	default:
-		return scatter.Unseen
-	}
-}
-
 // Ask answers one question.
 func (n *Node) Ask(ctx context.Context, a ask.Ask) ask.Answer { return n.Engine.Ask(ctx, a) }
 
--- a/internal/bench/writes/fleet.go
+++ b/internal/bench/writes/fleet.go
@@ -12,6 +12,7 @@
 	"egrethaven/internal/peer/claimrpc"
 	"egrethaven/internal/peer/rpc"
 	"egrethaven/internal/platform/kv"
+	"egrethaven/internal/platform/pause"
 	"egrethaven/internal/standin/platform"
 	"egrethaven/internal/state/once"
 	"egrethaven/internal/world/vm"
@@ -150,11 +151,11 @@
 	out := make(chan struct{})
 	go func() {
 		defer close(out)
-		if p.outage && sleep(ctx, d/3) {
+		if p.outage && pause.Sleep(ctx, d/3) {
 			g := p.faults
 			g.Down = true
 			f.platform.SetFaults(g)
-			sleep(ctx, d/3)
+			pause.Sleep(ctx, d/3)
 			f.platform.SetFaults(p.faults)
 		}
 	}()
@@ -163,22 +164,10 @@
 
 // pauses stops one random node after the other.
 func (f *fleet) pauses(ctx context.Context, r *rand.Rand) {
-	for sleep(ctx, pauseGap) {
+	for pause.Sleep(ctx, pauseGap) {
 		n := f.nodes[r.IntN(len(f.nodes))]
 		n.gate.shut()
-		sleep(ctx, pauseTime)
+		pause.Sleep(ctx, pauseTime)
 		n.gate.open()
 	}
 }
-
-// sleep waits for d; it is false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/bench/writes/traffic.go
+++ b/internal/bench/writes/traffic.go
@@ -13,6 +13,7 @@
 	"egrethaven/internal/bench/figure"
 	"egrethaven/internal/bench/load"
 	"egrethaven/internal/bench/scenario"
+	"egrethaven/internal/platform/pause"
 	"egrethaven/internal/query/outcome"
 	"egrethaven/internal/standin/platform"
 	"egrethaven/internal/state/once"
@@ -74,7 +75,7 @@
 	load.Run(ctx, load.Config{Rate: rate, Duration: d, Random: arrivals}, func(due time.Time) {
 		t.caller(ctx, due)
 	})
-	sleep(ctx, settleTime)
+	pause.Sleep(ctx, settleTime)
 	return t.fleet.platform.Stats()
 }
 
@@ -95,7 +96,7 @@
 		defer w.Wait()
 		q := t.draw()
 		w.Go(func() {
-			sleep(ctx, time.Duration(q.Int64N(int64(resendPause))))
+			pause.Sleep(ctx, time.Duration(q.Int64N(int64(resendPause))))
 			t.send(ctx, q, k, time.Now())
 		})
 	}
@@ -103,7 +104,7 @@
 		if t.send(ctx, r, k, due).Status != once.Refused {
 			return
 		}
-		sleep(ctx, time.Duration(r.Int64N(int64(resendPause))))
+		pause.Sleep(ctx, time.Duration(r.Int64N(int64(resendPause))))
 		due = time.Now()
 	}
 }
@@ -138,7 +139,7 @@
 	if c.Status == once.Claimed {
 		n.gate.pass()
 		t.oracle.run(key)
-		sleep(context.WithoutCancel(ctx), time.Duration(r.Int64N(int64(serviceTime))))
+		pause.Sleep(context.WithoutCancel(ctx), time.Duration(r.Int64N(int64(serviceTime))))
 		n.gate.pass()
 		n.claims.Record(c, once.Record{Outcome: outcome.OK(), Revision: 1})
 	}
--- a/internal/node/entry/guard.go
+++ b/internal/node/entry/guard.go
@@ -7,7 +7,6 @@
 
 	"egrethaven/internal/back/quarantine"
 	"egrethaven/internal/peer/rumor"
-	"egrethaven/internal/query/scatter"
 )
 
 const (
@@ -31,29 +30,9 @@
 	ForMS int64 `json:"for_ms"`
 }
 
-// guard is the quarantine as the engine sees it. *quarantine.Quarantine has
-// the other methods.
-type guard struct {
-	*quarantine.Quarantine
-}
-
-// Judge tells how a request may run.
-func (g guard) Judge(fingerprint uint64) scatter.Verdict {
-	switch g.Quarantine.Judge(fingerprint) {
-	case quarantine.Trusted:
-		return scatter.Trusted
-	case quarantine.Suspect:
-		return scatter.Suspect
-	case quarantine.Quarantined:
-		return scatter.Quarantined
-	default:
-		return scatter.Unseen
-	}
-}
-
 // newGuard returns the quarantine, which tells the other nodes of what
 // happens here and hears from them.
-func (n *Node) newGuard() guard {
+func (n *Node) newGuard() *quarantine.Quarantine {
 	t := rumor.NewTopic[poison](n.rumors, rumor.Quarantine)
 	q := quarantine.New(quarantine.Config{
 		Events: n.log,
@@ -76,7 +55,7 @@
 			q.AddIncident(f, p.Value.Incident)
 		}
 	})
-	return guard{q}
+	return q
 }
 
 // poisonKey names a fingerprint and a searcher in a rumor.
--- a/internal/platform/kv/retry.go
+++ b/internal/platform/kv/retry.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"egrethaven/internal/platform/pause"
 )
 
 const (
@@ -17,7 +19,7 @@
 // lost answer is as good as a refusal.
 func (c *Client) read(ctx context.Context, r request) answer {
 	for i := range readAttempts {
-		if i > 0 && !c.sleep(ctx, c.backoff(i)) {
+		if i > 0 && !pause.Sleep(ctx, c.backoff(i)) {
 			break
 		}
 		if !c.budget.reads.wait(ctx) {
@@ -76,15 +78,3 @@
 	defer c.mu.Unlock()
 	return fullJitter(c.random, i)
 }
-
-// sleep waits for d; it is false when the context ended first.
-func (c *Client) sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/platform/tokens/bucket.go
+++ b/internal/platform/tokens/bucket.go
@@ -13,6 +13,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"egrethaven/internal/platform/pause"
 )
 
 // Rate is how many calls are let through.
@@ -41,14 +43,7 @@
 	if !ok || d <= 0 {
 		return ok
 	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return pause.Sleep(ctx, d)
 }
 
 // Take takes a token if there is one now.
--- a/internal/query/scatter/part.go
+++ b/internal/query/scatter/part.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"egrethaven/internal/back/quarantine"
 	"egrethaven/internal/query/ask"
 	"egrethaven/internal/query/coverage"
 	"egrethaven/internal/query/merge"
@@ -20,7 +21,7 @@
 		return PartReply{Outcome: outcome.NotRun(outcome.UnknownSearch)}
 	}
 	r := newRun(e, e.lanes.of(d), d, p.Ask, time.Now())
-	if e.c.Guard.Judge(r.print) == Quarantined {
+	if e.c.Guard.Judge(r.print) == quarantine.Quarantined {
 		return PartReply{Outcome: outcome.NotRun(outcome.Quarantined)}
 	}
 	r.delay = r.lane.hedgeDelay()
--- a/internal/query/scatter/run.go
+++ b/internal/query/scatter/run.go
@@ -102,7 +102,7 @@
 // answer runs the query to its end.
 func (r *run) answer(ctx context.Context) ask.Answer {
 	v := r.e.c.Guard.Judge(r.print)
-	if v == Quarantined {
+	if v == quarantine.Quarantined {
 		return refused(r.ask, outcome.Quarantined, 0, r.start)
 	}
 	r.delay = r.lane.hedgeDelay()
@@ -115,7 +115,7 @@
 		r.cost.Restarts++
 		r.e.c.Events.Emit(event.QueryRestarted, r.ask.Search, r.ask.QueryID)
 		r.step("restart", "", nil, "version gone")
-		v = Trusted
+		v = quarantine.Trusted
 	}
 	if r.settle {
 		c, cancel := context.WithDeadline(ctx, r.ask.Deadline)
@@ -129,7 +129,7 @@
 
 // attempt runs the query on one version. It reports true when the version is
 // gone and the query should move to a newer one.
-func (r *run) attempt(ctx context.Context, v Verdict) bool {
+func (r *run) attempt(ctx context.Context, v quarantine.Verdict) bool {
 	if !r.pinInTime(ctx) {
 		return false
 	}
@@ -141,7 +141,7 @@
 	r.due = r.due[:0]
 	r.partHits = nil
 	r.gather()
-	if v != Trusted && !r.e.c.Policy.NoTrial && !r.trial(v) {
+	if v != quarantine.Trusted && !r.e.c.Policy.NoTrial && !r.trial(v) {
 		return r.restart
 	}
 	r.begin()
--- a/internal/query/scatter/source.go
+++ b/internal/query/scatter/source.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"egrethaven/internal/back/backend"
+	"egrethaven/internal/back/quarantine"
 	"egrethaven/internal/back/searcher"
 	"egrethaven/internal/query/keyrange"
 	"egrethaven/internal/world/zone"
@@ -44,9 +45,10 @@
 }
 
 // Guard keeps requests that crash backend servers from running again.
+// *quarantine.Quarantine is one.
 type Guard interface {
 	// Judge tells how a request may run.
-	Judge(fingerprint uint64) Verdict
+	Judge(fingerprint uint64) quarantine.Verdict
 	// Passed tells that a searcher answered the request.
 	Passed(fingerprint uint64)
 	// Lost tells that the connection died while the request ran there.
@@ -57,26 +59,11 @@
 	Settle(ctx context.Context, fingerprint uint64)
 }
 
-// Verdict is how a request may run.
-type Verdict int
-
-// The verdicts of a Guard.
-const (
-	// Trusted requests were answered before: they run on all shards at once.
-	Trusted Verdict = iota
-	// Unseen requests make a trial call first, hedged once.
-	Unseen
-	// Suspect requests make a trial call alone, without hedge.
-	Suspect
-	// Quarantined requests do not run.
-	Quarantined
-)
-
 // openGuard trusts every request.
 type openGuard struct{}
 
-func (openGuard) Judge(uint64) Verdict           { return Trusted }
-func (openGuard) Passed(uint64)                  {}
-func (openGuard) Lost(uint64, string, int)       {}
-func (openGuard) LostAgain(uint64, string, int)  {}
-func (openGuard) Settle(context.Context, uint64) {}
+func (openGuard) Judge(uint64) quarantine.Verdict { return quarantine.Trusted }
+func (openGuard) Passed(uint64)                   {}
+func (openGuard) Lost(uint64, string, int)        {}
+func (openGuard) LostAgain(uint64, string, int)   {}
+func (openGuard) Settle(context.Context, uint64)  {}
--- a/internal/query/scatter/trial.go
+++ b/internal/query/scatter/trial.go
@@ -3,13 +3,14 @@
 import (
 	"time"
 
+	"egrethaven/internal/back/quarantine"
 	"egrethaven/internal/query/outcome"
 )
 
 // trial makes the first call of a query that was never seen answered, and
 // waits for an answer before the others are made. An unseen query is hedged
 // once; a suspect one runs alone. It reports whether the query may go on.
-func (r *run) trial(v Verdict) bool {
+func (r *run) trial(v quarantine.Verdict) bool {
 	for _, i := range r.rand.Perm(len(r.shards)) {
 		if len(r.shards[i].Holders) > 0 {
 			continue
@@ -30,7 +31,7 @@
 
 // trialShard makes the trial on one shard. It reports whether the query may
 // fan out: a searcher answered, or the calls are slow but alive.
-func (r *run) trialShard(i int, v Verdict) bool {
+func (r *run) trialShard(i int, v quarantine.Verdict) bool {
 	s := &r.shards[i]
 	if !r.first(i, time.Now()) {
 		return false
@@ -45,10 +46,10 @@
 		case <-t.C:
 			t.Reset(r.delay)
 			delays++
-			if v == Unseen && s.lost == 0 && delays == 1 {
+			if v == quarantine.Unseen && s.lost == 0 && delays == 1 {
 				r.hedge(i, time.Now())
 			}
-			if v == Unseen && s.lost == 0 && delays >= trialDelays {
+			if v == quarantine.Unseen && s.lost == 0 && delays >= trialDelays {
 				return true
 			}
 		case <-r.ctx.Done():
@@ -89,7 +90,7 @@
 	} else {
 		r.e.c.Guard.Lost(r.print, p.ID(), n)
 	}
-	if s.lost > 1 || r.e.c.Guard.Judge(r.print) == Quarantined {
+	if s.lost > 1 || r.e.c.Guard.Judge(r.print) == quarantine.Quarantined {
 		r.giveUp(res.shard, outcome.Quarantined)
 		return
 	}
--- a/internal/query/scatter/trial_test.go
+++ b/internal/query/scatter/trial_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"testing/synctest"
 
+	"egrethaven/internal/back/quarantine"
 	"egrethaven/internal/back/searcher"
 	"egrethaven/internal/query/outcome"
 	"egrethaven/internal/state/search"
@@ -18,18 +19,18 @@
 	passed bool
 }
 
-func (g *fakeGuard) Judge(uint64) Verdict {
+func (g *fakeGuard) Judge(uint64) quarantine.Verdict {
 	g.m.Lock()
 	defer g.m.Unlock()
 	switch {
 	case len(g.lost) >= 2:
-		return Quarantined
+		return quarantine.Quarantined
 	case len(g.lost) == 1:
-		return Suspect
+		return quarantine.Suspect
 	case g.passed:
-		return Trusted
+		return quarantine.Trusted
 	}
-	return Unseen
+	return quarantine.Unseen
 }
 
 func (g *fakeGuard) Passed(uint64) {
@@ -82,7 +83,7 @@
 		g := &fakeGuard{}
 		e := engine(t, x, Current(), g, search.Definition{ExtraLoad: 0.02})
 		checkWhole(t, e.Ask(context.Background(), question(false)), 20)
-		if g.Judge(0) != Trusted {
+		if g.Judge(0) != quarantine.Trusted {
 			t.Fatal("still suspect after it was answered")
 		}
 	})
--- a/internal/state/config/apply.go
+++ b/internal/state/config/apply.go
@@ -8,6 +8,7 @@
 
 	"egrethaven/internal/observe/event"
 	"egrethaven/internal/platform/kv"
+	"egrethaven/internal/platform/pause"
 	"egrethaven/internal/state/search"
 )
 
@@ -221,12 +222,5 @@
 // pause waits a random time that grows with the number of tries; it is false
 // when ctx has ended.
 func (m *Manager) pause(ctx context.Context, try int) bool {
-	t := time.NewTimer(m.jitter(retryFirst << try))
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return pause.Sleep(ctx, m.jitter(retryFirst<<try))
 }
--- a/internal/state/once/committer.go
+++ b/internal/state/once/committer.go
@@ -8,6 +8,7 @@
 	"egrethaven/internal/observe/event"
 	"egrethaven/internal/peer/claimrpc"
 	"egrethaven/internal/platform/kv"
+	"egrethaven/internal/platform/pause"
 )
 
 const (
@@ -214,7 +215,7 @@
 	}
 	t := try{c: c, batch: ps}
 	for n := 0; ; n++ {
-		if n > 0 && !c.s.sleep(ctx, c.s.jitter(min(minPause<<min(n, 16), maxPause))) {
+		if n > 0 && !pause.Sleep(ctx, c.s.jitter(min(minPause<<min(n, 16), maxPause))) {
 			break
 		}
 		if t.run(ctx) {
@@ -275,15 +276,3 @@
 	defer s.mu.Unlock()
 	s.downUntil = time.Now().Add(d)
 }
-
-// sleep waits for d; it is false when the context ended first.
-func (s *Store) sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/state/once/sweep.go
+++ b/internal/state/once/sweep.go
@@ -9,6 +9,7 @@
 
 	"egrethaven/internal/observe/event"
 	"egrethaven/internal/platform/kv"
+	"egrethaven/internal/platform/pause"
 )
 
 const (
@@ -24,7 +25,7 @@
 func (s *Store) sweepLoop() {
 	for {
 		i := s.config.SweepInterval
-		if !s.sleep(s.ctx, i/2+s.jitter(i)) {
+		if !pause.Sleep(s.ctx, i/2+s.jitter(i)) {
 			return
 		}
 		s.sweep(time.Now())
@@ -50,7 +51,7 @@
 	}
 	n := 0
 	for _, e := range es {
-		if !s.sleep(s.ctx, deleteInterval) {
+		if !pause.Sleep(s.ctx, deleteInterval) {
 			return
 		}
 		ctx, cancel := context.WithTimeout(s.ctx, sweepTimeout)
