Split the engine's files; say incomplete_coverage, not canceled, for what was not waited for

Change: due.go, pin.go and retry.go; such ranges are missing for incomplete_coverage, and the outcome names the reason of the first range that was given up.

--- a/internal/query/scatter/engine_test.go
+++ b/internal/query/scatter/engine_test.go
@@ -157,6 +157,35 @@
 	})
 }
 
+// TestNobodyCanceled ends early because one range can't be had: the other
+// ranges are missing for that, not because a caller went away.
+func TestNobodyCanceled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newIndex(4, 1, func(shard, _ int, _ searcher.Query) behaviour {
+			if shard == 2 {
+				return behaviour{outcome: outcome.NotRun(outcome.Shed)}
+			}
+			return ok(time.Hour)
+		})
+		p := Current()
+		p.Retry = false
+		e := engine(t, x, p, nil, search.Definition{})
+		a := e.Ask(context.Background(), question(false))
+		if a.Outcome != outcome.Failed(outcome.Shed) {
+			t.Fatalf("outcome %v", a.Outcome)
+		}
+		for i, g := range a.Coverage.Missing {
+			want := outcome.IncompleteCoverage
+			if i == 2 {
+				want = outcome.Shed
+			}
+			if g.Reason != want {
+				t.Errorf("range %d is missing for %v", i, g.Reason)
+			}
+		}
+	})
+}
+
 func TestLatencyFirstStopsEarly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		x := newIndex(40, 1, func(shard, _ int, _ searcher.Query) behaviour {
--- a/internal/query/scatter/finish.go
+++ b/internal/query/scatter/finish.go
@@ -81,7 +81,10 @@
 		reason = outcome.Canceled
 	case r.ended == outcome.Quarantined:
 		reason = outcome.Quarantined
-	case len(a.Coverage.Covered) == 0 && len(a.Coverage.Missing) > 0:
+	case len(a.Coverage.Covered) > 0:
+	case r.why != outcome.None:
+		reason = r.why
+	case len(a.Coverage.Missing) > 0:
 		reason = a.Coverage.Missing[0].Reason
 	}
 	if !r.sent && r.inFlight() == 0 {
--- a/internal/query/scatter/run.go
+++ b/internal/query/scatter/run.go
@@ -23,10 +23,6 @@
 	// patienceDelays is how many hedge delays a latency-first query waits
 	// for its last shards when its caller accepts a partial answer.
 	patienceDelays = 6
-	// mostPinWait bounds the wait for a complete version of the index.
-	mostPinWait = time.Second
-	// pinPause is the time between two looks for one.
-	pinPause = 5 * time.Millisecond
 	// resultBuffer is how many ended calls may wait for the query's goroutine.
 	resultBuffer = 16
 	// replyMargin is kept of the deadline to send the answer.
@@ -78,25 +74,16 @@
 	// settle tells that the other nodes have to know what happened before
 	// the caller gets its answer and may send the request again.
 	settle bool
-	// ended is why shards without an end of their own are missing.
+	// ended is why shards without an end of their own are missing: the time
+	// was over, or another range could not be had.
 	ended outcome.Reason
-}
-
-// noShard marks a due moment that only wakes the query's goroutine.
-const noShard = -1
-
-// due is a moment at which a shard needs a decision.
-type due struct {
-	at    time.Time
-	shard int
-	retry bool
-	// part is one more than the group whose holder is slow, or 0.
-	part int
+	// why is the reason of the first shard that was given up.
+	why outcome.Reason
 }
 
 // newRun prepares a query.
 func newRun(e *Engine, l *lane, d search.Definition, a ask.Ask, start time.Time) *run {
-	return &run{e: e, lane: l, def: d, ask: a, print: quarantine.Fingerprint(a.Search, a.Text, a.Filters, a.Limit), start: start, rand: e.random(), ended: outcome.Canceled}
+	return &run{e: e, lane: l, def: d, ask: a, print: quarantine.Fingerprint(a.Search, a.Text, a.Filters, a.Limit), start: start, rand: e.random(), ended: outcome.IncompleteCoverage}
 }
 
 // answer runs the query to its end.
@@ -158,49 +145,6 @@
 	}
 }
 
-// pinInTime pins a version. While searchers take up a new version there may
-// be a moment without a complete one: it waits for the end of it, for a part
-// of the time left.
-func (r *run) pinInTime(ctx context.Context) bool {
-	now := time.Now()
-	end := now.Add(min(mostPinWait, r.ask.Deadline.Sub(now)/2))
-	for !r.pin() {
-		if r.e.c.Source.Index(r.def.Service).Newest() == 0 || time.Now().After(end) || ctx.Err() != nil {
-			return false
-		}
-		time.Sleep(pinPause)
-	}
-	r.pinWait += time.Since(now)
-	return true
-}
-
-// pin chooses the version: the newest complete one, or for a caller who
-// accepts a partial answer the newest of all. After a restart only a newer
-// version than before will do.
-func (r *run) pin() bool {
-	x := r.e.c.Source.Index(r.def.Service)
-	vs := x.Versions()
-	v := x.Newest()
-	if len(vs) > 0 {
-		v = vs[0]
-	} else if !r.ask.AcceptPartial {
-		v = 0
-	}
-	if v == 0 || v <= r.version {
-		return false
-	}
-	r.version = v
-	shards := x.Shards(v)
-	r.shards = make([]shardState, len(shards))
-	for i, s := range shards {
-		r.shards[i] = shardState{Shard: s}
-	}
-	r.open = len(shards)
-	r.gaveUp = false
-	r.restart = false
-	return true
-}
-
 // begin makes the first call of every shard that has none.
 func (r *run) begin() {
 	now := time.Now()
@@ -239,13 +183,6 @@
 	r.unearned = 0
 }
 
-// schedule asks for a decision on a hedge one hedge delay from now.
-func (r *run) schedule(i int, now time.Time) {
-	if r.e.c.Policy.Hedges > 0 {
-		r.push(due{at: now.Add(r.delay), shard: i})
-	}
-}
-
 // loop takes results and decisions until the query ends or has to restart.
 func (r *run) loop() {
 	t := time.NewTimer(time.Hour)
@@ -299,43 +236,6 @@
 	r.ended = outcome.Timeout
 }
 
-// decideDue takes the decisions whose time has come.
-func (r *run) decideDue(now time.Time) {
-	for len(r.due) > 0 && !r.due[0].at.After(now) {
-		d := r.due[0]
-		r.due = r.due[1:]
-		switch {
-		case d.part > 0:
-			r.hedgePart(d.part-1, now)
-		case d.shard == noShard:
-		case d.retry:
-			r.again(d.shard)
-		default:
-			r.hedge(d.shard, now)
-		}
-	}
-}
-
-// hedge sends one more call for a slow shard, if the budget allows.
-func (r *run) hedge(i int, now time.Time) {
-	s := &r.shards[i]
-	if s.done() || len(s.flights) == 0 || len(s.flights) > r.e.c.Policy.Hedges || s.shed {
-		return
-	}
-	k := r.pick(i)
-	if k < 0 {
-		return
-	}
-	if !r.lane.budget.Spend(1) {
-		r.e.c.Events.Emit(event.BudgetSpent, r.ask.Search, r.ask.QueryID)
-		r.schedule(i, now)
-		return
-	}
-	r.cost.Hedges++
-	r.callReplica(i, k, "hedge")
-	r.schedule(i, now)
-}
-
 // congested tells whether the query suffered from too much load.
 func (r *run) congested() bool {
 	return r.late || r.shed*10 > len(r.shards)
