Send JSON in one place; merge, wait and refuse by what is there

Cause: reading the whole change once more: both HTTP fronts had their own copy of sending JSON and of the problems for a wrong path or method; the engine built its merger twice, kept a second name for the whole key space, and slept where pause.Sleep ends with the context. Change: problemdetail.WriteJSON, NotFound and WrongMethod serve both fronts; run.merge serves answers and parts; pinInTime waits by pause.Sleep.

--- a/internal/front/caller/caller.go
+++ b/internal/front/caller/caller.go
@@ -80,11 +80,11 @@
 }
 
 func notFound(w http.ResponseWriter, r *http.Request) {
-	refuse(w, r, problemdetail.BadRequest("there is nothing at this path; docs/API.md lists the paths").WithStatus(http.StatusNotFound))
+	refuse(w, r, problemdetail.NotFound())
 }
 
 func wrongMethod(w http.ResponseWriter, r *http.Request) {
-	refuse(w, r, problemdetail.BadRequest("the path does not take the method "+r.Method).WithStatus(http.StatusMethodNotAllowed))
+	refuse(w, r, problemdetail.WrongMethod(r.Method))
 }
 
 // refuse answers with a problem that names the request.
--- a/internal/front/caller/health.go
+++ b/internal/front/caller/health.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"net/http"
 	"slices"
+
+	"egrethaven/internal/front/problemdetail"
 )
 
 // listedSearch is one search as callers see it.
@@ -26,7 +28,7 @@
 		out = append(out, listedSearch{Name: d.Name, MaxLimit: d.MaxLimit, DeadlineMS: d.Deadline.Milliseconds(), Writes: d.Writes})
 	}
 	slices.SortFunc(out, func(a, b listedSearch) int { return cmp.Compare(a.Name, b.Name) })
-	writeJSON(w, http.StatusOK, out)
+	problemdetail.WriteJSON(w, http.StatusOK, out)
 }
 
 // health reports on one search.
@@ -36,5 +38,5 @@
 		refuse(w, r, *p)
 		return
 	}
-	writeJSON(w, http.StatusOK, h.c.Engine.Health(d.Name))
+	problemdetail.WriteJSON(w, http.StatusOK, h.c.Engine.Health(d.Name))
 }
--- a/internal/front/caller/query.go
+++ b/internal/front/caller/query.go
@@ -1,10 +1,8 @@
 package caller
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -144,18 +142,5 @@
 	if res.Hits == nil {
 		res.Hits = []ask.Hit{}
 	}
-	writeJSON(w, http.StatusOK, res)
-}
-
-// writeJSON sends v.
-func writeJSON(w http.ResponseWriter, status int, v any) {
-	b, err := json.Marshal(v)
-	if err != nil {
-		problemdetail.Write(w, problemdetail.New(outcome.Unknown(outcome.BadAnswer), "the answer cannot be encoded"))
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
-	w.WriteHeader(status)
-	_, _ = w.Write(b) // a caller who is gone needs no answer
+	problemdetail.WriteJSON(w, http.StatusOK, res)
 }
--- a/internal/front/caller/record.go
+++ b/internal/front/caller/record.go
@@ -28,7 +28,7 @@
 		h.c.Metrics.Write(q.Search, res, time.Since(begin))
 	}
 	if res.Outcome.OK() {
-		writeJSON(w, http.StatusCreated, res)
+		problemdetail.WriteJSON(w, http.StatusCreated, res)
 		return
 	}
 	d := problemdetail.New(res.Outcome, res.Detail)
--- a/internal/front/operator/change.go
+++ b/internal/front/operator/change.go
@@ -96,7 +96,7 @@
 	res := h.c.Configs.Apply(r.Context(), c)
 	switch res.Verdict {
 	case config.Accepted, config.Unchanged:
-		reply(w, http.StatusOK, h.waited(r.Context(), res, wait))
+		problemdetail.WriteJSON(w, http.StatusOK, h.waited(r.Context(), res, wait))
 	case config.Conflict:
 		h.refuseChange(w, r, problemdetail.BadRequest("another change came first; look at the difference and apply again").WithStatus(http.StatusConflict), res)
 	case config.Refused:
--- a/internal/front/operator/operator.go
+++ b/internal/front/operator/operator.go
@@ -14,10 +14,8 @@
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
-	"encoding/json"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 
 	"github.com/gorilla/mux"
@@ -26,7 +24,6 @@
 	"egrethaven/internal/observe/event"
 	"egrethaven/internal/observe/health"
 	"egrethaven/internal/observe/timeline"
-	"egrethaven/internal/query/outcome"
 	"egrethaven/internal/state/config"
 )
 
@@ -132,11 +129,11 @@
 }
 
 func notFound(w http.ResponseWriter, r *http.Request) {
-	refuse(w, r, problemdetail.BadRequest("there is nothing at this path; docs/API.md lists the paths").WithStatus(http.StatusNotFound))
+	refuse(w, r, problemdetail.NotFound())
 }
 
 func wrongMethod(w http.ResponseWriter, r *http.Request) {
-	refuse(w, r, problemdetail.BadRequest("the path does not take the method "+r.Method).WithStatus(http.StatusMethodNotAllowed))
+	refuse(w, r, problemdetail.WrongMethod(r.Method))
 }
 
 // refuse answers with a problem that names the path.
@@ -144,16 +141,3 @@
 	d.Instance = r.URL.Path
 	problemdetail.Write(w, d)
 }
-
-// reply sends v.
-func reply(w http.ResponseWriter, status int, v any) {
-	b, err := json.Marshal(v)
-	if err != nil {
-		problemdetail.Write(w, problemdetail.New(outcome.Unknown(outcome.BadAnswer), "the answer cannot be encoded"))
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
-	w.WriteHeader(status)
-	_, _ = w.Write(b) // an operator who is gone needs no answer
-}
--- a/internal/front/operator/read.go
+++ b/internal/front/operator/read.go
@@ -21,12 +21,12 @@
 const defaultEvents = 1000
 
 func (h *handler) version(w http.ResponseWriter, _ *http.Request) {
-	reply(w, http.StatusOK, Version{Version: h.c.Version, Go: runtime.Version(), Node: h.c.Node})
+	problemdetail.WriteJSON(w, http.StatusOK, Version{Version: h.c.Version, Go: runtime.Version(), Node: h.c.Node})
 }
 
 // list shows all searches.
 func (h *handler) list(w http.ResponseWriter, _ *http.Request) {
-	reply(w, http.StatusOK, searches(h.c.Configs.Current()))
+	problemdetail.WriteJSON(w, http.StatusOK, searches(h.c.Configs.Current()))
 }
 
 // searches returns a snapshot in the order of names.
@@ -52,7 +52,7 @@
 		refuse(w, r, problemdetail.New(outcome.NotRun(outcome.UnknownSearch), "no search has this name; list shows all"))
 		return
 	}
-	reply(w, http.StatusOK, out)
+	problemdetail.WriteJSON(w, http.StatusOK, out)
 }
 
 // history shows accepted changes.
@@ -65,12 +65,12 @@
 	if es == nil {
 		es = []config.HistoryEntry{}
 	}
-	reply(w, http.StatusOK, es)
+	problemdetail.WriteJSON(w, http.StatusOK, es)
 }
 
 // status shows the configuration in force on each live node.
 func (h *handler) status(w http.ResponseWriter, r *http.Request) {
-	reply(w, http.StatusOK, h.c.Fleet.Status(r.Context()))
+	problemdetail.WriteJSON(w, http.StatusOK, h.c.Fleet.Status(r.Context()))
 }
 
 // health judges the whole fleet, or one search of it.
@@ -82,7 +82,7 @@
 	if rep.States == nil {
 		rep.States = []health.State{}
 	}
-	reply(w, http.StatusOK, rep)
+	problemdetail.WriteJSON(w, http.StatusOK, rep)
 }
 
 // timeline merges the events of all nodes.
@@ -93,7 +93,7 @@
 		refuse(w, r, problemdetail.BadRequest("after_ms or limit is not a whole number above 0"))
 		return
 	}
-	reply(w, http.StatusOK, h.c.Fleet.Timeline(r.Context(), event.Stamp{WallMS: after}, int(min(limit, 1<<20))))
+	problemdetail.WriteJSON(w, http.StatusOK, h.c.Fleet.Timeline(r.Context(), event.Stamp{WallMS: after}, int(min(limit, 1<<20))))
 }
 
 // number reads a whole number of the query part.
--- a/internal/front/problemdetail/detail.go
+++ b/internal/front/problemdetail/detail.go
@@ -111,3 +111,27 @@
 	w.WriteHeader(d.Status)
 	_, _ = w.Write(b) // a caller who is gone needs no answer
 }
+
+// WriteJSON sends v with a status of success, or a problem when v cannot be
+// encoded.
+func WriteJSON(w http.ResponseWriter, status int, v any) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		Write(w, New(outcome.Unknown(outcome.BadAnswer), "the answer cannot be encoded"))
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
+	w.WriteHeader(status)
+	_, _ = w.Write(b) // a client who is gone needs no answer
+}
+
+// NotFound is the problem of a path that there is nothing at.
+func NotFound() Detail {
+	return BadRequest("there is nothing at this path; docs/API.md lists the paths").WithStatus(http.StatusNotFound)
+}
+
+// WrongMethod is the problem of a method that a path does not take.
+func WrongMethod(method string) Detail {
+	return BadRequest("the path does not take the method " + method).WithStatus(http.StatusMethodNotAllowed)
+}
--- a/internal/query/scatter/engine.go
+++ b/internal/query/scatter/engine.go
@@ -10,6 +10,7 @@
 	"egrethaven/internal/query/admit"
 	"egrethaven/internal/query/ask"
 	"egrethaven/internal/query/coverage"
+	"egrethaven/internal/query/keyrange"
 	"egrethaven/internal/query/outcome"
 	"egrethaven/internal/query/worker"
 	"egrethaven/internal/state/config"
@@ -129,7 +130,7 @@
 		Search:         a.Search,
 		Outcome:        outcome.NotRun(r),
 		Hits:           []ask.Hit{},
-		Coverage:       coverage.New(0, nil, []coverage.Gap{{Range: whole, Reason: r}}),
+		Coverage:       coverage.New(0, nil, []coverage.Gap{{Range: keyrange.Whole, Reason: r}}),
 		ElapsedMS:      milliseconds(time.Since(start)),
 		ConfigRevision: revision,
 	}
--- a/internal/query/scatter/finish.go
+++ b/internal/query/scatter/finish.go
@@ -15,11 +15,10 @@
 // finish makes the answer from what the shards gave.
 func (r *run) finish(ctx context.Context) ask.Answer {
 	c, lists, total := r.collect(ctx)
-	m := merge.Merger{Reconcile: r.def.Reconcile, Text: r.ask.Text, Filters: r.ask.Filters, Limit: r.ask.Limit}
 	a := ask.Answer{
 		QueryID:  r.ask.QueryID,
 		Search:   r.ask.Search,
-		Hits:     m.Merge(lists),
+		Hits:     r.merge(lists),
 		Total:    total,
 		Coverage: c,
 		Complete: c.Complete(),
@@ -33,6 +32,12 @@
 	return a
 }
 
+// merge makes one list of the hits of many shards.
+func (r *run) merge(lists [][]ask.Hit) []ask.Hit {
+	m := merge.Merger{Reconcile: r.def.Reconcile, Text: r.ask.Text, Filters: r.ask.Filters, Limit: r.ask.Limit}
+	return m.Merge(lists)
+}
+
 // collect gathers the answers of the shards and names the gaps.
 func (r *run) collect(ctx context.Context) (coverage.Coverage, [][]ask.Hit, int) {
 	var covered []keyrange.Range
--- a/internal/query/scatter/part.go
+++ b/internal/query/scatter/part.go
@@ -8,7 +8,6 @@
 	"egrethaven/internal/back/quarantine"
 	"egrethaven/internal/query/ask"
 	"egrethaven/internal/query/coverage"
-	"egrethaven/internal/query/merge"
 	"egrethaven/internal/query/outcome"
 )
 
@@ -72,7 +71,6 @@
 		reply.Covered = append(reply.Covered, Covered{Range: s.Range, Total: s.answer.Total})
 		lists = append(lists, s.answer.Hits)
 	}
-	m := merge.Merger{Reconcile: r.def.Reconcile, Text: r.ask.Text, Filters: r.ask.Filters, Limit: r.ask.Limit}
-	reply.Hits = m.Merge(lists)
+	reply.Hits = r.merge(lists)
 	return reply
 }
--- a/internal/query/scatter/pin.go
+++ b/internal/query/scatter/pin.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"egrethaven/internal/platform/pause"
 	"egrethaven/internal/query/outcome"
 )
 
@@ -24,7 +25,7 @@
 		if r.e.c.Source.Index(r.def.Service).Newest() == 0 || time.Now().After(end) || ctx.Err() != nil {
 			return false
 		}
-		time.Sleep(pinPause)
+		pause.Sleep(ctx, pinPause)
 	}
 	r.pinWait += time.Since(now)
 	return true
--- a/internal/query/scatter/run.go
+++ b/internal/query/scatter/run.go
@@ -29,9 +29,6 @@
 	replyMargin = 2 * time.Millisecond
 )
 
-// whole is the complete key space.
-var whole = keyrange.Whole
-
 // run is one query on its way. All fields belong to the goroutine that
 // called answer.
 type run struct {
