Serve the platform's path, thin: gateway, forward engine, platform adapter

Cause: egrethaven spoke only its own dialects; on the users' platform nothing was served. The program needs one role there that takes its configuration and searchers from the platform's store and passes requests on byte for byte.

Change: `egrethaven gateway`. platform/ holds names, formats and calls (store, entries, headers, path of the settings); what decides is in the product: routing (hosts, prefixes, splits), registry (searchers, grace after an outage), follow (one watch over the whole store), conn and instance (connections whose reader goroutine waits for the answer), placement, retrybudget, topk, forward (one goroutine decides a request), ingress. deploy/ has the build, the role and the template of the settings.

Ruled out for now: the product's scatter engine, which knows JSON, key ranges and versions of an index, none of which the platform's requests have; its link, which keeps one goroutine waiting for each send.

Before: nothing ran on the platform.

--- /dev/null
+++ b/internal/back/instance/observe.go
@@ -0,0 +1,112 @@
+package instance
+
+import (
+	"time"
+
+	"egrethaven/internal/query/placement"
+)
+
+// Verdict is what an answer says of the searcher that gave it.
+type Verdict int
+
+// The verdicts.
+const (
+	// Served: the searcher answered as it should.
+	Served Verdict = iota
+	// Failed: the searcher answered with a failure of its own, or broke off.
+	Failed
+	// Refused: the searcher declined to run the request.
+	Refused
+	// Silent: no answer came in the time that there was.
+	Silent
+	// Misdirected: another searcher has the address.
+	Misdirected
+)
+
+// Learn takes what became of a request. usual is the service time of its
+// kind over all searchers, 0 if unknown.
+func (i *Instance) Learn(v Verdict, elapsed, usual time.Duration) {
+	now := time.Now()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	switch v {
+	case Misdirected:
+		i.v.misdirected = true
+		return
+	case Silent:
+		i.v.silent++
+		i.v.failures += gain * (1 - i.v.failures)
+		if i.v.silent >= suspectAfter {
+			i.v.suspend = min(max(2*i.v.suspend, suspectFirst), suspectMost)
+			i.v.suspended = now.Add(i.v.suspend)
+		}
+		return
+	case Failed, Refused:
+		i.v.failures += gain * (1 - i.v.failures)
+	case Served:
+		i.v.failures -= gain * i.v.failures
+		if usual > 0 {
+			i.v.factor += gain * (min(float64(elapsed)/float64(usual), 20) - i.v.factor)
+		}
+	}
+	i.v.silent, i.v.suspend, i.v.suspended = 0, 0, time.Time{}
+	i.v.lastEnd = now
+}
+
+// Report takes the load that an answer told.
+func (i *Instance) Report(l Load) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.v.load, i.v.loadAt = l, time.Now()
+}
+
+// Usable tells whether requests may be sent here at all.
+func (i *Instance) Usable() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return !i.draining && !i.v.misdirected
+}
+
+// Candidate returns what is known of the searcher for placing a request of a
+// kind with the given usual service time.
+func (i *Instance) Candidate(now time.Time, domain string, usual time.Duration) placement.Candidate {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	c := placement.Candidate{
+		Local:    i.s.Domain == domain,
+		Slots:    i.s.Slots,
+		InFlight: len(i.sends),
+		Waiting:  i.v.load.Waiting,
+		Age:      now.Sub(i.v.loadAt),
+		Usual:    usual,
+		Factor:   i.v.factor,
+		Failures: i.v.failures,
+		Cold:     now.Before(i.s.ColdUntil),
+		Suspect:  now.Before(i.v.suspended) || i.v.silent >= suspectAfter && len(i.sends) > 0,
+		NoConn:   len(i.idle) == 0,
+	}
+	if i.open == 0 && i.v.dialFailed {
+		c.Suspect = true
+	}
+	for x := range i.sends {
+		if began := x.began; x.k != nil && began.After(i.v.lastEnd) {
+			c.Stalled = max(c.Stalled, now.Sub(began))
+		}
+	}
+	return c
+}
+
+// Stats are counts for operators.
+type Stats struct {
+	// Open connections, and requests under way.
+	Open, InFlight int
+	// Factor and Failures as placement sees them.
+	Factor, Failures float64
+}
+
+// Stats returns the counts.
+func (i *Instance) Stats() Stats {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return Stats{Open: i.open, InFlight: len(i.sends), Factor: i.v.factor, Failures: i.v.failures}
+}
--- a/internal/cli/command/list.go
+++ b/internal/cli/command/list.go
@@ -26,7 +26,7 @@
 
 // all lists the commands. cobra adds help and completion.
 var all = []command{
-	cmdServe, cmdCheck, cmdDemo,
+	cmdServe, cmdGateway, cmdCheck, cmdDemo,
 	cmdApply, cmdGet, cmdList, cmdDelete, cmdHistory, cmdStatus,
 	cmdHealth, cmdQuery, cmdRecord, cmdTimeline, cmdVersion,
 }
--- /dev/null
+++ b/internal/node/gateway/gateway.go
@@ -0,0 +1,243 @@
+// Package gateway is one entry VM that takes its configuration and its
+// searchers from the platform's store: it puts together everything that runs
+// there and takes it down again.
+//
+// # Usage
+//
+//	g, err := gateway.New(gateway.Config{Settings: s, Store: store, Decode: d, Dialect: dialect, ...})
+//	if err != nil { ... }
+//	err = g.Run(ctx) // until ctx ends, then a graceful stop
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"egrethaven/internal/front/httpserver"
+	"egrethaven/internal/front/ingress"
+	"egrethaven/internal/observe/clock"
+	"egrethaven/internal/observe/event"
+	"egrethaven/internal/observe/gatewaymetric"
+	"egrethaven/internal/observe/logger"
+	"egrethaven/internal/observe/logpipe"
+	"egrethaven/internal/query/forward"
+	"egrethaven/internal/query/retrybudget"
+	"egrethaven/internal/state/follow"
+	"egrethaven/internal/state/gatewaysettings"
+	"egrethaven/internal/state/routing"
+)
+
+const (
+	// eventRing is how many events are kept in memory.
+	eventRing = 512
+	// stopReserve is the part of the time for a stop that is kept for closing
+	// connections and for logs.
+	stopReserve = 1500 * time.Millisecond
+	// linger is how long a stopping gateway goes on serving at least: the
+	// balancer needs two failed checks, a second apart, to stop sending.
+	linger = 3 * time.Second
+)
+
+// Dialect knows the headers of clients and searchers.
+type Dialect interface {
+	forward.Dialect
+	ingress.Dialect
+}
+
+// Config describes a Gateway.
+type Config struct {
+	Settings gatewaysettings.Settings
+	Store    follow.Store
+	Decode   Decoder
+	Dialect  Dialect
+	// ReadyPath is the path of the readiness check.
+	ReadyPath string
+	// LogOutput takes the structured log; nil drops it.
+	LogOutput io.Writer
+	Version   string
+}
+
+// Gateway is one entry VM.
+type Gateway struct {
+	c       Config
+	pipe    *logpipe.Pipe
+	log     *event.Log
+	metrics *gatewaymetric.Metrics
+	view    *view
+	engine  *forward.Engine
+	clients *ingress.Server
+	checks  []*httpserver.Server
+
+	stopping atomic.Bool
+	wg       sync.WaitGroup
+}
+
+// New builds a gateway and binds its ports. Nothing is served before Run.
+func New(c Config) (*Gateway, error) {
+	g := &Gateway{c: c}
+	s := c.Settings
+	e := event.Config{Node: s.ID, Stamp: clock.New(clock.Config{}).Stamp, Size: eventRing}
+	if c.LogOutput != nil {
+		g.pipe = logpipe.New(logpipe.Config{Out: c.LogOutput})
+		e.Logger = logger.New(logger.Config{Out: g.pipe, Level: string(s.LogLevel), Node: s.ID})
+	}
+	g.log = event.New(e)
+	g.view = newView(viewConfig{
+		Decode: c.Decode, Grace: s.EntryGrace, Events: g.log, OnVMs: g.countVMs,
+	})
+	if err := g.build(); err != nil {
+		g.close()
+		return nil, errors.Trace(err)
+	}
+	return g, nil
+}
+
+// build makes the parts that can fail.
+func (g *Gateway) build() error {
+	s := g.c.Settings
+	var err error
+	if g.metrics, err = gatewaymetric.New(gatewaymetric.Config{Node: s.ID, Domain: s.Domain}); err != nil {
+		return errors.Trace(err)
+	}
+	g.engine = forward.New(forward.Config{
+		Dialect: g.c.Dialect, Current: g.view.Current, Domain: s.Domain, Log: g.log,
+		Budget: retrybudget.Config{Ratio: s.RetryRatio, Window: s.RetryWindow, Allowance: allowance(s, assumedVMs)},
+		Observe: func(route string, r forward.Reason, d time.Duration) {
+			g.metrics.Request(route, string(r), d)
+		},
+	})
+	if g.clients, err = ingress.New(ingress.Config{
+		Addr: s.Clients, Dialect: g.c.Dialect, Do: g.engine.Do, Limits: g.limits, Events: g.log,
+	}); err != nil {
+		return errors.Trace(err)
+	}
+	ready := http.NewServeMux()
+	ready.HandleFunc(g.c.ReadyPath, g.answerReady)
+	pages := http.NewServeMux()
+	pages.Handle("/metrics", g.metrics)
+	for addr, h := range map[string]http.Handler{s.Ready: ready, s.Metrics: pages} {
+		srv, err := httpserver.New(httpserver.Config{Addr: addr, Handler: h, Events: g.log})
+		if err != nil {
+			return errors.Trace(err)
+		}
+		g.checks = append(g.checks, srv)
+	}
+	return errors.Trace(g.gauges())
+}
+
+// gauges shows what the parts count for themselves.
+func (g *Gateway) gauges() error {
+	for _, v := range []struct {
+		name, unit, help string
+		read             func() float64
+	}{
+		{"egrethaven_config_version", "{version}", "version of the configuration in force", g.view.version},
+		{"egrethaven_store_age", "s", "time since the store last confirmed the view", g.view.age},
+		{"egrethaven_searchers", "{searcher}", "searchers in use", g.view.searchers},
+		{"egrethaven_vms", "{vm}", "VMs of the tier that are counted", g.view.vmCount},
+		{"egrethaven_log_lines_dropped", "{line}", "log lines that found no room", g.dropped},
+	} {
+		if err := g.metrics.Gauge(v.name, v.unit, v.help, v.read); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	return nil
+}
+
+// dropped counts the log lines that found no room.
+func (g *Gateway) dropped() float64 {
+	if g.pipe == nil {
+		return 0
+	}
+	n, _ := g.pipe.Dropped()
+	return float64(n)
+}
+
+// limits returns the limits on clients that are in force.
+func (g *Gateway) limits() routing.Limits {
+	if s := g.view.Current(); s != nil {
+		return s.Config.Limits
+	}
+	return routing.Limits{}
+}
+
+// allowance is one VM's part of the allowance for extra sends. Half is left
+// out, for VMs that are not counted yet and for those that start again within
+// a window.
+func allowance(s gatewaysettings.Settings, vms int) float64 {
+	return s.RetryAllowance / 2 / float64(vms)
+}
+
+// countVMs takes the number of VMs that share the allowance.
+func (g *Gateway) countVMs(n int) {
+	g.engine.SetAllowance(allowance(g.c.Settings, n))
+}
+
+// answerReady tells the balancer whether this VM takes requests.
+func (g *Gateway) answerReady(w http.ResponseWriter, _ *http.Request) {
+	if g.stopping.Load() || g.view.Current() == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// Run serves until ctx ends, and then stops gracefully.
+func (g *Gateway) Run(ctx context.Context) error {
+	g.log.Emit(event.NodeStarted, g.c.Settings.ID, "version "+g.c.Version)
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for _, s := range g.checks {
+		s.Serve()
+	}
+	g.clients.Serve()
+	f := follow.New(follow.Config{Store: g.c.Store, Handler: g.view, Events: g.log})
+	g.wg.Go(func() { f.Run(background) })
+	m := newMembership(membershipConfig{Store: g.c.Store, Key: g.c.Decode.VMPrefix + g.c.Settings.ID,
+		Domain: g.c.Settings.Domain, Events: g.log})
+	g.wg.Go(func() { m.Run(background) })
+	<-ctx.Done()
+	err := g.stop()
+	cancel()
+	g.wg.Wait()
+	g.close()
+	return err
+}
+
+// stop serves what is under way and what still comes, until the balancer has
+// noticed, and at most for the time that there is.
+func (g *Gateway) stop() error {
+	now := time.Now()
+	g.stopping.Store(true)
+	g.log.Emit(event.NodeDraining, g.c.Settings.ID, "told to stop")
+	limit := max(g.c.Settings.StopWithin-stopReserve, 0)
+	return errors.Trace(g.clients.Stop(now.Add(min(linger, limit)), now.Add(limit)))
+}
+
+// close takes down what was built.
+func (g *Gateway) close() {
+	if g.engine != nil {
+		g.engine.Close()
+	}
+	g.view.Close()
+	for _, s := range g.checks {
+		if err := s.Close(); err != nil {
+			g.log.Emit(event.ListenerFailed, s.Addr(), err.Error())
+		}
+	}
+	if g.metrics != nil {
+		if err := g.metrics.Close(); err != nil {
+			g.log.Emit(event.InvariantBroken, "metrics", err.Error())
+		}
+	}
+	g.log.Emit(event.NodeStopped, g.c.Settings.ID, "")
+	if g.pipe != nil {
+		g.pipe.Close()
+	}
+}
--- /dev/null
+++ b/internal/node/gateway/view.go
@@ -0,0 +1,329 @@
+package gateway
+
+import (
+	"fmt"
+	"maps"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"egrethaven/internal/back/instance"
+	"egrethaven/internal/observe/event"
+	"egrethaven/internal/query/forward"
+	"egrethaven/internal/state/follow"
+	"egrethaven/internal/state/registry"
+	"egrethaven/internal/state/routing"
+)
+
+const (
+	// assumedVMs is how many VMs are taken to share connections and extra
+	// sends at least: those that start at the same moment are not counted yet.
+	assumedVMs = 8
+	// connShare is the part of a searcher's connections that is used. The
+	// rest is for VMs that are not counted yet.
+	connShare = 0.95
+	// retireAfter is how long requests at a searcher that left may take.
+	retireAfter = 10 * time.Second
+	// retireInterval is the time between two looks at them.
+	retireInterval = 200 * time.Millisecond
+)
+
+// Decoder knows the entries of the store.
+type Decoder struct {
+	ConfigKey      string
+	SearcherPrefix string
+	VMPrefix       string
+	Config         func(value []byte) (*routing.Config, error)
+	Searcher       func(key string, value []byte, now time.Time) (registry.Searcher, error)
+}
+
+// viewConfig sets up a view.
+type viewConfig struct {
+	Decode Decoder
+	Grace  time.Duration
+	Events event.Sink
+	// OnVMs is called when the number of VMs changes.
+	OnVMs func(int)
+}
+
+// view is what this VM knows from the store, as snapshots that requests use.
+// It is a follow.Handler.
+type view struct {
+	c         viewConfig
+	current   atomic.Pointer[forward.Snapshot]
+	confirmed atomic.Pointer[time.Time]
+
+	mu       sync.Mutex
+	wg       sync.WaitGroup
+	config   *routing.Config
+	registry *registry.Registry
+	loaded   bool
+	down     bool
+	vms      map[string]bool
+	counted  int
+	// instances are the searchers in use, by process.
+	instances map[process]*instance.Instance
+	expiry    *time.Timer
+	closed    bool
+	stop      chan struct{}
+}
+
+// process is one process of a searcher.
+type process struct {
+	id   string
+	addr string
+	born int64
+}
+
+var _ follow.Handler = (*view)(nil)
+
+// newView returns a view that knows nothing.
+func newView(c viewConfig) *view {
+	return &view{
+		c: c, registry: registry.New(registry.Config{Grace: c.Grace}), vms: map[string]bool{},
+		instances: map[process]*instance.Instance{}, stop: make(chan struct{}),
+	}
+}
+
+// Current returns the snapshot in force; nil before there is one.
+func (v *view) Current() *forward.Snapshot { return v.current.Load() }
+
+// Replace takes all entries of the store.
+func (v *view) Replace(now time.Time, all []follow.Change, _ follow.Revision) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var ss []registry.Searcher
+	v.vms = map[string]bool{}
+	for _, c := range all {
+		switch {
+		case c.Key == v.c.Decode.ConfigKey:
+			v.adopt(c.Value)
+		case strings.HasPrefix(c.Key, v.c.Decode.VMPrefix):
+			v.vms[c.Key] = true
+		case strings.HasPrefix(c.Key, v.c.Decode.SearcherPrefix):
+			if s, ok := v.searcher(c, now); ok {
+				ss = append(ss, s)
+			}
+		}
+	}
+	v.registry.Replace(now, ss)
+	v.loaded = true
+	v.rebuild(now)
+}
+
+// Apply takes changes of the store.
+func (v *view) Apply(now time.Time, cs []follow.Change, _ follow.Revision) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.lapsed(cs) {
+		v.registry.Outage(now)
+	}
+	for _, c := range cs {
+		switch {
+		case c.Key == v.c.Decode.ConfigKey && !c.Deleted:
+			v.adopt(c.Value)
+		case strings.HasPrefix(c.Key, v.c.Decode.VMPrefix):
+			if c.Deleted {
+				delete(v.vms, c.Key)
+			} else {
+				v.vms[c.Key] = true
+			}
+		case strings.HasPrefix(c.Key, v.c.Decode.SearcherPrefix):
+			if s, ok := v.searcher(c, now); ok {
+				v.registry.Put(s)
+			} else {
+				v.registry.Remove(now, strings.TrimPrefix(c.Key, v.c.Decode.SearcherPrefix))
+			}
+		}
+	}
+	v.rebuild(now)
+}
+
+// lapsed tells whether so many entries vanish at once that the store must
+// have been out of reach of the searchers. The lock is held.
+func (v *view) lapsed(cs []follow.Change) bool {
+	known, gone := len(v.registry.Searchers()), 0
+	for _, c := range cs {
+		if c.Deleted && strings.HasPrefix(c.Key, v.c.Decode.SearcherPrefix) {
+			gone++
+		}
+	}
+	return gone > 2 && 3*gone > known
+}
+
+// searcher decodes an entry. The lock is held.
+func (v *view) searcher(c follow.Change, now time.Time) (registry.Searcher, bool) {
+	if c.Deleted {
+		return registry.Searcher{}, false
+	}
+	s, err := v.c.Decode.Searcher(c.Key, c.Value, now)
+	if err != nil {
+		v.c.Events.Emit(event.EntryUnreadable, c.Key, fmt.Sprintf("revision %d: %v", c.Revision, err))
+		return s, false
+	}
+	return s, true
+}
+
+// adopt takes a configuration if it is newer. The lock is held.
+func (v *view) adopt(value []byte) {
+	c, err := v.c.Decode.Config(value)
+	switch {
+	case err != nil:
+		v.c.Events.Emit(event.ConfigRefused, v.c.Decode.ConfigKey, err.Error())
+	case v.config != nil && c.Version <= v.config.Version:
+	default:
+		v.config = c
+		v.c.Events.Emit(event.ConfigAdopted, fmt.Sprint(c.Version), fmt.Sprintf("%d routes", len(c.Routes)))
+	}
+}
+
+// Confirmed notes that the store was reached.
+func (v *view) Confirmed(now time.Time) {
+	v.confirmed.Store(&now)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.down {
+		v.down = false
+		v.registry.Outage(now)
+		v.expire(now)
+	}
+}
+
+// Outage notes that the store could not be reached.
+func (v *view) Outage(now time.Time, _ error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.down = true
+	v.registry.Outage(now)
+}
+
+// expire forgets searchers whose time is over. The lock is held.
+func (v *view) expire(now time.Time) {
+	next := v.registry.Expire(now)
+	if v.expiry != nil {
+		v.expiry.Stop()
+	}
+	if next.IsZero() || v.closed {
+		return
+	}
+	v.expiry = time.AfterFunc(next.Sub(now), func() {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		if v.down {
+			return
+		}
+		v.rebuild(time.Now())
+	})
+}
+
+// rebuild makes a new snapshot. The lock is held.
+func (v *view) rebuild(now time.Time) {
+	if v.config == nil || !v.loaded || v.closed {
+		return
+	}
+	v.expire(now)
+	if n := max(len(v.vms), assumedVMs); n != v.counted {
+		v.counted = n
+		v.c.Events.Emit(event.VMsCounted, "", fmt.Sprint(len(v.vms)))
+		v.c.OnVMs(n)
+	}
+	s := &forward.Snapshot{Config: v.config, Instances: map[string][]*instance.Instance{}, Confirmed: now}
+	used := map[process]bool{}
+	for _, e := range v.registry.Searchers() {
+		if e.State != registry.Ready {
+			continue
+		}
+		p := process{e.ID, e.Addr, e.Born}
+		used[p] = true
+		i := v.instances[p]
+		if i == nil {
+			v.c.Events.Emit(event.SearcherFound, e.ID, e.Service+" at "+e.Addr)
+			i = instance.New(instance.Config{Searcher: e, Conns: v.conns(e.Service)})
+			v.instances[p] = i
+		} else {
+			i.Update(e, v.conns(e.Service))
+		}
+		s.Instances[e.Service] = append(s.Instances[e.Service], i)
+	}
+	for p, i := range maps.All(v.instances) {
+		if !used[p] {
+			delete(v.instances, p)
+			v.retire(p, i)
+		}
+	}
+	if v.current.Swap(s) == nil {
+		v.c.Events.Emit(event.NodeReady, "", "")
+	}
+}
+
+// conns is how many connections this VM may open to a searcher of a service.
+// The lock is held.
+func (v *view) conns(service string) int {
+	return max(int(connShare*float64(v.config.Services[service].MaxConns)/float64(v.counted)), 1)
+}
+
+// retire lets the requests at a searcher that left end. The lock is held.
+func (v *view) retire(p process, i *instance.Instance) {
+	v.c.Events.Emit(event.SearcherGone, p.id, "at "+p.addr)
+	i.Drain()
+	v.wg.Go(func() {
+		t := time.NewTicker(retireInterval)
+		defer t.Stop()
+		for end := time.Now().Add(retireAfter); !i.Idle() && time.Now().Before(end); {
+			select {
+			case <-t.C:
+			case <-v.stop:
+				end = time.Time{}
+			}
+		}
+		i.Close()
+	})
+}
+
+// Close ends all requests and waits.
+func (v *view) Close() {
+	v.mu.Lock()
+	v.closed = true
+	if v.expiry != nil {
+		v.expiry.Stop()
+	}
+	is := v.instances
+	v.instances = nil
+	v.mu.Unlock()
+	close(v.stop)
+	for _, i := range is {
+		i.Close()
+	}
+	v.wg.Wait()
+}
+
+// version is the version of the configuration in force.
+func (v *view) version() float64 {
+	if s := v.Current(); s != nil {
+		return float64(s.Config.Version)
+	}
+	return 0
+}
+
+// age is the time since the store was last reached, in seconds.
+func (v *view) age() float64 {
+	if t := v.confirmed.Load(); t != nil {
+		return time.Since(*t).Seconds()
+	}
+	return -1
+}
+
+// searchers counts those in use.
+func (v *view) searchers() float64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return float64(len(v.instances))
+}
+
+// vmCount counts the VMs of the tier.
+func (v *view) vmCount() float64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return float64(len(v.vms))
+}
--- a/internal/observe/event/catalogue.go
+++ b/internal/observe/event/catalogue.go
@@ -17,7 +17,7 @@
 	NodeNotReady, SettingsRefused, ListenerFailed, QueryIncomplete, SearcherEjected, LinkSilent,
 	PoisonSuspected, PoisonQuarantined, PlatformDown, PlatformThrottled, PlatformUnsure, VMListStale,
 	ConfigRefused, ConfigUnsure, PeerSuspected, PeerDead, PeerRefused, WriteUnknown, HealthChanged,
-	CanaryFailed, OperatorRefused,
+	CanaryFailed, OperatorRefused, RequestFailed, EntryUnreadable, LeaseLost,
 }
 
 // level is the severity that an event is logged with.
--- a/internal/observe/event/log.go
+++ b/internal/observe/event/log.go
@@ -66,6 +66,23 @@
 	entry.Msg(e.Detail)
 }
 
+// Record is Emit of an event whose inputs are logged as fields of their own.
+// The ring keeps only the subject. fields is not called for an event that is
+// left out.
+func (l *Log) Record(n Number, subject string, fields func(*log.Entry)) {
+	e := Event{Number: n, Name: n.Name(), Node: l.c.Node, Subject: subject}
+	if !l.add(&e) || l.c.Logger == nil {
+		return
+	}
+	entry := l.c.Logger.WithLevel(level(n))
+	if entry == nil {
+		return
+	}
+	entry = entry.Int("event", int(n)).Str("name", e.Name).Int64("wall_ms", e.Stamp.WallMS).Str("subject", subject)
+	fields(entry)
+	entry.Msg(e.Detail)
+}
+
 // add stamps e and puts it into the ring, unless too many of its number came.
 // Stamping under the lock keeps the ring in the order of stamps.
 func (l *Log) add(e *Event) bool {
--- a/internal/observe/event/number.go
+++ b/internal/observe/event/number.go
@@ -10,12 +10,15 @@
 	SettingsRefused Number = 105
 	ListenerFailed  Number = 106
 	InvariantBroken Number = 107
+	SettingsChanged Number = 108
 
 	QueryIncomplete Number = 200
 	QueryRestarted  Number = 201
 	AnswerDropped   Number = 202
 	QueryRefused    Number = 203
 	BudgetSpent     Number = 204
+	RequestServed   Number = 205
+	RequestFailed   Number = 206
 
 	SearcherFound     Number = 300
 	SearcherGone      Number = 301
@@ -37,6 +40,10 @@
 	PlatformThrottled Number = 402
 	PlatformUnsure    Number = 403
 	VMListStale       Number = 404
+	HistoryLost       Number = 405
+	EntryUnreadable   Number = 406
+	LeaseLost         Number = 407
+	VMsCounted        Number = 408
 
 	ConfigAdopted  Number = 500
 	ConfigRefused  Number = 501
@@ -72,10 +79,11 @@
 var names = map[Number]string{
 	NodeStarted: "node_started", NodeReady: "node_ready", NodeNotReady: "node_not_ready",
 	NodeDraining: "node_draining", NodeStopped: "node_stopped", SettingsRefused: "settings_refused",
-	ListenerFailed: "listener_failed", InvariantBroken: "invariant_broken",
+	ListenerFailed: "listener_failed", InvariantBroken: "invariant_broken", SettingsChanged: "settings_changed",
 
 	QueryIncomplete: "query_incomplete", QueryRestarted: "query_restarted",
 	AnswerDropped: "answer_dropped", QueryRefused: "query_refused", BudgetSpent: "budget_spent",
+	RequestServed: "request_served", RequestFailed: "request_failed",
 
 	SearcherFound: "searcher_found", SearcherGone: "searcher_gone", SearcherDraining: "searcher_draining",
 	SearcherReturned: "searcher_returned", SearcherEjected: "searcher_ejected", LinkSilent: "link_silent",
@@ -84,7 +92,8 @@
 	ContractChanged: "contract_changed", VersionAppeared: "version_appeared", VersionRetired: "version_retired",
 
 	PlatformDown: "platform_down", PlatformBack: "platform_back", PlatformThrottled: "platform_throttled",
-	PlatformUnsure: "platform_unsure", VMListStale: "vm_list_stale",
+	PlatformUnsure: "platform_unsure", VMListStale: "vm_list_stale", HistoryLost: "history_lost",
+	EntryUnreadable: "entry_unreadable", LeaseLost: "lease_lost", VMsCounted: "vms_counted",
 
 	ConfigAdopted: "config_adopted", ConfigRefused: "config_refused", ConfigAccepted: "config_accepted",
 	ConfigConflict: "config_conflict", ConfigUnsure: "config_unsure", ConfigFromPeer: "config_from_peer",
--- /dev/null
+++ b/internal/query/forward/part.go
@@ -0,0 +1,258 @@
+package forward
+
+import (
+	"net/http"
+	"slices"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"egrethaven/internal/back/conn"
+	"egrethaven/internal/back/instance"
+	"egrethaven/internal/query/placement"
+	"egrethaven/internal/query/retrybudget"
+	"egrethaven/internal/state/routing"
+)
+
+const (
+	// maxUnsent bounds how often a send that never left is placed anew.
+	maxUnsent = 8
+	// hedgeAgain is the part of the hedge delay after which a hedge that the
+	// budget refused is tried again.
+	hedgeAgain = 2
+)
+
+// part is the share of one service in a request.
+type part struct {
+	run       *run
+	service   string
+	budget    *retrybudget.Budget
+	instances []*instance.Instance
+	flights   []*flight
+	// sends counts the searchers that were reached, unsent the sends that
+	// never left.
+	sends, unsent int
+	open          int
+	hedgeAt       time.Time
+	// ran tells that a searcher may have begun to run the request.
+	ran bool
+	// full tells that a searcher declined for want of room.
+	full bool
+	// good is the answer, failure the first answer that was a failure.
+	good    *reply
+	failure *reply
+	// dead parts will get no answer.
+	dead bool
+}
+
+// reply is a searcher's answer with what its header says.
+type reply struct {
+	Reply
+	conn.Result
+}
+
+// flight is one send of a part.
+type flight struct {
+	part  *part
+	at    *instance.Instance
+	send  *instance.Send
+	began time.Time
+	ended atomic.Bool
+}
+
+// over tells whether nothing more is awaited of the part.
+func (p *part) over() bool { return p.good != nil || p.dead }
+
+// first makes the first send.
+func (p *part) first(now time.Time) {
+	p.budget.First(now)
+	p.hedgeAt = now.Add(p.run.hedge)
+	if !p.place(now) {
+		p.dead = true
+	}
+}
+
+// place sends to the best searcher that was not tried before. It reports
+// false if there is none.
+func (p *part) place(now time.Time) bool {
+	var cs []placement.Candidate
+	var is []*instance.Instance
+	for _, i := range p.instances {
+		if !i.Usable() || p.tried(i) {
+			continue
+		}
+		cs = append(cs, i.Candidate(now, p.run.e.c.Domain, p.run.usual))
+		is = append(is, i)
+	}
+	n := placement.Choose(cs, pick)
+	if n < 0 {
+		return false
+	}
+	p.sends++
+	p.open++
+	p.run.sent++
+	f := &flight{part: p, at: is[n], began: now}
+	p.flights = append(p.flights, f)
+	f.send = f.at.Send(instance.Request{Method: p.run.q.Method, Build: f.build, Owns: f.owns, Done: f.done})
+	return true
+}
+
+// tried tells whether a searcher has had this part before.
+func (p *part) tried(i *instance.Instance) bool {
+	return slices.ContainsFunc(p.flights, func(f *flight) bool { return f.at == i })
+}
+
+// build lays out the send; nil if the time is over.
+func (f *flight) build() []byte {
+	x := f.part.run
+	left := time.Until(x.end).Truncate(time.Millisecond)
+	if left <= 0 {
+		return nil
+	}
+	b := make([]byte, 0, len(x.head)+len(x.q.Body)+160)
+	b = append(b, x.head...)
+	b = x.e.c.Dialect.AppendSending(b, Sending{ID: x.q.ID, Left: left, Expect: f.at.Searcher().ID})
+	if len(x.q.Body) > 0 || methodHasBody(x.q.Method) {
+		b = append(b, "Content-Length: "...)
+		b = strconv.AppendInt(b, int64(len(x.q.Body)), 10)
+		b = append(b, "\r\n"...)
+	}
+	b = append(b, "\r\n"...)
+	return append(b, x.q.Body...)
+}
+
+// owns tells whether an answer belongs to this send.
+func (f *flight) owns(h http.Header) bool {
+	id := f.part.run.e.c.Dialect.Reply(http.StatusOK, h).ID
+	return id == "" || id == f.part.run.q.ID
+}
+
+// done takes the end of the send. It runs on the connection's goroutine.
+func (f *flight) done(r conn.Result) {
+	f.ended.Store(true)
+	f.learn(r)
+	f.part.run.e.leftover.remove(f)
+	f.part.run.events <- done{f, r}
+}
+
+// learn tells the searcher's record what became of the send.
+func (f *flight) learn(r conn.Result) {
+	x := f.part.run
+	if r.Err != nil {
+		if r.Sent && r.Err != conn.ErrClosed {
+			f.at.Learn(instance.Failed, r.Elapsed, x.usual)
+		}
+		return
+	}
+	p := x.e.c.Dialect.Reply(r.Status, r.Header)
+	if p.HasLoad {
+		f.at.Report(p.Load)
+	}
+	switch {
+	case p.Misdirected:
+		f.at.Learn(instance.Misdirected, r.Elapsed, x.usual)
+	case p.NotRun:
+		f.at.Learn(instance.Refused, r.Elapsed, x.usual)
+	case r.Status >= http.StatusInternalServerError || p.Stamp == "":
+		f.at.Learn(instance.Failed, r.Elapsed, x.usual)
+	default:
+		x.kind.times.Add(r.Elapsed)
+		f.at.Learn(instance.Served, r.Elapsed, x.usual)
+	}
+}
+
+// ends takes the result of a send.
+func (p *part) ends(r conn.Result, now time.Time) {
+	p.open--
+	if p.over() {
+		return
+	}
+	if r.Err != nil && !r.Sent {
+		p.notSent(r, now)
+		return
+	}
+	a := &reply{Result: r}
+	if r.Err == nil {
+		a.Reply = p.run.e.c.Dialect.Reply(r.Status, r.Header)
+	}
+	switch {
+	case r.Err == nil && (a.NotRun || a.Misdirected):
+		p.full = p.full || a.NotRun
+		p.again(now, true)
+	case r.Err == nil && p.accept(a):
+		p.good = a
+	default:
+		p.ran = true
+		if r.Err == nil && a.Stamp != "" && r.Status >= http.StatusMultipleChoices && p.failure == nil {
+			p.failure = a
+		}
+		p.again(now, p.run.route.Repeat == routing.Idempotent)
+	}
+}
+
+// accept tells whether an answer is final. A fan-out needs a success; a plain
+// request also takes what the searcher says of the request itself.
+func (p *part) accept(a *reply) bool {
+	switch {
+	case a.Stamp == "" || a.Header.Get("Content-Encoding") != "":
+		return false
+	case a.Status/100 == 2:
+		return true
+	}
+	return !p.run.route.FansOut() && a.Status < http.StatusInternalServerError
+}
+
+// notSent places a send anew that never left: it has cost nothing.
+func (p *part) notSent(r conn.Result, now time.Time) {
+	p.sends--
+	p.run.sent--
+	p.full = p.full || r.Err == instance.ErrFull
+	if p.unsent++; p.unsent <= maxUnsent && p.open == 0 && p.place(now) {
+		return
+	}
+	p.dead = p.open == 0
+}
+
+// again sends the request once more after a failure, if it may be.
+func (p *part) again(now time.Time, allowed bool) {
+	if p.open > 0 {
+		return
+	}
+	if allowed && p.sends < max(p.run.route.Attempts, 1) && now.Before(p.run.end) && p.budget.Extra(now, retrybudget.Retry) && p.place(now) {
+		p.run.retries++
+		return
+	}
+	p.dead = true
+}
+
+// late hedges a send that is late. A send that still waits for a connection
+// is placed anew instead.
+func (p *part) late(now time.Time) {
+	x := p.run
+	if p.over() || p.hedgeAt.IsZero() || now.Before(p.hedgeAt) {
+		return
+	}
+	p.hedgeAt = time.Time{}
+	f := p.flights[len(p.flights)-1]
+	if f.send.Withdraw() {
+		p.open--
+		f.ended.Store(true)
+		p.sends--
+		p.unsent++
+		p.hedgeAt = now.Add(x.hedge)
+		if p.unsent > maxUnsent || !p.place(now) {
+			p.dead = p.open == 0
+		}
+		return
+	}
+	if x.route.Repeat != routing.Idempotent || p.sends >= x.route.Attempts {
+		return
+	}
+	if !p.budget.Extra(now, retrybudget.Hedge) {
+		p.hedgeAt = now.Add(x.hedge / hedgeAgain)
+		return
+	}
+	if p.place(now) {
+		x.hedges++
+	}
+}
--- /dev/null
+++ b/internal/state/gatewaysettings/fields.go
@@ -0,0 +1,95 @@
+package gatewaysettings
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"time"
+
+	"egrethaven/internal/state/field"
+	"egrethaven/internal/state/settings"
+)
+
+// fields is the table of all keys.
+var fields = []field.Field[Settings]{
+	field.Name(field.About{Section: "gateway", Key: "vm", Required: true,
+		Help: "name of this VM, unique in the deployment"},
+		func(s *Settings) *string { return &s.ID }),
+	field.Name(field.About{Section: "gateway", Key: "domain", Required: true,
+		Help: "failure domain that this VM is in"},
+		func(s *Settings) *string { return &s.Domain }),
+
+	field.Addr(field.About{Section: "listen", Key: "clients", Required: true,
+		Help: "address for client requests"},
+		func(s *Settings) *string { return &s.Clients }),
+	field.Addr(field.About{Section: "listen", Key: "ready", Required: true,
+		Help: "address of the readiness check"},
+		func(s *Settings) *string { return &s.Ready }),
+	field.Addr(field.About{Section: "listen", Key: "metrics", Required: true,
+		Help: "address of the metrics page"},
+		func(s *Settings) *string { return &s.Metrics }),
+
+	field.Addr(field.About{Section: "store", Key: "address", Required: true,
+		Help: "address of the platform's store"},
+		func(s *Settings) *string { return &s.Store }),
+	field.Duration(field.About{Section: "store", Key: "entry_grace", Default: "2s",
+		Help: "how long searchers are kept that are missing in the store after an outage of it"},
+		0, time.Minute, func(s *Settings) *time.Duration { return &s.EntryGrace }),
+
+	field.Float(field.About{Section: "retries", Key: "ratio", Default: "0.2",
+		Help: "extra sends of all VMs to a service, for each of its requests in a window"},
+		0, 10, func(s *Settings) *float64 { return &s.RetryRatio }),
+	seconds(field.About{Section: "retries", Key: "window_s", Default: "10",
+		Help: "span over which extra sends are counted"},
+		1, 600, func(s *Settings) *time.Duration { return &s.RetryWindow }),
+	field.Float(field.About{Section: "retries", Key: "allowance", Unit: "sends", Default: "50",
+		Help: "extra sends of all VMs to a service in a window beyond the ratio"},
+		0, 1e6, func(s *Settings) *float64 { return &s.RetryAllowance }),
+
+	seconds(field.About{Section: "process", Key: "stop_within_s", Default: "6",
+		Help: "how long the process may run once it is told to stop"},
+		0, 600, func(s *Settings) *time.Duration { return &s.StopWithin }),
+	field.Int(field.About{Section: "process", Key: "memory_mb", Unit: "MB", Default: "256",
+		Help: "memory that the process may use"},
+		32, 1<<20, func(s *Settings) *int { return &s.MemoryMB }),
+	field.Int(field.About{Section: "process", Key: "cores", Unit: "cores", Default: "1",
+		Help: "processor cores that the process may use"},
+		1, 1024, func(s *Settings) *int { return &s.Cores }),
+	field.OneOf(field.About{Section: "process", Key: "log_level", Default: "info",
+		Help: "least severe level that is logged"},
+		[]settings.LogLevel{settings.Debug, settings.Info, settings.Warn, settings.Error},
+		func(s *Settings) *settings.LogLevel { return &s.LogLevel }),
+}
+
+// seconds is a time given as a plain number of seconds.
+func seconds(a field.About, least, most float64, at func(*Settings) *time.Duration) field.Field[Settings] {
+	a.Unit = "s"
+	parse := func(s *Settings, text string) bool {
+		v, err := strconv.ParseFloat(text, 64)
+		*at(s) = time.Duration(v * float64(time.Second))
+		return err == nil && !math.IsNaN(v)
+	}
+	valid := func(s *Settings) bool { v := at(s).Seconds(); return least <= v && v <= most }
+	return field.Custom(a, fmt.Sprintf("a number from %g to %g", least, most), parse, valid)
+}
+
+// Reference returns the description of every key, in the order of the table.
+func Reference() []field.About {
+	out := make([]field.About, len(fields))
+	for i, f := range fields {
+		out[i] = f.About
+	}
+	return out
+}
+
+// sections lists the kinds of section.
+func sections() []string {
+	var out []string
+	for _, f := range fields {
+		if !slices.Contains(out, f.Section) {
+			out = append(out, f.Section)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/state/gatewaysettings/settings.go
@@ -0,0 +1,82 @@
+// Package gatewaysettings holds the settings of one gateway: an entry VM that
+// takes its configuration and its searchers from the platform's store.
+//
+// Parse reports every problem of a file at once. The table in fields.go is
+// the reference of all keys; docs/SETTINGS.md is checked against it.
+//
+// # Usage
+//
+//	s, ps := gatewaysettings.Parse("gateway.ini", b)
+//	if len(ps) > 0 { ... }
+package gatewaysettings
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"egrethaven/internal/state/field"
+	"egrethaven/internal/state/inifile"
+	"egrethaven/internal/state/problem"
+	"egrethaven/internal/state/settings"
+)
+
+// Settings are the choices for one gateway.
+type Settings struct {
+	// ID names the VM.
+	ID string
+	// Domain is its failure domain.
+	Domain string
+	// Clients, Ready and Metrics are the addresses to listen on for client
+	// requests, the readiness check and metrics.
+	Clients string
+	Ready   string
+	Metrics string
+	// Store is the address of the platform's store.
+	Store string
+	// EntryGrace is how long searchers stay that are missing in the store
+	// after an outage of it.
+	EntryGrace time.Duration
+	// RetryRatio, RetryWindow and RetryAllowance bound the extra sends of all
+	// VMs to a service: in each window, the ratio of its requests plus the
+	// allowance.
+	RetryRatio     float64
+	RetryWindow    time.Duration
+	RetryAllowance float64
+	// StopWithin is how long the process may run once it is told to stop.
+	StopWithin time.Duration
+	// MemoryMB is the memory that the process may use, in megabytes.
+	MemoryMB int
+	Cores    int
+	LogLevel settings.LogLevel
+}
+
+// Parse reads the settings in b; name is the file's name for problems. The
+// settings may be used only when there is no problem.
+func Parse(name string, b []byte) (Settings, []problem.Problem) {
+	var s Settings
+	f, ps := inifile.Parse(name, b)
+	known := sections()
+	for _, sec := range f.Sections {
+		if sec.Name != "" || !slices.Contains(known, sec.Kind) {
+			ps = append(ps, problem.Problem{File: name, Line: sec.Line, Section: sec.Header,
+				What: "section is not known", Allowed: strings.Join(known, ", ")})
+		}
+	}
+	for _, kind := range known {
+		ps = append(ps, field.Read(fields, name, find(f, kind), &s)...)
+	}
+	problem.Sort(ps)
+	return s, ps
+}
+
+// find returns the section of a kind, or an empty one, so that its missing
+// keys are reported and its defaults set.
+func find(f inifile.File, kind string) inifile.Section {
+	for _, s := range f.Sections {
+		if s.Kind == kind && s.Name == "" {
+			return s
+		}
+	}
+	return inifile.Section{Header: kind, Kind: kind}
+}
--- a/internal/state/settings/page_test.go
+++ b/internal/state/settings/page_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"egrethaven/internal/state/field"
+	"egrethaven/internal/state/gatewaysettings"
 	"egrethaven/internal/state/search"
 	"egrethaven/internal/state/settings"
 )
@@ -26,6 +27,7 @@
 		}
 	}
 	all := append(settings.Reference(), search.Reference()...)
+	all = append(all, gatewaysettings.Reference()...)
 	for _, a := range all {
 		if row := row(a); !contains(page, row) {
 			t.Errorf("docs/SETTINGS.md lacks the row\n%s", row)
