Refuse as not run only what no searcher can have run

The deadline passed in the moment in which the searcher's 504 had come in but had not been looked at: the send counted as ended, so it was not counted as possibly run, and the client got a 503 for a request that had run.

Ruled out: a searcher that answers 504 with a not-run mark (its trace shows that it ran). Counting ended sends by a flag of the connection's goroutine is the fault itself, so the flag that decides is now set by the request's goroutine alone, when it takes the result; results in hand are taken before a deadline is acted on.

--- a/internal/back/conn/conn.go
+++ b/internal/back/conn/conn.go
@@ -70,6 +70,8 @@
 type Config struct {
 	// Addr is the searcher's IP and port.
 	Addr string
+	// Dial opens the network connection; nil is DialTCP.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
 	// Down is called once when the connection can carry no more exchanges
 	// and none is in progress; nil for none.
 	Down func(*Conn)
@@ -132,6 +134,19 @@
 
 // Dial opens a connection.
 func Dial(ctx context.Context, c Config) (*Conn, error) {
+	if c.Dial == nil {
+		c.Dial = DialTCP
+	}
+	nc, err := c.Dial(ctx, c.Addr)
+	if err != nil {
+		return nil, errors.Annotatef(err, "connecting to %s", c.Addr)
+	}
+	return New(nc, c), nil
+}
+
+// DialTCP opens a network connection that notices when the other end falls
+// silent.
+func DialTCP(ctx context.Context, addr string) (net.Conn, error) {
 	d := net.Dialer{
 		Timeout: connectTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -139,11 +154,8 @@
 		},
 		Control: func(_, _ string, r syscall.RawConn) error { return setUserTimeout(r, userTimeout) },
 	}
-	nc, err := d.DialContext(ctx, "tcp", c.Addr)
-	if err != nil {
-		return nil, errors.Annotatef(err, "connecting to %s", c.Addr)
-	}
-	return New(nc, c), nil
+	nc, err := d.DialContext(ctx, "tcp", addr)
+	return nc, errors.Trace(err)
 }
 
 // setUserTimeout bounds how long sent bytes may stay unacknowledged.
--- a/internal/back/instance/instance.go
+++ b/internal/back/instance/instance.go
@@ -15,6 +15,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -69,6 +70,8 @@
 	Searcher registry.Searcher
 	// Conns is how many connections this VM may open.
 	Conns int
+	// Dial opens network connections; nil is conn.DialTCP.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
 	// OnRefused is called when a connection could not be opened or was
 	// turned away; nil for none.
 	OnRefused func(error)
@@ -392,7 +395,7 @@
 		case <-i.ctx.Done():
 		}
 	}
-	k, err := conn.Dial(i.ctx, conn.Config{Addr: i.c.Searcher.Addr, Down: i.down})
+	k, err := conn.Dial(i.ctx, conn.Config{Addr: i.c.Searcher.Addr, Dial: i.c.Dial, Down: i.down})
 	i.mu.Lock()
 	i.dialing = false
 	if err != nil {
--- a/internal/query/forward/part.go
+++ b/internal/query/forward/part.go
@@ -57,7 +57,11 @@
 	at    *instance.Instance
 	send  *instance.Send
 	began time.Time
+	// ended is set once the result is on its way to the request.
 	ended atomic.Bool
+	// settled is set once the request has taken the result, or has taken
+	// back the send. Only the request's goroutine uses it.
+	settled bool
 }
 
 // over tells whether nothing more is awaited of the part.
@@ -129,10 +133,10 @@
 
 // done takes the end of the send. It runs on the connection's goroutine.
 func (f *flight) done(r conn.Result) {
-	f.ended.Store(true)
 	f.learn(r)
-	f.part.run.e.leftover.remove(f)
 	f.part.run.events <- done{f, r}
+	f.ended.Store(true)
+	f.part.run.e.leftover.remove(f)
 }
 
 // learn tells the searcher's record what became of the send.
@@ -162,7 +166,8 @@
 }
 
 // ends takes the result of a send.
-func (p *part) ends(r conn.Result, now time.Time) {
+func (p *part) ends(f *flight, r conn.Result, now time.Time) {
+	f.settled = true
 	p.open--
 	if p.over() {
 		return
@@ -236,7 +241,7 @@
 	f := p.flights[len(p.flights)-1]
 	if f.send.Withdraw() {
 		p.open--
-		f.ended.Store(true)
+		f.settled = true
 		p.sends--
 		p.unsent++
 		p.hedgeAt = now.Add(x.hedge)
--- a/internal/query/forward/run.go
+++ b/internal/query/forward/run.go
@@ -98,10 +98,11 @@
 		select {
 		case d := <-x.events:
 			now = time.Now()
-			d.f.part.ends(d.r, now)
+			d.f.part.ends(d.f, d.r, now)
 			x.drain(now)
 		case <-t.C:
 			now = time.Now()
+			x.drain(now)
 			for _, p := range x.parts {
 				p.late(now)
 			}
@@ -117,7 +118,7 @@
 	for {
 		select {
 		case d := <-x.events:
-			d.f.part.ends(d.r, now)
+			d.f.part.ends(d.f, d.r, now)
 		default:
 			return
 		}
@@ -143,7 +144,7 @@
 func (x *run) leave(until time.Time) {
 	for _, p := range x.parts {
 		for _, f := range p.flights {
-			if !f.ended.Load() && !f.send.Withdraw() {
+			if !f.settled && !f.send.Withdraw() {
 				x.e.leftover.add(f, until)
 			}
 		}
--- a/internal/query/forward/settle.go
+++ b/internal/query/forward/settle.go
@@ -88,9 +88,9 @@
 		ran = ran || p.ran || p.good != nil
 		full = full || p.full
 		for _, f := range p.flights {
-			// What is still under way may be running; what is withdrawn
-			// never will.
-			if !f.ended.Load() && !f.send.Withdraw() {
+			// What is still under way may be running, or have run with its
+			// answer not looked at yet; what is withdrawn never will.
+			if !f.settled && !f.send.Withdraw() {
 				ran = true
 			}
 		}
