Keep less than half of a searcher's connections, and prove new ones in doubt

Cause: after power_off_all the searchers still hold the connections of before.

Change: each VM keeps at most 0.48 of its share of a searcher's connections open and opens up to 0.95 of it when requests wait; surplus ones close after two idle seconds. A connection that is opened after one was turned away is left alone for 8 ms, as a searcher over its cap resets it within a round trip.

Ruled out: holding requests until a connection is free (the VMs without one would wait for seconds); forwarding between VMs (needs peers that hold one).

--- a/internal/back/conn/conn.go
+++ b/internal/back/conn/conn.go
@@ -130,6 +130,8 @@
 	// it has not said.
 	idleUntil time.Time
 	exchanges int
+	// since is when the last exchange ended.
+	since time.Time
 }
 
 // Dial opens a connection.
@@ -172,7 +174,7 @@
 
 // New runs exchanges over an open network connection.
 func New(nc net.Conn, c Config) *Conn {
-	k := &Conn{c: c, conn: nc, r: bufio.NewReaderSize(nc, readBuffer), done: make(chan struct{})}
+	k := &Conn{c: c, conn: nc, r: bufio.NewReaderSize(nc, readBuffer), done: make(chan struct{}), since: time.Now()}
 	go k.read()
 	return k
 }
@@ -236,6 +238,14 @@
 	return k.exchanges
 }
 
+// IdleSince returns when the last exchange ended, or the connection was
+// opened.
+func (k *Conn) IdleSince() time.Time {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.since
+}
+
 // Close closes the connection; an exchange in progress ends with ErrClosed.
 // It does not wait for the reader, see Wait.
 func (k *Conn) Close() {
@@ -358,6 +368,7 @@
 	mine := x != nil && k.now == x
 	if mine {
 		k.now = nil
+		k.since = time.Now()
 	}
 	if r.Err != nil && k.closed {
 		r.Err = ErrClosed
--- /dev/null
+++ b/internal/back/instance/connections.go
@@ -0,0 +1,149 @@
+package instance
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"egrethaven/internal/back/conn"
+)
+
+// take returns the free connection that was used last, so that surplus ones
+// stay idle. The lock is held.
+func (i *Instance) take(now time.Time) *conn.Conn {
+	for n := len(i.idle) - 1; n >= 0; n-- {
+		k := i.idle[n]
+		switch k.Readiness(now) {
+		case conn.Usable:
+			i.idle = slices.Delete(i.idle, n, n+1)
+			return k
+		case conn.Spent:
+			i.drop(k)
+		case conn.Busy:
+		}
+	}
+	return nil
+}
+
+// drop closes an idle connection. The lock is held.
+func (i *Instance) drop(k *conn.Conn) {
+	if n := slices.Index(i.idle, k); n >= 0 {
+		i.idle = slices.Delete(i.idle, n, n+1)
+	}
+	k.Close()
+}
+
+// trim closes the surplus connection that has been idle longest, if it was
+// for a while. The lock is held.
+func (i *Instance) trim(now time.Time) {
+	if len(i.idle) == 0 || i.open <= i.c.Conns.Keep {
+		return
+	}
+	if k := i.idle[0]; i.open > i.c.Conns.Most || now.Sub(k.IdleSince()) > surplusIdle {
+		i.drop(k)
+	}
+}
+
+// fill opens the connections that are missing, one at a time, as each costs
+// the searcher a moment of a slot. The lock is held.
+func (i *Instance) fill(now time.Time) {
+	busy := len(i.sends) - len(i.waiting)
+	want := min(max(i.c.Conns.Keep, busy+len(i.waiting), 1), max(i.c.Conns.Most, 1))
+	if i.draining || i.dialing || i.open >= want {
+		return
+	}
+	i.dialing = true
+	wait := i.redialAt.Sub(now)
+	i.wg.Go(func() { i.dial(wait) })
+}
+
+// dial opens one connection after a wait.
+func (i *Instance) dial(wait time.Duration) {
+	sleep(i.ctx, wait)
+	k, err := conn.Dial(i.ctx, conn.Config{Addr: i.c.Searcher.Addr, Dial: i.c.Dial, Down: i.down})
+	if err != nil {
+		i.mu.Lock()
+		i.dialing = false
+		failed := i.turnedAway(time.Now())
+		i.mu.Unlock()
+		unreachable(failed)
+		return
+	}
+	i.wg.Go(k.Wait)
+	i.mu.Lock()
+	i.open++
+	doubt := i.redial > 0
+	i.mu.Unlock()
+	if doubt {
+		sleep(i.ctx, proveTime)
+	}
+	i.mu.Lock()
+	i.dialing = false
+	now := time.Now()
+	switch {
+	case k.Readiness(now) == conn.Spent:
+	case i.draining:
+		k.Close()
+	default:
+		i.v.dialFailed = false
+		i.idle = append(i.idle, k)
+	}
+	i.fill(now)
+	i.mu.Unlock()
+	i.next()
+}
+
+// turnedAway notes that a connection could not be opened, or was closed
+// before its first request. It returns the requests that have no connection
+// to wait for. The lock is held.
+func (i *Instance) turnedAway(now time.Time) []*Send {
+	i.redial = min(max(2*i.redial, redialFirst), redialMost)
+	i.redialAt = now.Add(i.redial)
+	var failed []*Send
+	if i.open == 0 {
+		i.v.dialFailed = true
+		failed, i.waiting = i.waiting, nil
+	}
+	i.fill(now)
+	return failed
+}
+
+// unreachable ends requests that have no connection to wait for.
+func unreachable(xs []*Send) {
+	for _, x := range xs {
+		x.fail(ErrUnreachable)
+	}
+}
+
+// down takes the end of a connection.
+func (i *Instance) down(k *conn.Conn) {
+	i.mu.Lock()
+	i.open--
+	if n := slices.Index(i.idle, k); n >= 0 {
+		i.idle = slices.Delete(i.idle, n, n+1)
+	}
+	now := time.Now()
+	var failed []*Send
+	switch {
+	case i.draining:
+	case k.Exchanges() == 0:
+		failed = i.turnedAway(now)
+	default:
+		i.fill(now)
+	}
+	i.mu.Unlock()
+	unreachable(failed)
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/back/instance/instance.go
+++ b/internal/back/instance/instance.go
@@ -17,7 +17,6 @@
 	"context"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -41,8 +40,12 @@
 	// which doubles with each trial that fails.
 	suspectFirst = 300 * time.Millisecond
 	suspectMost  = 2 * time.Second
-	// warm is how many connections are kept open ahead of need.
-	warm = 2
+	// surplusIdle is how long a connection beyond the kept ones may be idle.
+	surplusIdle = 2 * time.Second
+	// proveTime is how long a new connection is left alone when the last one
+	// was turned away: a searcher that has too many resets it within a round
+	// trip, and a request on it would be lost.
+	proveTime = 8 * time.Millisecond
 	// queueFactor bounds the requests that wait for a connection, by the
 	// number of connections.
 	queueFactor = 4
@@ -65,16 +68,22 @@
 	Slots   int
 }
 
+// Conns is how many connections this VM opens to a searcher.
+type Conns struct {
+	// Keep is how many are kept open ahead of need. If all VMs lose power,
+	// the searcher still holds their connections when they come back, so the
+	// kept ones of all VMs take less than half of what it accepts.
+	Keep int
+	// Most is how many may be open when requests need them.
+	Most int
+}
+
 // Config sets up an Instance.
 type Config struct {
 	Searcher registry.Searcher
-	// Conns is how many connections this VM may open.
-	Conns int
+	Conns    Conns
 	// Dial opens network connections; nil is conn.DialTCP.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
-	// OnRefused is called when a connection could not be opened or was
-	// turned away; nil for none.
-	OnRefused func(error)
 }
 
 // Request is one send.
@@ -104,17 +113,17 @@
 	stop context.CancelFunc
 	wg   sync.WaitGroup
 
-	mu       sync.Mutex
-	c        Config
-	s        registry.Searcher
-	idle     []*conn.Conn
-	sends    map[*Send]struct{}
-	waiting  []*Send
+	mu      sync.Mutex
+	c       Config
+	s       registry.Searcher
+	idle    []*conn.Conn
+	sends   map[*Send]struct{}
+	waiting []*Send
+	// open counts the connections, but for one that is being opened.
 	open     int
 	dialing  bool
 	redial   time.Duration
 	redialAt time.Time
-	room     int
 	draining bool
 	closed   bool
 	v        view
@@ -139,7 +148,7 @@
 
 // New returns an instance and begins to open its connections.
 func New(c Config) *Instance {
-	i := &Instance{c: c, s: c.Searcher, room: max(c.Conns, 1), sends: map[*Send]struct{}{}, v: view{factor: 1}}
+	i := &Instance{c: c, s: c.Searcher, sends: map[*Send]struct{}{}, v: view{factor: 1}}
 	i.ctx, i.stop = context.WithCancel(context.Background())
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -156,17 +165,13 @@
 
 // Update takes a newer entry of the same process, and the number of
 // connections that this VM may open.
-func (i *Instance) Update(s registry.Searcher, conns int) {
+func (i *Instance) Update(s registry.Searcher, conns Conns) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.s = s
-	if conns != i.c.Conns {
-		i.c.Conns, i.room = conns, max(conns, 1)
-	}
-	for i.open > i.room && len(i.idle) > 0 {
-		i.drop(i.idle[0])
-	}
-	i.fill(time.Now())
+	i.s, i.c.Conns = s, conns
+	now := time.Now()
+	i.trim(now)
+	i.fill(now)
 }
 
 // Drain lets requests under way end, and closes connections as they become
@@ -215,246 +220,3 @@
 	}
 	i.wg.Wait()
 }
-
-// Send sends a request, at once or when a connection is free.
-func (i *Instance) Send(q Request) *Send {
-	now := time.Now()
-	x := &Send{i: i, q: q, began: now}
-	i.mu.Lock()
-	switch {
-	case i.draining:
-		i.mu.Unlock()
-		x.fail(ErrGone)
-		return x
-	case i.open == 0 && i.v.dialFailed:
-		i.fill(now)
-		i.mu.Unlock()
-		x.fail(ErrUnreachable)
-		return x
-	case len(i.waiting) >= queueFactor*i.room:
-		i.mu.Unlock()
-		x.fail(ErrFull)
-		return x
-	}
-	i.sends[x] = struct{}{}
-	i.waiting = append(i.waiting, x)
-	i.mu.Unlock()
-	i.next()
-	return x
-}
-
-// Withdraw takes back a request that was not sent. It reports false if it was
-// sent, or has ended.
-func (x *Send) Withdraw() bool {
-	i := x.i
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	n := slices.Index(i.waiting, x)
-	if n < 0 {
-		return false
-	}
-	i.waiting = slices.Delete(i.waiting, n, n+1)
-	x.ended = true
-	delete(i.sends, x)
-	return true
-}
-
-// Abort closes the connection of a request under way, or withdraws it.
-func (x *Send) Abort() {
-	if x.Withdraw() {
-		return
-	}
-	x.i.mu.Lock()
-	k, ended := x.k, x.ended
-	x.i.mu.Unlock()
-	if k != nil && !ended {
-		k.Close()
-	}
-}
-
-// fail ends a request that was not sent.
-func (x *Send) fail(err error) {
-	x.i.mu.Lock()
-	x.ended = true
-	delete(x.i.sends, x)
-	x.i.mu.Unlock()
-	x.q.Done(conn.Result{Err: err})
-}
-
-// next sends waiting requests on free connections.
-func (i *Instance) next() {
-	for {
-		i.mu.Lock()
-		if len(i.waiting) == 0 {
-			i.mu.Unlock()
-			return
-		}
-		now := time.Now()
-		k := i.take(now)
-		if k == nil {
-			i.fill(now)
-			i.mu.Unlock()
-			return
-		}
-		x := i.waiting[0]
-		i.waiting = slices.Delete(i.waiting, 0, 1)
-		x.k, x.began = k, now
-		i.mu.Unlock()
-		x.start()
-	}
-}
-
-// start sends a request on its connection.
-func (x *Send) start() {
-	i := x.i
-	b := x.q.Build()
-	if b == nil {
-		i.mu.Lock()
-		i.idle = append(i.idle, x.k)
-		i.mu.Unlock()
-		x.fail(context.DeadlineExceeded)
-		return
-	}
-	ok := x.k.Start(conn.Request{Method: x.q.Method, Bytes: b, Owns: x.q.Owns, Done: x.ends})
-	if ok {
-		return
-	}
-	// The connection ended after it was taken; nothing was sent.
-	i.mu.Lock()
-	x.k = nil
-	i.waiting = slices.Insert(i.waiting, 0, x)
-	i.mu.Unlock()
-}
-
-// ends takes the result of a request that was sent.
-func (x *Send) ends(r conn.Result) {
-	i := x.i
-	now := time.Now()
-	i.mu.Lock()
-	x.ended = true
-	delete(i.sends, x)
-	if x.k.Readiness(now) != conn.Spent {
-		if i.draining || i.open > i.room {
-			i.drop(x.k)
-		} else {
-			i.idle = append(i.idle, x.k)
-		}
-	}
-	i.v.dialFailed = i.v.dialFailed && r.Err != nil
-	i.mu.Unlock()
-	x.q.Done(r)
-	i.next()
-}
-
-// take returns the free connection that has been idle longest, so that none
-// runs into the searcher's idle timeout. The lock is held.
-func (i *Instance) take(now time.Time) *conn.Conn {
-	for n := 0; n < len(i.idle); {
-		k := i.idle[n]
-		switch k.Readiness(now) {
-		case conn.Usable:
-			i.idle = slices.Delete(i.idle, n, n+1)
-			return k
-		case conn.Busy:
-			n++
-		default:
-			i.drop(k)
-		}
-	}
-	return nil
-}
-
-// drop closes an idle connection. The lock is held.
-func (i *Instance) drop(k *conn.Conn) {
-	if n := slices.Index(i.idle, k); n >= 0 {
-		i.idle = slices.Delete(i.idle, n, n+1)
-	}
-	k.Close()
-}
-
-// fill opens the connections that are missing, one at a time, as each costs
-// the searcher a moment of a slot. The lock is held.
-func (i *Instance) fill(now time.Time) {
-	want := min(max(warm, len(i.sends)), i.room)
-	if i.draining || i.dialing || i.open >= want {
-		return
-	}
-	i.dialing = true
-	i.open++
-	wait := i.redialAt.Sub(now)
-	i.wg.Go(func() { i.dial(wait) })
-}
-
-// dial opens one connection after a wait.
-func (i *Instance) dial(wait time.Duration) {
-	if wait > 0 {
-		t := time.NewTimer(wait)
-		defer t.Stop()
-		select {
-		case <-t.C:
-		case <-i.ctx.Done():
-		}
-	}
-	k, err := conn.Dial(i.ctx, conn.Config{Addr: i.c.Searcher.Addr, Dial: i.c.Dial, Down: i.down})
-	i.mu.Lock()
-	i.dialing = false
-	if err != nil {
-		i.open--
-		failed := i.failedDial()
-		i.mu.Unlock()
-		for _, x := range failed {
-			x.fail(ErrUnreachable)
-		}
-		if i.c.OnRefused != nil && i.ctx.Err() == nil {
-			i.c.OnRefused(err)
-		}
-		return
-	}
-	i.wg.Go(k.Wait)
-	i.v.dialFailed = false
-	if i.draining {
-		k.Close()
-	} else {
-		i.idle = append(i.idle, k)
-	}
-	i.fill(time.Now())
-	i.mu.Unlock()
-	i.next()
-}
-
-// failedDial notes that no connection could be opened, and returns the
-// requests that have none to wait for. The lock is held.
-func (i *Instance) failedDial() []*Send {
-	i.redial = min(max(2*i.redial, redialFirst), redialMost)
-	now := time.Now()
-	i.redialAt = now.Add(i.redial)
-	if i.open > 0 {
-		i.fill(now)
-		return nil
-	}
-	i.v.dialFailed = true
-	waiting := i.waiting
-	i.waiting = nil
-	i.fill(now)
-	return waiting
-}
-
-// down takes the end of a connection.
-func (i *Instance) down(k *conn.Conn) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.open--
-	if n := slices.Index(i.idle, k); n >= 0 {
-		i.idle = slices.Delete(i.idle, n, n+1)
-	}
-	now := time.Now()
-	if k.Exchanges() == 0 && !i.draining {
-		// The searcher accepts fewer connections than expected.
-		i.room = max(min(i.room, i.open), 1)
-		i.redial = min(max(2*i.redial, redialFirst), redialMost)
-		i.redialAt = now.Add(i.redial)
-	} else {
-		i.redial = 0
-	}
-	i.fill(now)
-}
--- a/internal/node/gateway/view.go
+++ b/internal/node/gateway/view.go
@@ -20,9 +20,14 @@
 	// assumedVMs is how many VMs are taken to share connections and extra
 	// sends at least: those that start at the same moment are not counted yet.
 	assumedVMs = 8
-	// connShare is the part of a searcher's connections that is used. The
+	// mostShare is the part of a searcher's connections that may be open. The
 	// rest is for VMs that are not counted yet.
-	connShare = 0.95
+	mostShare = 0.95
+	// keepShare is the part that is kept open. Twice as many have to fit: when
+	// VMs lose power, their connections stay open at the searcher.
+	keepShare = 0.48
+	// maxKept bounds the kept connections where a searcher accepts many.
+	maxKept = 3
 	// retireAfter is how long requests at a searcher that left may take.
 	retireAfter = 10 * time.Second
 	// retireInterval is the time between two looks at them.
@@ -257,10 +262,16 @@
 	}
 }
 
-// conns is how many connections this VM may open to a searcher of a service.
-// The lock is held.
-func (v *view) conns(service string) int {
-	return max(int(connShare*float64(v.config.Services[service].MaxConns)/float64(v.counted)), 1)
+// conns is how many connections this VM opens to a searcher of a service. The
+// lock is held.
+func (v *view) conns(service string) instance.Conns {
+	return divide(v.config.Services[service].MaxConns, v.counted)
+}
+
+// divide returns one VM's part of the connections that a searcher accepts.
+func divide(accepts, vms int) instance.Conns {
+	each := float64(accepts) / float64(vms)
+	return instance.Conns{Keep: min(max(int(keepShare*each), 1), maxKept), Most: max(int(mostShare*each), 1)}
 }
 
 // retire lets the requests at a searcher that left end. The lock is held.
--- a/internal/query/forward/fake_test.go
+++ b/internal/query/forward/fake_test.go
@@ -144,7 +144,7 @@
 		for _, s := range ss {
 			w.searchers[s.id] = s
 			s.stop = make(chan struct{})
-			i := instance.New(instance.Config{Conns: 2, Dial: dial,
+			i := instance.New(instance.Config{Conns: instance.Conns{Keep: 2, Most: 2}, Dial: dial,
 				Searcher: registry.Searcher{ID: s.id, Service: service, Addr: s.id, Domain: "a", Slots: 2, State: registry.Ready}})
 			w.snap.Instances[service] = append(w.snap.Instances[service], i)
 			all = append(all, i)
