--- a/internal/query/forward/fake_test.go
+++ b/internal/query/forward/fake_test.go
@@ -45,9 +45,10 @@
 	// notRun marks a refusal, noStamp leaves out the signature.
 	notRun, noStamp bool
 	body            string
-	// id answers another request; cut breaks off without an answer.
-	id  string
-	cut bool
+	// id answers another request, unnamed names none; cut breaks off without
+	// an answer.
+	id           string
+	unnamed, cut bool
 }
 
 // fakeSearcher is a searcher on in-memory connections.
@@ -95,7 +96,10 @@
 		if a.id != "" {
 			id = a.id
 		}
-		out := fmt.Sprintf("HTTP/1.1 %d X\r\nId: %s\r\nContent-Length: %d\r\n", a.status, id, len(a.body))
+		out := fmt.Sprintf("HTTP/1.1 %d X\r\nContent-Length: %d\r\n", a.status, len(a.body))
+		if !a.unnamed {
+			out += "Id: " + id + "\r\n"
+		}
 		if !a.noStamp {
 			out += "Stamp: " + s.id + "\r\n"
 		}
--- a/internal/query/forward/forward_test.go
+++ b/internal/query/forward/forward_test.go
@@ -49,6 +49,9 @@
 	foreign := func(int, *http.Request) fakeAnswer {
 		return fakeAnswer{status: http.StatusOK, body: "theirs", id: "other"}
 	}
+	unnamed := func(int, *http.Request) fakeAnswer {
+		return fakeAnswer{status: http.StatusOK, body: "theirs", unnamed: true}
+	}
 	moved := func(int, *http.Request) fakeAnswer { return fakeAnswer{status: http.StatusMisdirectedRequest} }
 	teapot := func(int, *http.Request) fakeAnswer { return fakeAnswer{status: http.StatusTeapot, body: "no"} }
 	silent := func(int, *http.Request) fakeAnswer { return fakeAnswer{after: time.Hour, cut: true} }
@@ -70,6 +73,8 @@
 		"unsigned, once only":          {routing.AtMostOnce, unsigned, http.StatusBadGateway, "", 1},
 		"foreign answer, repeatable":   {routing.Idempotent, foreign, http.StatusOK, "good", 2},
 		"foreign answer, once only":    {routing.AtMostOnce, foreign, http.StatusGatewayTimeout, "", 1},
+		"unnamed answer, repeatable":   {routing.Idempotent, unnamed, http.StatusOK, "good", 2},
+		"unnamed answer, once only":    {routing.AtMostOnce, unnamed, http.StatusGatewayTimeout, "", 1},
 		"the request's fault":          {routing.Idempotent, teapot, http.StatusTeapot, "no", 1},
 		"silent, repeatable":           {routing.Idempotent, silent, http.StatusOK, "good", 2},
 		"silent, once only":            {routing.AtMostOnce, silent, http.StatusGatewayTimeout, "", 1},
--- a/internal/query/forward/part.go
+++ b/internal/query/forward/part.go
@@ -128,7 +128,7 @@
 // owns tells whether an answer belongs to this send.
 func (f *flight) owns(h http.Header) bool {
 	id := f.part.run.e.c.Dialect.Reply(http.StatusOK, h).ID
-	return id == "" || id == f.part.run.q.ID
+	return id == f.part.run.q.ID
 }
 
 // done takes the end of the send. It runs on the connection's goroutine.
