Refuse at once what queues would make late; keep places in queues

Besides, a send that waited for a connection at the hedge delay was withdrawn and counted as tried, so after one round the part had no searcher left and the request failed in the middle of an ordinary queue.

Change: package admission decides before anything is sent, from what placement predicts for the best searcher of each shard: late because of queues means refused now with the time at which the queues will have drained (spread, so that clients do not return together); late only because the searchers are slow means admitted. A queued send moves only to a searcher that has a connection free.

Ruled out: the product's admit gate, which adapts over windows of 24 queries (a second at a VM's rate; the burst lasts three) and compares with an unloaded mean.

Test: TestBurst plays twice what the searchers can run, TestOrdinaryLoad half of it.

--- a/internal/back/instance/observe.go
+++ b/internal/back/instance/observe.go
@@ -76,6 +76,8 @@
 		Local:    i.s.Domain == domain,
 		Slots:    i.s.Slots,
 		InFlight: len(i.sends),
+		Queued:   len(i.waiting),
+		Conns:    max(i.c.Conns.Most, 1),
 		Waiting:  i.v.load.Waiting,
 		Age:      now.Sub(i.v.loadAt),
 		Usual:    usual,
--- a/internal/back/instance/send.go
+++ b/internal/back/instance/send.go
@@ -35,6 +35,13 @@
 	return x
 }
 
+// Waiting tells whether the request waits for a connection.
+func (x *Send) Waiting() bool {
+	x.i.mu.Lock()
+	defer x.i.mu.Unlock()
+	return x.k == nil && !x.ended
+}
+
 // Withdraw takes back a request that was not sent. It reports false if it was
 // sent, or has ended.
 func (x *Send) Withdraw() bool {
--- /dev/null
+++ b/internal/query/admission/admission.go
@@ -0,0 +1,76 @@
+// Package admission decides at once whether a request is worth sending.
+//
+// It answers the load of a burst: fan-outs come faster than the searchers of
+// a shard can run them, queues grow before each shard, and every answer is
+// late. A request whose answer would miss its objective because of queues, or
+// its deadline for any reason, is refused before anything was sent, and told
+// when the queues will have drained. A request that would be late only
+// because its searchers are slow is admitted: it would be no sooner later.
+//
+// # Usage
+//
+//	d := admission.Decide(admission.View{Shards: shards, Need: 9, Objective: 90 * time.Millisecond, Left: left})
+//	if !d.Admit { refuse(d.RetryAfter) }
+package admission
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// leastRetryAfter and mostRetryAfter bound when a refused request may come
+	// back: not at once, and before its client has given up.
+	leastRetryAfter = 20 * time.Millisecond
+	mostRetryAfter  = 500 * time.Millisecond
+)
+
+// Shard is what is known of the best searcher of one shard.
+type Shard struct {
+	// Service is how long the searcher takes, with the queue that it had
+	// lately.
+	Service time.Duration
+	// Wait is how long the request would wait before it is sent.
+	Wait time.Duration
+	// Queued tells that others wait there, here or at the searcher.
+	Queued bool
+}
+
+// View is a request and the searchers that it needs.
+type View struct {
+	Shards []Shard
+	// Need is how many of the shards an answer needs.
+	Need int
+	// Objective is the time within which the answer is worth most, Left the
+	// time after which it is worth nothing; both from now on.
+	Objective time.Duration
+	Left      time.Duration
+}
+
+// Decision is whether to send a request.
+type Decision struct {
+	Admit bool
+	// RetryAfter is when a refused request could be served in time.
+	RetryAfter time.Duration
+	// Expected is when the needed shards would have answered.
+	Expected time.Duration
+}
+
+// Decide judges one request.
+func Decide(v View) Decision {
+	if len(v.Shards) < v.Need || v.Need < 1 {
+		// What is missing altogether is not a question of load.
+		return Decision{Admit: true}
+	}
+	s := slices.Clone(v.Shards)
+	slices.SortFunc(s, func(a, b Shard) int { return cmp.Compare(a.Service+a.Wait, b.Service+b.Wait) })
+	last := s[v.Need-1]
+	d := Decision{Expected: last.Service + last.Wait}
+	late := d.Expected - v.Objective
+	d.Admit = late <= 0 || !last.Queued && d.Expected <= v.Left
+	if !d.Admit {
+		d.RetryAfter = min(max(late, leastRetryAfter), mostRetryAfter)
+	}
+	return d
+}
--- /dev/null
+++ b/internal/query/forward/admit.go
@@ -0,0 +1,59 @@
+package forward
+
+import (
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"egrethaven/internal/query/admission"
+	"egrethaven/internal/query/placement"
+)
+
+// retrySpread spreads the return of refused requests, so that they do not
+// come back together: the least and most of a factor.
+const (
+	retrySpreadLeast = 0.7
+	retrySpreadMost  = 1.6
+)
+
+// admit refuses a request that queues would make late. It reports true if the
+// request may be sent.
+func (x *run) admit(now time.Time) (Answer, bool) {
+	if x.e.c.Policy.AdmitAll {
+		return Answer{}, true
+	}
+	v := admission.View{Need: 1, Objective: x.cut.Sub(now), Left: x.end.Sub(now)}
+	if x.route.FansOut() {
+		v.Need = int(math.Ceil(x.route.Coverage*float64(len(x.parts)) - coverageSlack))
+	}
+	for _, p := range x.parts {
+		if s, ok := p.outlook(now); ok {
+			v.Shards = append(v.Shards, s)
+		}
+	}
+	d := admission.Decide(v)
+	if d.Admit {
+		return Answer{}, true
+	}
+	spread := retrySpreadLeast + (retrySpreadMost-retrySpreadLeast)*rand.Float64()
+	return Answer{Status: http.StatusServiceUnavailable, Reason: Overloaded,
+		RetryAfter: time.Duration(float64(d.RetryAfter) * spread)}, false
+}
+
+// outlook is what to expect of the best searcher of a part.
+func (p *part) outlook(now time.Time) (admission.Shard, bool) {
+	var cs []placement.Candidate
+	for _, i := range p.instances {
+		if i.Usable() {
+			cs = append(cs, i.Candidate(now, p.run.e.c.Domain, p.run.usual))
+		}
+	}
+	n := placement.Choose(cs, pick)
+	if n < 0 {
+		return admission.Shard{}, false
+	}
+	c := cs[n]
+	wait, service := placement.Predict(c)
+	return admission.Shard{Service: service, Wait: wait, Queued: c.Queued > 0 || c.Waiting >= c.Slots}, true
+}
--- a/internal/query/forward/fake_test.go
+++ b/internal/query/forward/fake_test.go
@@ -55,10 +55,44 @@
 type fakeSearcher struct {
 	id     string
 	answer func(n int, r *http.Request) fakeAnswer
+	// slots bounds the requests that run at a time, and queue those that
+	// wait; more are shed. Without slots nothing is bounded.
+	slots, queue int
 
 	stop chan struct{}
 	mu   sync.Mutex
 	got  []*http.Request
+	room chan struct{}
+	held int
+}
+
+// enter takes a slot, or reports false if too many wait for one.
+func (s *fakeSearcher) enter() bool {
+	if s.slots == 0 {
+		return true
+	}
+	s.mu.Lock()
+	full := s.held >= s.slots+s.queue
+	if !full {
+		s.held++
+	}
+	s.mu.Unlock()
+	if full {
+		return false
+	}
+	s.room <- struct{}{}
+	return true
+}
+
+// leave gives the slot back.
+func (s *fakeSearcher) leave() {
+	if s.slots == 0 {
+		return
+	}
+	<-s.room
+	s.mu.Lock()
+	s.held--
+	s.mu.Unlock()
 }
 
 // requests returns how many requests arrived.
@@ -82,12 +116,16 @@
 		s.got = append(s.got, q)
 		a := s.answer(len(s.got), q)
 		s.mu.Unlock()
-		t := time.NewTimer(a.after)
-		select {
-		case <-t.C:
-		case <-s.stop:
+		if !s.enter() {
+			a = fakeAnswer{status: http.StatusServiceUnavailable, notRun: true}
+		} else {
+			t := time.NewTimer(a.after)
+			select {
+			case <-t.C:
+			case <-s.stop:
+			}
 			t.Stop()
-			return
+			s.leave()
 		}
 		if a.cut {
 			return
@@ -128,6 +166,12 @@
 
 // newWorld builds an engine for routes; searchers are given by service.
 func newWorld(t *testing.T, routes []routing.Route, searchers map[string][]*fakeSearcher) *world {
+	t.Helper()
+	return newWorldWith(t, Policy{}, routes, searchers)
+}
+
+// newWorldWith is newWorld with decisions switched off.
+func newWorldWith(t *testing.T, policy Policy, routes []routing.Route, searchers map[string][]*fakeSearcher) *world {
 	t.Helper()
 	c, err := routing.New(1, routes, nil, routing.Limits{})
 	if err != nil {
@@ -148,13 +192,14 @@
 		for _, s := range ss {
 			w.searchers[s.id] = s
 			s.stop = make(chan struct{})
+			s.room = make(chan struct{}, max(s.slots, 1))
 			i := instance.New(instance.Config{Conns: instance.Conns{Keep: 2, Most: 2}, Dial: dial,
 				Searcher: registry.Searcher{ID: s.id, Service: service, Addr: s.id, Domain: "a", Slots: 2, State: registry.Ready}})
 			w.snap.Instances[service] = append(w.snap.Instances[service], i)
 			all = append(all, i)
 		}
 	}
-	w.e = New(Config{Dialect: testDialect{}, Domain: "a", Current: func() *Snapshot { return w.snap },
+	w.e = New(Config{Dialect: testDialect{}, Domain: "a", Current: func() *Snapshot { return w.snap }, Policy: policy,
 		Budget: retrybudget.Config{Ratio: 0.2, Allowance: 10, Window: 10 * time.Second}})
 	t.Cleanup(func() {
 		w.e.Close()
--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -118,6 +118,14 @@
 	Confirmed time.Time
 }
 
+// Policy switches decisions off, to compare with and without them.
+type Policy struct {
+	// AdmitAll sends requests that queues will make late.
+	AdmitAll bool
+	// NoHedges sends no request a second time because it is late.
+	NoHedges bool
+}
+
 // Config sets up an Engine.
 type Config struct {
 	Dialect Dialect
@@ -127,6 +135,7 @@
 	Domain string
 	// Budget of extra sends for each service.
 	Budget retrybudget.Config
+	Policy Policy
 	// Log takes the decisions; nil drops them.
 	Log *event.Log
 	// Observe is called with the route's name, the reason and the time that
--- /dev/null
+++ b/internal/query/forward/load_test.go
@@ -0,0 +1,106 @@
+package forward
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"egrethaven/internal/state/routing"
+)
+
+const (
+	loadShards   = 4
+	loadReplicas = 2
+	// loadService is what a searcher with one slot takes for a request, so a
+	// shard runs 200 a second.
+	loadService = 10 * time.Millisecond
+	loadSpan    = 2 * time.Second
+)
+
+// tallied is what the clients of a load got.
+type tallied struct {
+	inTime, late, refused, failed int
+	// slowest is the longest that a refusal took.
+	slowest time.Duration
+}
+
+// fanOut is a route over shards s0, s1 and so on.
+func fanOut(shards int) routing.Route {
+	r := routing.Route{Name: "f", Host: "h", Prefix: "/", Repeat: routing.Idempotent, Attempts: 2,
+		Objective: 80 * time.Millisecond, Coverage: 0.9, TopK: 5}
+	for i := range shards {
+		r.Shards = append(r.Shards, fmt.Sprintf("s%d", i))
+	}
+	return r
+}
+
+// play sends fan-outs at a steady rate and tallies the answers.
+func play(t *testing.T, policy Policy, gap time.Duration) tallied {
+	searchers := map[string][]*fakeSearcher{}
+	for i := range loadShards {
+		for j := range loadReplicas {
+			s := &fakeSearcher{id: fmt.Sprintf("i-%d-%d", i, j), answer: served(loadService, "0123456789abcdef"), slots: 1, queue: 12}
+			searchers[fmt.Sprintf("s%d", i)] = append(searchers[fmt.Sprintf("s%d", i)], s)
+		}
+	}
+	r := fanOut(loadShards)
+	w := newWorldWith(t, policy, []routing.Route{r}, searchers)
+	synctest.Wait()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	var sum tallied
+	for end := time.Now().Add(loadSpan); time.Now().Before(end); time.Sleep(gap) {
+		wg.Go(func() {
+			q := request(300 * time.Millisecond)
+			a := w.e.Do(t.Context(), q)
+			took := time.Since(q.Arrived)
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case a.Status == http.StatusOK && took <= r.Objective:
+				sum.inTime++
+			case a.Status == http.StatusOK:
+				sum.late++
+			case a.Status == http.StatusServiceUnavailable:
+				sum.refused++
+				sum.slowest = max(sum.slowest, took)
+			default:
+				sum.failed++
+			}
+		})
+	}
+	wg.Wait()
+	return sum
+}
+
+// TestBurst plays a burst of twice what the searchers can run. What can't be
+// served in time has to be refused early, so that the rest is: at least half
+// of what the searchers can run in the span.
+func TestBurst(t *testing.T) {
+	const gap = loadService / loadReplicas / 2
+	var with, without tallied
+	synctest.Test(t, func(t *testing.T) { with = play(t, Policy{}, gap) })
+	synctest.Test(t, func(t *testing.T) { without = play(t, Policy{AdmitAll: true}, gap) })
+	t.Logf("with admission %+v, without %+v", with, without)
+	canRun := int(loadSpan / loadService * loadReplicas)
+	if with.inTime < canRun/2 || with.inTime <= without.inTime {
+		t.Errorf("%d of %d that could be served were, %d without admission", with.inTime, canRun, without.inTime)
+	}
+	if quarter := fanOut(1).Objective / 4; with.slowest > quarter {
+		t.Errorf("a refusal took %s, more than a quarter of the objective", with.slowest)
+	}
+}
+
+// TestOrdinaryLoad plays half of what the searchers can run: nobody is
+// refused and nobody is late.
+func TestOrdinaryLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		got := play(t, Policy{}, loadService)
+		if got.late+got.refused+got.failed > 0 {
+			t.Errorf("%+v", got)
+		}
+	})
+}
--- a/internal/query/forward/part.go
+++ b/internal/query/forward/part.go
@@ -230,8 +230,9 @@
 	p.dead = true
 }
 
-// late hedges a send that is late. A send that still waits for a connection
-// is placed anew instead.
+// late hedges a send that is late. One that still waits for a connection is
+// moved to a searcher that has one free; where there is none, it keeps its
+// place in the queue.
 func (p *part) late(now time.Time) {
 	x := p.run
 	if p.over() || p.hedgeAt.IsZero() || now.Before(p.hedgeAt) {
@@ -239,18 +240,15 @@
 	}
 	p.hedgeAt = time.Time{}
 	f := p.flights[len(p.flights)-1]
-	if f.send.Withdraw() {
-		p.open--
-		f.settled = true
-		p.sends--
-		p.unsent++
-		p.hedgeAt = now.Add(x.hedge)
-		if p.unsent > maxUnsent || !p.place(now) {
-			p.dead = p.open == 0
+	if f.send.Waiting() {
+		p.hedgeAt = now.Add(x.hedge / hedgeAgain)
+		if p.free(now, f.at) && f.send.Withdraw() {
+			p.withdrawn(f)
+			p.dead = !p.place(now)
 		}
 		return
 	}
-	if x.route.Repeat != routing.Idempotent || p.sends >= x.route.Attempts {
+	if x.route.Repeat != routing.Idempotent || p.sends >= x.route.Attempts || x.e.c.Policy.NoHedges {
 		return
 	}
 	if !p.budget.Extra(now, retrybudget.Hedge) {
@@ -261,3 +259,23 @@
 		x.hedges++
 	}
 }
+
+// free tells whether another searcher than one has a free connection.
+func (p *part) free(now time.Time, than *instance.Instance) bool {
+	return slices.ContainsFunc(p.instances, func(i *instance.Instance) bool {
+		if i == than || !i.Usable() || p.tried(i) {
+			return false
+		}
+		c := i.Candidate(now, p.run.e.c.Domain, p.run.usual)
+		return !c.NoConn && !c.Suspect
+	})
+}
+
+// withdrawn forgets a send that was taken back before it left.
+func (p *part) withdrawn(f *flight) {
+	f.settled = true
+	p.flights = slices.DeleteFunc(p.flights, func(o *flight) bool { return o == f })
+	p.open--
+	p.sends--
+	p.run.sent--
+}
--- a/internal/query/forward/run.go
+++ b/internal/query/forward/run.go
@@ -84,6 +84,9 @@
 // answer sends the request and waits until the answer is settled.
 func (x *run) answer(ctx context.Context) Answer {
 	now := time.Now()
+	if a, ok := x.admit(now); !ok {
+		return a
+	}
 	for _, p := range x.parts {
 		p.first(now)
 	}
--- a/internal/query/placement/placement.go
+++ b/internal/query/placement/placement.go
@@ -43,8 +43,11 @@
 	Local bool
 	// Slots is how many requests it runs at a time.
 	Slots int
-	// InFlight is how many requests this VM has under way or queued there.
+	// InFlight is how many requests this VM has under way or queued there,
+	// and Queued how many of them wait for one of its Conns connections.
 	InFlight int
+	Queued   int
+	Conns    int
 	// Waiting is how many requests it reported to be waiting, and Age how
 	// old that report is.
 	Waiting int
@@ -65,13 +68,24 @@
 	NoConn bool
 }
 
-// Estimate is the time until an answer from c, with a charge for what makes
-// it a worse choice than its speed tells.
-func Estimate(c Candidate) time.Duration {
-	service := time.Duration(float64(c.Usual) * max(c.Factor, 0.1))
+// Predict is how long a request would wait for a connection, and how long
+// the searcher would then take for it. The recent factor of the searcher
+// contains the queue that requests met there.
+func Predict(c Candidate) (wait, service time.Duration) {
+	service = time.Duration(float64(c.Usual) * max(c.Factor, 0.1))
 	if c.Cold {
 		service = time.Duration(float64(service) * coldFactor)
 	}
+	if c.NoConn {
+		wait = time.Duration(float64(service) * (0.5 + float64(c.Queued)/float64(max(c.Conns, 1))))
+	}
+	return wait, service
+}
+
+// Estimate is the time until an answer from c, with a charge for what makes
+// it a worse choice than its speed tells.
+func Estimate(c Candidate) time.Duration {
+	wait, service := Predict(c)
 	slots := max(c.Slots, 1)
 	ahead := float64(c.InFlight)
 	if c.Age < loadAge {
@@ -79,7 +93,7 @@
 	} else {
 		ahead += float64(c.Waiting) * float64(loadAge) / float64(c.Age)
 	}
-	d := service + time.Duration(float64(service)*max(0, ahead+1-float64(slots))/float64(slots))
+	d := service + wait + time.Duration(float64(service)*max(0, ahead+1-float64(slots))/float64(slots))
 	if c.InFlight > 0 {
 		// Requests of other VMs share the slots with those in hand.
 		d += time.Duration(float64(service) * float64(c.InFlight) / float64(2*slots))
@@ -91,9 +105,6 @@
 	if !c.Local {
 		d += remoteCost
 	}
-	if c.NoConn {
-		d += service
-	}
 	if c.Suspect {
 		d += suspectCost
 	}
