Leave searchers alone that answer nothing; move queued sends; learn sooner

A searcher that answered nothing was suspected only after two requests had waited for their whole deadline, a shard without any searcher counted as available at admission, and requests that needed it ran into 502 and 504.

Change: a searcher that answers nothing for 20 usual service times (250 ms at least) while requests are under way is passed over, then tried by one request at a time; one lost answer among others that came is no such sign. A fan-out leaves out shards whose searchers are all passed over if the others suffice, and is refused at once if they do not. A queued send moves to a shorter queue. Service times are used after 40 requests.

Tests: TestFanOut, TestShardLeftAlone (the second fails before: 504 at the deadline).

--- a/internal/back/instance/instance.go
+++ b/internal/back/instance/instance.go
@@ -33,11 +33,14 @@
 	redialMost  = time.Second
 	// gain is the weight of a new observation in the averages.
 	gain = 0.1
-	// suspectAfter is how many requests in a row may go unanswered before
-	// the searcher is taken to be out of reach.
-	suspectAfter = 2
-	// suspectFirst and suspectMost bound how long it is then left alone,
-	// which doubles with each trial that fails.
+	// suspectFactor, in usual service times, and suspectLeast bound how long
+	// a searcher may answer nothing while requests are under way before it is
+	// taken to be out of reach. Searchers pause for a tenth of a second.
+	suspectFactor = 20
+	suspectLeast  = 250 * time.Millisecond
+	// suspectFirst and suspectMost bound how long a searcher is left alone
+	// after a request that it did not answer, which doubles with each trial
+	// that fails.
 	suspectFirst = 300 * time.Millisecond
 	suspectMost  = 2 * time.Second
 	// surplusIdle is how long a connection beyond the kept ones may be idle.
--- a/internal/back/instance/observe.go
+++ b/internal/back/instance/observe.go
@@ -34,12 +34,14 @@
 		i.v.misdirected = true
 		return
 	case Silent:
-		i.v.silent++
 		i.v.failures += gain * (1 - i.v.failures)
-		if i.v.silent >= suspectAfter {
-			i.v.suspend = min(max(2*i.v.suspend, suspectFirst), suspectMost)
-			i.v.suspended = now.Add(i.v.suspend)
+		if i.v.lastEnd.After(now.Add(-elapsed)) {
+			// Others were answered meanwhile: one answer was lost.
+			return
 		}
+		i.v.silent++
+		i.v.suspend = min(max(2*i.v.suspend, suspectFirst), suspectMost)
+		i.v.suspended = now.Add(i.v.suspend)
 		return
 	case Failed, Refused:
 		i.v.failures += gain * (1 - i.v.failures)
@@ -84,7 +86,7 @@
 		Factor:   i.v.factor,
 		Failures: i.v.failures,
 		Cold:     now.Before(i.s.ColdUntil),
-		Suspect:  now.Before(i.v.suspended) || i.v.silent >= suspectAfter && len(i.sends) > 0,
+		Suspect:  now.Before(i.v.suspended) || i.v.silent > 0 && len(i.sends) > 0,
 		NoConn:   len(i.idle) == 0,
 	}
 	if i.open == 0 && i.v.dialFailed {
@@ -95,6 +97,7 @@
 			c.Stalled = max(c.Stalled, now.Sub(began))
 		}
 	}
+	c.Suspect = c.Suspect || c.Stalled > max(suspectFactor*usual, suspectLeast)
 	return c
 }
 
--- a/internal/query/admission/admission.go
+++ b/internal/query/admission/admission.go
@@ -3,7 +3,8 @@
 // It answers the load of a burst: fan-outs come faster than the searchers of
 // a shard can run them, queues grow before each shard, and every answer is
 // late. A request whose answer would miss its objective because of queues, or
-// its deadline for any reason, is refused before anything was sent, and told
+// its deadline for any reason, or for which too few shards have a searcher
+// that answers, is refused before anything was sent, and told
 // when the queues will have drained. A request that would be late only
 // because its searchers are slow is admitted: it would be no sooner later.
 //
@@ -39,6 +40,7 @@
 
 // View is a request and the searchers that it needs.
 type View struct {
+	// Shards are those that have a searcher which answers.
 	Shards []Shard
 	// Need is how many of the shards an answer needs.
 	Need int
@@ -51,6 +53,8 @@
 // Decision is whether to send a request.
 type Decision struct {
 	Admit bool
+	// Missing tells that too few shards have a searcher that answers.
+	Missing bool
 	// RetryAfter is when a refused request could be served in time.
 	RetryAfter time.Duration
 	// Expected is when the needed shards would have answered.
@@ -60,8 +64,7 @@
 // Decide judges one request.
 func Decide(v View) Decision {
 	if len(v.Shards) < v.Need || v.Need < 1 {
-		// What is missing altogether is not a question of load.
-		return Decision{Admit: true}
+		return Decision{Missing: true}
 	}
 	s := slices.Clone(v.Shards)
 	slices.SortFunc(s, func(a, b Shard) int { return cmp.Compare(a.Service+a.Wait, b.Service+b.Wait) })
--- a/internal/query/forward/admit.go
+++ b/internal/query/forward/admit.go
@@ -28,20 +28,26 @@
 		v.Need = int(math.Ceil(x.route.Coverage*float64(len(x.parts)) - coverageSlack))
 	}
 	for _, p := range x.parts {
-		if s, ok := p.outlook(now); ok {
+		s, ok := p.outlook(now)
+		if ok {
 			v.Shards = append(v.Shards, s)
 		}
+		p.doubtful = !ok
 	}
 	d := admission.Decide(v)
 	if d.Admit {
 		return Answer{}, true
 	}
+	if d.Missing {
+		return Answer{Status: http.StatusServiceUnavailable, Reason: NoSearcher, RetryAfter: retryAfterUnknown}, false
+	}
 	spread := retrySpreadLeast + (retrySpreadMost-retrySpreadLeast)*rand.Float64()
 	return Answer{Status: http.StatusServiceUnavailable, Reason: Overloaded,
 		RetryAfter: time.Duration(float64(d.RetryAfter) * spread)}, false
 }
 
-// outlook is what to expect of the best searcher of a part.
+// outlook is what to expect of the best searcher of a part. It reports false
+// if none seems to answer.
 func (p *part) outlook(now time.Time) (admission.Shard, bool) {
 	var cs []placement.Candidate
 	for _, i := range p.instances {
@@ -54,6 +60,9 @@
 		return admission.Shard{}, false
 	}
 	c := cs[n]
+	if c.Suspect {
+		return admission.Shard{}, false
+	}
 	wait, service := placement.Predict(c)
 	return admission.Shard{Service: service, Wait: wait, Queued: c.Queued > 0 || c.Waiting >= c.Slots}, true
 }
--- a/internal/query/forward/forward_test.go
+++ b/internal/query/forward/forward_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -108,3 +109,94 @@
 		})
 	}
 }
+
+// TestFanOut plays one fan-out over four shards, of which some have searchers
+// that fail in one way, and checks the coverage and the time of the answer.
+func TestFanOut(t *testing.T) {
+	const part, other = "0123456789abcdef", "zzzzzzzzzzzzzzzz"
+	silent := func(int, *http.Request) fakeAnswer { return fakeAnswer{after: time.Hour, cut: true} }
+	fail := func(int, *http.Request) fakeAnswer { return fakeAnswer{status: http.StatusInternalServerError} }
+	for name, c := range map[string]struct {
+		bad      func(int, *http.Request) fakeAnswer
+		shards   int
+		coverage float64
+		status   int
+		missing  string
+		within   time.Duration
+	}{
+		"complete":                        {nil, 0, 1, http.StatusOK, "0", 15 * time.Millisecond},
+		"one replica silent":              {silent, 0, 1, http.StatusOK, "0", 60 * time.Millisecond},
+		"a shard fails, enough are in":    {fail, 1, 0.75, http.StatusOK, "1", 15 * time.Millisecond},
+		"a shard fails, all are needed":   {fail, 1, 1, http.StatusBadGateway, "", 15 * time.Millisecond},
+		"a shard is silent, enough in":    {silent, 1, 0.75, http.StatusOK, "1", 80 * time.Millisecond},
+		"a shard is silent, all needed":   {silent, 1, 1, http.StatusGatewayTimeout, "", 300 * time.Millisecond},
+		"two shards silent, one too many": {silent, 2, 0.75, http.StatusGatewayTimeout, "", 300 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				searchers := map[string][]*fakeSearcher{}
+				for i := range 4 {
+					a := &fakeSearcher{id: fmt.Sprintf("i-%d-a", i), answer: served(10*time.Millisecond, part)}
+					b := &fakeSearcher{id: fmt.Sprintf("i-%d-b", i), answer: served(10*time.Millisecond, other)}
+					if i < c.shards {
+						a.answer, b.answer = c.bad, c.bad
+					} else if c.shards == 0 && c.bad != nil && i == 0 {
+						a.answer = c.bad
+					}
+					searchers[fmt.Sprintf("s%d", i)] = []*fakeSearcher{a, b}
+				}
+				r := fanOut(4)
+				r.Coverage = c.coverage
+				w := newWorld(t, []routing.Route{r}, searchers)
+				synctest.Wait()
+				q := request(300 * time.Millisecond)
+				a := w.e.Do(t.Context(), q)
+				if took := time.Since(q.Arrived); a.Status != c.status || a.Header.Get("Missing") != c.missing || took > c.within {
+					t.Errorf("got %d (%s), %q missing, after %s; want %d, %q missing, within %s",
+						a.Status, a.Reason, a.Header.Get("Missing"), took, c.status, c.missing, c.within)
+				}
+				if a.Status == http.StatusOK && len(a.Body) != min(4-c.shards, r.TopK)*16 {
+					t.Errorf("%d bytes of records", len(a.Body))
+				}
+			})
+		})
+	}
+}
+
+// TestShardLeftAlone asks again once the searchers of a shard are known not
+// to answer: with enough others the answer comes without waiting for them,
+// else the request is refused before anything is sent.
+func TestShardLeftAlone(t *testing.T) {
+	for name, c := range map[string]struct {
+		coverage float64
+		status   int
+	}{"enough others": {0.75, http.StatusOK}, "all are needed": {1, http.StatusServiceUnavailable}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				searchers := map[string][]*fakeSearcher{}
+				for i := range 4 {
+					s := &fakeSearcher{id: fmt.Sprintf("i-%d", i), answer: served(10*time.Millisecond, "0123456789abcdef")}
+					if i == 0 {
+						s.answer = func(int, *http.Request) fakeAnswer { return fakeAnswer{after: time.Hour, cut: true} }
+					}
+					searchers[fmt.Sprintf("s%d", i)] = []*fakeSearcher{s}
+				}
+				r := fanOut(4)
+				r.Coverage = c.coverage
+				w := newWorld(t, []routing.Route{r}, searchers)
+				synctest.Wait()
+				w.e.Do(t.Context(), request(300*time.Millisecond))
+				time.Sleep(300 * time.Millisecond)
+				before := w.searchers["i-1"].requests()
+				q := request(300 * time.Millisecond)
+				a := w.e.Do(t.Context(), q)
+				if took := time.Since(q.Arrived); a.Status != c.status || took > 15*time.Millisecond {
+					t.Errorf("got %d (%s) after %s, want %d at once", a.Status, a.Reason, took, c.status)
+				}
+				if sent := w.searchers["i-1"].requests() > before; sent != (c.status == http.StatusOK) {
+					t.Errorf("sent to the other shards: %v", sent)
+				}
+			})
+		})
+	}
+}
--- a/internal/query/forward/kind.go
+++ b/internal/query/forward/kind.go
@@ -17,6 +17,9 @@
 	// parts are hedged sooner; what exceeds the budget is not sent.
 	hedgeFanOut = 0.90
 	hedgePlain  = 0.95
+	// leastSeen is how many requests of a route have to be seen before its
+	// service times are used; a route may have few on one VM.
+	leastSeen = 40
 	// usualShare and hedgeShare of the objective stand for the usual service
 	// time and the hedge delay until enough requests were seen.
 	usualShare = 8
@@ -39,7 +42,7 @@
 
 // newKind returns a kind of which no request was seen.
 func newKind(r *routing.Route) *kind {
-	k := &kind{quantile: hedgePlain, objective: r.Objective, times: latency.New()}
+	k := &kind{quantile: hedgePlain, objective: r.Objective, times: latency.New(latency.Config{Least: leastSeen})}
 	if k.objective <= 0 {
 		k.objective = defaultObjective
 	}
--- a/internal/query/forward/part.go
+++ b/internal/query/forward/part.go
@@ -43,6 +43,10 @@
 	failure *reply
 	// dead parts will get no answer.
 	dead bool
+	// doubtful parts have no searcher that seems to answer.
+	doubtful bool
+	// left are the searchers in whose queues the send waited in vain.
+	left []*instance.Instance
 }
 
 // reply is a searcher's answer with what its header says.
@@ -71,7 +75,9 @@
 func (p *part) first(now time.Time) {
 	p.budget.First(now)
 	p.hedgeAt = now.Add(p.run.hedge)
-	if !p.place(now) {
+	// A fan-out that has enough other shards does not wait for one whose
+	// searchers are left alone for a moment.
+	if p.run.route.FansOut() && p.doubtful || !p.place(now) {
 		p.dead = true
 	}
 }
@@ -101,9 +107,10 @@
 	return true
 }
 
-// tried tells whether a searcher has had this part before.
+// tried tells whether a searcher has had this part before, or had it waiting
+// in vain.
 func (p *part) tried(i *instance.Instance) bool {
-	return slices.ContainsFunc(p.flights, func(f *flight) bool { return f.at == i })
+	return slices.Contains(p.left, i) || slices.ContainsFunc(p.flights, func(f *flight) bool { return f.at == i })
 }
 
 // build lays out the send; nil if the time is over.
@@ -231,8 +238,7 @@
 }
 
 // late hedges a send that is late. One that still waits for a connection is
-// moved to a searcher that has one free; where there is none, it keeps its
-// place in the queue.
+// moved to a searcher with a shorter queue instead, which costs no send.
 func (p *part) late(now time.Time) {
 	x := p.run
 	if p.over() || p.hedgeAt.IsZero() || now.Before(p.hedgeAt) {
@@ -241,10 +247,9 @@
 	p.hedgeAt = time.Time{}
 	f := p.flights[len(p.flights)-1]
 	if f.send.Waiting() {
-		p.hedgeAt = now.Add(x.hedge / hedgeAgain)
-		if p.free(now, f.at) && f.send.Withdraw() {
-			p.withdrawn(f)
-			p.dead = !p.place(now)
+		p.hedgeAt = now.Add(x.hedge)
+		if p.shorter(now, f.at) && f.send.Withdraw() {
+			p.move(f, now)
 		}
 		return
 	}
@@ -260,22 +265,31 @@
 	}
 }
 
-// free tells whether another searcher than one has a free connection.
-func (p *part) free(now time.Time, than *instance.Instance) bool {
+// shorter tells whether another searcher has a shorter queue than one, or
+// answers while that one does not.
+func (p *part) shorter(now time.Time, than *instance.Instance) bool {
+	stay := than.Candidate(now, p.run.e.c.Domain, p.run.usual)
 	return slices.ContainsFunc(p.instances, func(i *instance.Instance) bool {
 		if i == than || !i.Usable() || p.tried(i) {
 			return false
 		}
 		c := i.Candidate(now, p.run.e.c.Domain, p.run.usual)
-		return !c.NoConn && !c.Suspect
+		return !c.Suspect && (c.Queued < stay.Queued || stay.Stalled > p.run.hedge && c.Stalled < p.run.hedge)
 	})
 }
 
-// withdrawn forgets a send that was taken back before it left.
-func (p *part) withdrawn(f *flight) {
+// move takes a send that was withdrawn from a queue to another searcher, or,
+// if it has waited at all of them, once more to the best.
+func (p *part) move(f *flight, now time.Time) {
 	f.settled = true
 	p.flights = slices.DeleteFunc(p.flights, func(o *flight) bool { return o == f })
 	p.open--
 	p.sends--
 	p.run.sent--
+	p.left = append(p.left, f.at)
+	if p.place(now) {
+		return
+	}
+	p.left = nil
+	p.dead = !p.place(now)
 }
--- a/internal/query/forward/report.go
+++ b/internal/query/forward/report.go
@@ -22,7 +22,7 @@
 	x.e.c.Log.Record(n, x.q.ID, func(l *log.Entry) {
 		l.Str("route", x.route.Name).Int64("config_version", int64(x.s.Config.Version))
 		l.Int64("config_age_ms", time.Since(x.s.Confirmed).Milliseconds())
-		l.Int("status", a.Status).Str("reason", string(a.Reason)).Dur("elapsed", elapsed)
+		l.Int("status", a.Status).Str("reason", string(a.Reason)).Float64("elapsed_ms", float64(elapsed.Microseconds())/1000)
 		l.Int("sends", x.sent).Int("hedges", x.hedges).Int("retries", x.retries)
 		if a.Reason != Served {
 			l.Int64("patience_ms", x.q.Patience.Milliseconds())
--- a/internal/query/latency/histogram.go
+++ b/internal/query/latency/histogram.go
@@ -6,7 +6,7 @@
 //
 // # Usage
 //
-//	h := latency.New()
+//	h := latency.New(latency.Config{})
 //	h.Add(d)
 //	d, ok := h.Quantile(0.98)
 package latency
@@ -26,20 +26,30 @@
 	buckets = 440
 	// fullWeight is the weight at which every bucket is halved.
 	fullWeight = 4096
-	// leastWeight is the weight that an estimate needs.
-	leastWeight = 200
+	// defaultLeast is the weight that an estimate needs.
+	defaultLeast = 200
 )
 
+// Config describes a Histogram.
+type Config struct {
+	// Least is the weight that an estimate needs; 0 is the default.
+	Least float64
+}
+
 // Histogram holds recent latencies. It is safe for concurrent use.
 type Histogram struct {
+	least  float64
 	m      sync.Mutex
 	weight float64
 	counts [buckets]float64
 }
 
 // New returns an empty histogram.
-func New() *Histogram {
-	return &Histogram{}
+func New(c Config) *Histogram {
+	if c.Least <= 0 {
+		c.Least = defaultLeast
+	}
+	return &Histogram{least: c.Least}
 }
 
 // Add records latencies.
@@ -60,7 +70,7 @@
 func (h *Histogram) Quantile(q float64) (time.Duration, bool) {
 	h.m.Lock()
 	defer h.m.Unlock()
-	if h.weight < leastWeight {
+	if h.weight < h.least {
 		return 0, false
 	}
 	left := q * h.weight
--- a/internal/query/latency/histogram_test.go
+++ b/internal/query/latency/histogram_test.go
@@ -7,7 +7,7 @@
 )
 
 func TestQuantileFollowsChange(t *testing.T) {
-	h := New()
+	h := New(Config{})
 	if _, ok := h.Quantile(0.5); ok {
 		t.Fatal("an estimate from nothing")
 	}
--- a/internal/query/placement/placement.go
+++ b/internal/query/placement/placement.go
@@ -77,7 +77,7 @@
 		service = time.Duration(float64(service) * coldFactor)
 	}
 	if c.NoConn {
-		wait = time.Duration(float64(service) * (0.5 + float64(c.Queued)/float64(max(c.Conns, 1))))
+		wait = time.Duration(float64(service) * (1 + float64(c.Queued)/float64(max(c.Conns, 1))))
 	}
 	return wait, service
 }
--- a/internal/query/scatter/lane.go
+++ b/internal/query/scatter/lane.go
@@ -63,7 +63,7 @@
 		extraLoad: d.ExtraLoad,
 		shares:    d.Shares,
 		budget:    budget.New(budget.Config{Fraction: d.ExtraLoad}),
-		latency:   latency.New(),
+		latency:   latency.New(latency.Config{}),
 		gate:      admit.New(admit.Config{Shares: d.Shares, Fixed: s.fixed}),
 	}
 	if old != nil {
