--- a/internal/cli/command/cmd_gateway.go
+++ b/internal/cli/command/cmd_gateway.go
@@ -67,6 +67,12 @@
 	if err != nil {
 		return &failure{code: exitDegraded, what: "the gateway did not start: " + err.Error(), next: "check the addresses in " + file}
 	}
+	if file != "-" {
+		w := gatewaysettings.NewWatcher(gatewaysettings.WatcherConfig{
+			File: file, Read: b, Signal: hup, Changed: g.Reload, Refused: g.RefuseReload,
+		})
+		go w.Run(ctx)
+	}
 	if err := g.Run(ctx); err != nil {
 		return &failure{code: exitDegraded, what: "the gateway stopped: " + err.Error()}
 	}
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -18,6 +19,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/phuslu/log"
 
 	"egrethaven/internal/front/httpserver"
 	"egrethaven/internal/front/ingress"
@@ -30,6 +32,7 @@
 	"egrethaven/internal/query/retrybudget"
 	"egrethaven/internal/state/follow"
 	"egrethaven/internal/state/gatewaysettings"
+	"egrethaven/internal/state/problem"
 	"egrethaven/internal/state/routing"
 )
 
@@ -76,11 +79,16 @@
 
 	stopping atomic.Bool
 	wg       sync.WaitGroup
+
+	mu sync.Mutex
+	// settings are those in force, vms the VMs that share with this one.
+	settings gatewaysettings.Settings
+	vms      int
 }
 
 // New builds a gateway and binds its ports. Nothing is served before Run.
 func New(c Config) (*Gateway, error) {
-	g := &Gateway{c: c}
+	g := &Gateway{c: c, settings: c.Settings, vms: assumedVMs}
 	s := c.Settings
 	e := event.Config{Node: s.ID, Stamp: clock.New(clock.Config{}).Stamp, Size: eventRing}
 	if c.LogOutput != nil {
@@ -107,7 +115,7 @@
 	}
 	g.engine = forward.New(forward.Config{
 		Dialect: g.c.Dialect, Current: g.view.Current, Domain: s.Domain, Log: g.log,
-		Budget: retrybudget.Config{Ratio: s.RetryRatio, Window: s.RetryWindow, Allowance: allowance(s, assumedVMs)},
+		Budget: budget(s, g.vms),
 		Observe: func(route string, r forward.Reason, d time.Duration) {
 			g.metrics.Request(route, string(r), d)
 		},
@@ -167,16 +175,39 @@
 	return routing.Limits{}
 }
 
-// allowance is one VM's part of the allowance for extra sends. Half is left
-// out, for VMs that are not counted yet and for those that start again within
-// a window.
-func allowance(s gatewaysettings.Settings, vms int) float64 {
-	return s.RetryAllowance / 2 / float64(vms)
+// budget is one VM's part of the bound on extra sends. Half of the allowance
+// is left out, for VMs that are not counted yet and for those that start again
+// within a window.
+func budget(s gatewaysettings.Settings, vms int) retrybudget.Config {
+	return retrybudget.Config{Ratio: s.RetryRatio, Window: s.RetryWindow, Allowance: s.RetryAllowance / 2 / float64(vms)}
 }
 
 // countVMs takes the number of VMs that share the allowance.
 func (g *Gateway) countVMs(n int) {
-	g.engine.SetAllowance(allowance(g.c.Settings, n))
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.vms = n
+	g.engine.SetBudget(budget(g.settings, n))
+}
+
+// Reload takes the settings that can change while the gateway runs.
+func (g *Gateway) Reload(s gatewaysettings.Settings) {
+	// The view calls countVMs with its lock held, so it comes first.
+	g.view.SetGrace(s.EntryGrace)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.settings = s
+	g.engine.SetBudget(budget(s, g.vms))
+	g.log.SetLevel(log.ParseLevel(string(s.LogLevel)))
+	g.log.Emit(event.SettingsChanged, s.ID, fmt.Sprintf("log level %s, retry ratio %g, window %s, allowance %g, entry grace %s",
+		s.LogLevel, s.RetryRatio, s.RetryWindow, s.RetryAllowance, s.EntryGrace))
+}
+
+// RefuseReload logs why settings were not taken.
+func (g *Gateway) RefuseReload(ps []problem.Problem) {
+	for _, p := range problem.Strings(ps) {
+		g.log.Emit(event.SettingsRefused, g.c.Settings.ID, p)
+	}
 }
 
 // answerReady tells the balancer whether this VM takes requests.
--- a/internal/node/gateway/view.go
+++ b/internal/node/gateway/view.go
@@ -91,6 +91,14 @@
 	}
 }
 
+// SetGrace changes how long searchers are kept that are missing in the store
+// after an outage.
+func (v *view) SetGrace(d time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.registry.SetGrace(d)
+}
+
 // Current returns the snapshot in force; nil before there is one.
 func (v *view) Current() *forward.Snapshot { return v.current.Load() }
 
--- a/internal/observe/event/log.go
+++ b/internal/observe/event/log.go
@@ -52,6 +52,13 @@
 	return &Log{c: c, counts: make(map[Number]uint64), rates: make(map[Number]rate)}
 }
 
+// SetLevel changes the least severe level that is logged.
+func (l *Log) SetLevel(v log.Level) {
+	if l.c.Logger != nil {
+		l.c.Logger.SetLevel(v)
+	}
+}
+
 // Emit records one event.
 func (l *Log) Emit(n Number, subject, detail string) {
 	e := Event{Number: n, Name: n.Name(), Node: l.c.Node, Subject: subject, Detail: detail}
--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -168,13 +168,13 @@
 // Close ends the sends that answered requests left behind.
 func (e *Engine) Close() { e.leftover.close() }
 
-// SetAllowance changes this VM's part of the allowance for extra sends.
-func (e *Engine) SetAllowance(n float64) {
+// SetBudget changes the bound on extra sends.
+func (e *Engine) SetBudget(c retrybudget.Config) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.c.Budget.Allowance = n
+	e.c.Budget = c
 	for _, b := range e.budgets {
-		b.SetAllowance(n)
+		b.Set(c)
 	}
 }
 
--- a/internal/query/retrybudget/budget.go
+++ b/internal/query/retrybudget/budget.go
@@ -55,6 +55,8 @@
 	m     sync.Mutex
 	c     Config
 	start time.Time
+	// held is when the allowance begins to count.
+	held  time.Time
 	first window
 	extra window
 }
@@ -89,11 +91,16 @@
 // New returns a budget that has seen no sends.
 func New(c Config) *Budget { return &Budget{c: c, start: time.Now()} }
 
-// SetAllowance changes this VM's part of the allowance.
-func (b *Budget) SetAllowance(n float64) {
+// Set changes the bound. A new window forgets what was counted in the old one,
+// and begins without allowance for as long as it lasts.
+func (b *Budget) Set(c Config) {
 	b.m.Lock()
 	defer b.m.Unlock()
-	b.c.Allowance = n
+	if c.Window != b.c.Window {
+		b.start, b.first, b.extra = time.Now(), window{}, window{}
+		b.held = time.Now().Add(c.Window)
+	}
+	b.c = c
 }
 
 // First counts the first send of a request.
@@ -109,7 +116,10 @@
 	b.m.Lock()
 	defer b.m.Unlock()
 	b.advance(now)
-	left := b.c.Ratio*margin*float64(b.first.total) + b.c.Allowance - float64(b.extra.total)
+	left := b.c.Ratio*margin*float64(b.first.total) - float64(b.extra.total)
+	if !now.Before(b.held) {
+		left += b.c.Allowance
+	}
 	if p == Hedge {
 		left -= hedgeReserve
 	}
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -77,6 +77,9 @@
 	return &Registry{c: c, entries: map[string]entry{}}
 }
 
+// SetGrace changes the grace time of later outages.
+func (r *Registry) SetGrace(d time.Duration) { r.c.Grace = d }
+
 // Outage notes that the store could not be reached until now: entries that
 // turn out to be missing are kept for the grace time from here.
 func (r *Registry) Outage(now time.Time) {
