Test the new packages on their own; log lost and regained searchers

Cause: connections, registry, budget, routing, records and the decoders were only tested through the engine, and a searcher that was lost or came back left no line in the log.

Events link_refused, link_silent and searcher_returned are emitted with what decided; what net/http complains of is an event as well.

--- a/internal/back/instance/connections.go
+++ b/internal/back/instance/connections.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
 	"egrethaven/internal/back/conn"
+	"egrethaven/internal/observe/event"
 )
 
 // take returns the free connection that was used last, so that surplus ones
@@ -64,7 +66,7 @@
 	if err != nil {
 		i.mu.Lock()
 		i.dialing = false
-		failed := i.turnedAway(time.Now())
+		failed := i.turnedAway(time.Now(), err.Error())
 		i.mu.Unlock()
 		unreachable(failed)
 		return
@@ -96,7 +98,10 @@
 // turnedAway notes that a connection could not be opened, or was closed
 // before its first request. It returns the requests that have no connection
 // to wait for. The lock is held.
-func (i *Instance) turnedAway(now time.Time) []*Send {
+func (i *Instance) turnedAway(now time.Time, why string) []*Send {
+	if i.ctx.Err() == nil {
+		i.c.Events.Emit(event.LinkRefused, i.s.ID, fmt.Sprintf("%s; %d open, next attempt in %s", why, i.open, max(2*i.redial, redialFirst)))
+	}
 	i.redial = min(max(2*i.redial, redialFirst), redialMost)
 	i.redialAt = now.Add(i.redial)
 	var failed []*Send
@@ -127,7 +132,7 @@
 	switch {
 	case i.draining:
 	case k.Exchanges() == 0:
-		failed = i.turnedAway(now)
+		failed = i.turnedAway(now, "closed by the searcher before its first request")
 	default:
 		i.fill(now)
 	}
--- a/internal/back/instance/instance.go
+++ b/internal/back/instance/instance.go
@@ -23,6 +23,7 @@
 	"github.com/juju/errors"
 
 	"egrethaven/internal/back/conn"
+	"egrethaven/internal/observe/event"
 	"egrethaven/internal/state/registry"
 )
 
@@ -85,6 +86,8 @@
 type Config struct {
 	Searcher registry.Searcher
 	Conns    Conns
+	// Events takes what becomes of connections; nil drops it.
+	Events event.Sink
 	// Dial opens network connections; nil is conn.DialTCP.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
 }
@@ -151,6 +154,9 @@
 
 // New returns an instance and begins to open its connections.
 func New(c Config) *Instance {
+	if c.Events == nil {
+		c.Events = event.Discard{}
+	}
 	i := &Instance{c: c, s: c.Searcher, sends: map[*Send]struct{}{}, v: view{factor: 1}}
 	i.ctx, i.stop = context.WithCancel(context.Background())
 	i.mu.Lock()
--- a/internal/back/instance/observe.go
+++ b/internal/back/instance/observe.go
@@ -1,8 +1,10 @@
 package instance
 
 import (
+	"fmt"
 	"time"
 
+	"egrethaven/internal/observe/event"
 	"egrethaven/internal/query/placement"
 )
 
@@ -42,6 +44,8 @@
 		i.v.silent++
 		i.v.suspend = min(max(2*i.v.suspend, suspectFirst), suspectMost)
 		i.v.suspended = now.Add(i.v.suspend)
+		i.c.Events.Emit(event.LinkSilent, i.s.ID,
+			fmt.Sprintf("no answer for %s, %s; left alone for %s", elapsed.Round(time.Millisecond), since(now, i.v.lastEnd), i.v.suspend))
 		return
 	case Failed, Refused:
 		i.v.failures += gain * (1 - i.v.failures)
@@ -51,10 +55,21 @@
 			i.v.factor += gain * (min(float64(elapsed)/float64(usual), 20) - i.v.factor)
 		}
 	}
+	if i.v.silent > 0 {
+		i.c.Events.Emit(event.SearcherReturned, i.s.ID, fmt.Sprintf("answers again after %d requests without an answer", i.v.silent))
+	}
 	i.v.silent, i.v.suspend, i.v.suspended = 0, 0, time.Time{}
 	i.v.lastEnd = now
 }
 
+// since says how long ago the last answer came.
+func since(now, t time.Time) string {
+	if t.IsZero() {
+		return "none before"
+	}
+	return fmt.Sprintf("last one %s ago", now.Sub(t).Round(time.Millisecond))
+}
+
 // Report takes the load that an answer told.
 func (i *Instance) Report(l Load) {
 	i.mu.Lock()
--- a/internal/front/ingress/ingress.go
+++ b/internal/front/ingress/ingress.go
@@ -103,12 +103,21 @@
 	s.srv = &http.Server{
 		Handler: http.HandlerFunc(s.handle), ConnState: s.changed,
 		ConnContext:    func(ctx context.Context, k net.Conn) context.Context { return context.WithValue(ctx, connKey{}, k) },
-		MaxHeaderBytes: defaultHeaderBytes, ErrorLog: stdlog.New(io.Discard, "", 0),
+		MaxHeaderBytes: defaultHeaderBytes, ErrorLog: stdlog.New(complaints{c}, "", 0),
 		DisableGeneralOptionsHandler: true,
 	}
 	return s, nil
 }
 
+// complaints turns what net/http logs into events.
+type complaints struct{ c Config }
+
+// Write emits one line.
+func (w complaints) Write(b []byte) (int, error) {
+	w.c.Events.Emit(event.ListenerFailed, w.c.Addr, strings.TrimSpace(string(b)))
+	return len(b), nil
+}
+
 // Addr is the IP and port that it listens on.
 func (s *Server) Addr() string { return s.lis.Addr().String() }
 
--- a/internal/node/gateway/view.go
+++ b/internal/node/gateway/view.go
@@ -252,7 +252,7 @@
 		i := v.instances[p]
 		if i == nil {
 			v.c.Events.Emit(event.SearcherFound, e.ID, e.Service+" at "+e.Addr)
-			i = instance.New(instance.Config{Searcher: e, Conns: v.conns(e.Service)})
+			i = instance.New(instance.Config{Searcher: e, Conns: v.conns(e.Service), Events: v.c.Events})
 			v.instances[p] = i
 		} else {
 			i.Update(e, v.conns(e.Service))
--- a/internal/query/forward/fake_test.go
+++ b/internal/query/forward/fake_test.go
@@ -187,12 +187,16 @@
 		go s.serve(far)
 		return near, nil
 	}
-	var all []*instance.Instance
-	for service, ss := range searchers {
+	for _, ss := range searchers {
 		for _, s := range ss {
 			w.searchers[s.id] = s
 			s.stop = make(chan struct{})
 			s.room = make(chan struct{}, max(s.slots, 1))
+		}
+	}
+	var all []*instance.Instance
+	for service, ss := range searchers {
+		for _, s := range ss {
 			i := instance.New(instance.Config{Conns: instance.Conns{Keep: 2, Most: 2}, Dial: dial,
 				Searcher: registry.Searcher{ID: s.id, Service: service, Addr: s.id, Domain: "a", Slots: 2, State: registry.Ready}})
 			w.snap.Instances[service] = append(w.snap.Instances[service], i)
--- /dev/null
+++ b/internal/state/routing/routing_test.go
@@ -0,0 +1,37 @@
+package routing
+
+import "testing"
+
+// route is a plain route.
+func route(name, host, prefix string) Route {
+	return Route{Name: name, Host: host, Prefix: prefix, Shares: []Share{{Service: "s", Weight: 1}}}
+}
+
+func TestLookup(t *testing.T) {
+	c, err := New(1, []Route{route("a", "h", "/x/"), route("b", "h", "/x/y/"), route("c", "g", "/x/y/z/")}, nil, Limits{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, w := range []struct{ host, path, want string }{
+		{"h", "/x/1", "a"}, {"h", "/x/y/1", "b"}, {"h", "/x/y", "a"}, {"h", "/x/y/z/1", "b"}, {"h", "/x", ""},
+		{"H:80", "/x/", "a"}, {"g", "/x/1", ""}, {"g", "/x/y/z/?q", "c"}, {"", "/x/", ""}, {"h", "/x/%79/1", "a"},
+	} {
+		r, ok := c.Lookup(w.host, w.path)
+		if ok != (w.want != "") || ok && r.Name != w.want {
+			t.Errorf("%s%s: got %v, want %q", w.host, w.path, r, w.want)
+		}
+	}
+}
+
+func TestRefused(t *testing.T) {
+	fan := Route{Name: "f", Host: "h", Prefix: "/", Shards: []string{"s"}}
+	both := route("b", "h", "/")
+	both.Shards, both.Repeat = []string{"s"}, Idempotent
+	light := route("l", "h", "/")
+	light.Shares[0].Weight = 0
+	for _, r := range []Route{route("p", "h", "x/"), route("q", "h", "/x"), {Name: "n", Host: "h", Prefix: "/"}, fan, both, light} {
+		if _, err := New(1, []Route{r}, nil, Limits{}); err == nil {
+			t.Errorf("route %+v was taken", r)
+		}
+	}
+}
