Log what a refusal rested on, and what became of each send

Cause: the line of a refused request named shards as unknown that were only not sent to, and a send was either under way or "ended".

Change: a refusal logs how many shards were needed and answering, the expected time and the objective; each send of a failed or incomplete request is logged with its status or error and time.

--- a/internal/query/forward/admit.go
+++ b/internal/query/forward/admit.go
@@ -17,6 +17,12 @@
 	retrySpreadMost  = 1.6
 )
 
+// refusal is a decision not to send, with what it rests on.
+type refusal struct {
+	view     admission.View
+	decision admission.Decision
+}
+
 // admit refuses a request that queues would make late. It reports true if the
 // request may be sent.
 func (x *run) admit(now time.Time) (Answer, bool) {
@@ -38,6 +44,7 @@
 	if d.Admit {
 		return Answer{}, true
 	}
+	x.refused = &refusal{view: v, decision: d}
 	if d.Missing {
 		return Answer{Status: http.StatusServiceUnavailable, Reason: NoSearcher, RetryAfter: retryAfterUnknown}, false
 	}
--- a/internal/query/forward/part.go
+++ b/internal/query/forward/part.go
@@ -66,6 +66,8 @@
 	// settled is set once the request has taken the result, or has taken
 	// back the send. Only the request's goroutine uses it.
 	settled bool
+	// result is how the send ended, once it is settled.
+	result conn.Result
 }
 
 // over tells whether nothing more is awaited of the part.
@@ -175,6 +177,7 @@
 // ends takes the result of a send.
 func (p *part) ends(f *flight, r conn.Result, now time.Time) {
 	f.settled = true
+	f.result = r
 	p.open--
 	if p.over() {
 		return
--- a/internal/query/forward/report.go
+++ b/internal/query/forward/report.go
@@ -1,10 +1,12 @@
 package forward
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/phuslu/log"
 
+	"egrethaven/internal/back/conn"
 	"egrethaven/internal/observe/event"
 )
 
@@ -27,10 +29,29 @@
 		if a.Reason != Served {
 			l.Int64("patience_ms", x.q.Patience.Milliseconds())
 		}
+		if x.refused != nil {
+			x.logAdmission(l, *x.refused, a)
+			return
+		}
 		x.logParts(l, a)
 	})
 }
 
+// logAdmission logs what a refusal rested on.
+func (x *run) logAdmission(l *log.Entry, r refusal, a Answer) {
+	l.Int("shards", len(x.parts)).Int("needed", r.view.Need).Int("answering", len(r.view.Shards))
+	l.Float64("expected_ms", float64(r.decision.Expected.Microseconds())/1000)
+	l.Float64("objective_left_ms", float64(r.view.Objective.Microseconds())/1000)
+	l.Int64("retry_after_ms", a.RetryAfter.Milliseconds())
+	named := 0
+	for _, p := range x.parts {
+		if p.doubtful && named < maxLogged {
+			named++
+			l.Strs("missing_"+p.service, p.describe())
+		}
+	}
+}
+
 // logParts names the searchers: of all parts that failed, and of a plain
 // request.
 func (x *run) logParts(l *log.Entry, a Answer) {
@@ -62,25 +83,40 @@
 // maxLogged is how many missing shards are described in one line.
 const maxLogged = 3
 
-// describe returns the searchers that were tried and how each send ended.
+// describe returns the searchers that were tried and what became of each send.
 func (p *part) describe() []string {
-	if len(p.flights) == 0 {
-		return []string{"no usable searcher known"}
-	}
 	var out []string
 	for _, f := range p.flights {
-		s := f.at.Searcher().ID
-		switch {
-		case !f.ended.Load():
-			s += " under_way_ms=" + time.Since(f.began).Truncate(time.Millisecond).String()
-		default:
-			s += " ended"
+		what := "under way for " + time.Since(f.began).Round(time.Millisecond).String()
+		if f.settled {
+			what = outcome(f.result)
 		}
-		out = append(out, s)
+		out = append(out, f.at.Searcher().ID+": "+what)
+	}
+	switch {
+	case len(out) > 0:
+	case len(p.instances) == 0:
+		out = append(out, "no searcher registered")
+	case p.doubtful:
+		out = append(out, fmt.Sprintf("none of %d searchers answers", len(p.instances)))
+	default:
+		out = append(out, "not sent")
 	}
 	return out
 }
 
+// outcome says how a send ended.
+func outcome(r conn.Result) string {
+	took := r.Elapsed.Round(time.Millisecond)
+	switch {
+	case r.Err != nil && !r.Sent:
+		return fmt.Sprintf("not sent: %v", r.Err)
+	case r.Err != nil:
+		return fmt.Sprintf("no answer after %s: %v", took, r.Err)
+	}
+	return fmt.Sprintf("answered %d after %s", r.Status, took)
+}
+
 // logRefusal logs a request that had no route.
 func (e *Engine) logRefusal(q Request, a Answer) {
 	if e.c.Log == nil {
--- a/internal/query/forward/run.go
+++ b/internal/query/forward/run.go
@@ -43,7 +43,9 @@
 	end   time.Time
 	usual time.Duration
 	hedge time.Duration
-	// counts for the log
+	// refused is set if the request was not sent at all.
+	refused *refusal
+	// sent, hedges and retries count the sends, for the log.
 	sent, hedges, retries int
 }
 
