One dialer, one reader of settings files, one meter; check gateway settings

Cause: the gateway had brought second copies of plumbing that the product had already: the dialer with keep-alive and user timeout (three copies), the reading of settings by a table, the exporter of metrics, a sleep.

Change: internal/world/tcpdial, field.ReadFile, internal/observe/meter and platform/pause serve both.

Behaviour is unchanged; tests of the product's link, settings and metrics pass as they are.

--- a/internal/back/conn/conn.go
+++ b/internal/back/conn/conn.go
@@ -25,10 +25,11 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/juju/errors"
+
+	"egrethaven/internal/world/tcpdial"
 )
 
 const (
@@ -50,9 +51,6 @@
 	keepAliveProbes = 3
 	// userTimeout is how long sent bytes may stay unacknowledged.
 	userTimeout = 3 * time.Second
-	// tcpUserTimeout is the number of Linux's TCP_USER_TIMEOUT option, which
-	// package syscall does not name.
-	tcpUserTimeout = 0x12
 	// idleMargin is how long before the searcher's idle timeout a connection
 	// is no longer used, so that no request crosses the close.
 	idleMargin = 500 * time.Millisecond
@@ -146,30 +144,13 @@
 	return New(nc, c), nil
 }
 
-// DialTCP opens a network connection that notices when the other end falls
+// dialer opens network connections that notice when the other end falls
 // silent.
-func DialTCP(ctx context.Context, addr string) (net.Conn, error) {
-	d := net.Dialer{
-		Timeout: connectTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: keepAlive, Interval: keepAlive, Count: keepAliveProbes,
-		},
-		Control: func(_, _ string, r syscall.RawConn) error { return setUserTimeout(r, userTimeout) },
-	}
-	nc, err := d.DialContext(ctx, "tcp", addr)
-	return nc, errors.Trace(err)
-}
+var dialer = tcpdial.New(tcpdial.Config{Timeout: connectTimeout, KeepAlive: keepAlive, Probes: keepAliveProbes, UserTimeout: userTimeout})
 
-// setUserTimeout bounds how long sent bytes may stay unacknowledged.
-func setUserTimeout(r syscall.RawConn, d time.Duration) error {
-	var err error
-	cerr := r.Control(func(fd uintptr) {
-		err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(d.Milliseconds()))
-	})
-	if cerr != nil {
-		return errors.Trace(cerr)
-	}
-	return errors.Trace(err)
+// DialTCP opens a network connection.
+func DialTCP(ctx context.Context, addr string) (net.Conn, error) {
+	return dialer.DialContext(ctx, "tcp", addr)
 }
 
 // New runs exchanges over an open network connection.
--- a/internal/back/instance/connections.go
+++ b/internal/back/instance/connections.go
@@ -1,13 +1,13 @@
 package instance
 
 import (
-	"context"
 	"fmt"
 	"slices"
 	"time"
 
 	"egrethaven/internal/back/conn"
 	"egrethaven/internal/observe/event"
+	"egrethaven/internal/platform/pause"
 )
 
 // take returns the free connection that was used last, so that surplus ones
@@ -61,7 +61,7 @@
 
 // dial opens one connection after a wait.
 func (i *Instance) dial(wait time.Duration) {
-	sleep(i.ctx, wait)
+	pause.Sleep(i.ctx, wait)
 	k, err := conn.Dial(i.ctx, conn.Config{Addr: i.c.Searcher.Addr, Dial: i.c.Dial, Down: i.down})
 	if err != nil {
 		i.mu.Lock()
@@ -77,7 +77,7 @@
 	doubt := i.redial > 0
 	i.mu.Unlock()
 	if doubt {
-		sleep(i.ctx, proveTime)
+		pause.Sleep(i.ctx, proveTime)
 	}
 	i.mu.Lock()
 	i.dialing = false
@@ -139,16 +139,3 @@
 	i.mu.Unlock()
 	unreachable(failed)
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/cli/command/cmd_check.go
+++ b/internal/cli/command/cmd_check.go
@@ -5,24 +5,28 @@
 	"fmt"
 
 	"github.com/spf13/cobra"
+
+	"egrethaven/internal/state/gatewaysettings"
 )
 
 var cmdCheck = command{
-	use:  "check [-c FILE] [-f FILE]...",
-	help: "Check settings (-c) and search definitions (-f) without using them",
+	use:  "check [-c FILE] [--gateway FILE] [-f FILE]...",
+	help: "Check settings (-c, --gateway) and search definitions (-f) without using them",
 	example: "  egrethaven check -c node.ini\n" +
+		"  egrethaven check --gateway gateway.ini\n" +
 		"  egrethaven check -c node.ini -f searches.ini",
 	setup: func(c *cobra.Command) action {
 		file := c.Flags().StringP("config", "c", "", "settings file of a node")
+		gate := c.Flags().String("gateway", "", "settings file of a gateway")
 		defs := c.Flags().StringArrayP("file", "f", nil, "file of search definitions, - for the standard input")
-		return func(_ context.Context, s *session, _ []string) error { return check(s, *file, *defs) }
+		return func(_ context.Context, s *session, _ []string) error { return check(s, *file, *gate, *defs) }
 	},
 }
 
 // check names every problem of all files at once.
-func check(s *session, file string, defs []string) error {
-	if file == "" && len(defs) == 0 {
-		return usage("give -c FILE, -f FILE, or both", "there is nothing to check")
+func check(s *session, file, gate string, defs []string) error {
+	if file == "" && gate == "" && len(defs) == 0 {
+		return usage("give -c FILE, --gateway FILE, -f FILE, or several", "there is nothing to check")
 	}
 	_, ps, err := s.definitions(defs)
 	if err != nil {
@@ -35,6 +39,14 @@
 		}
 		ps = append(more, ps...)
 	}
+	if gate != "" {
+		b, err := s.readFile(gate)
+		if err != nil {
+			return err
+		}
+		_, more := gatewaysettings.Parse(gate, b)
+		ps = append(more, ps...)
+	}
 	if len(ps) > 0 {
 		return refuse(ps)
 	}
--- a/internal/node/gateway/membership.go
+++ b/internal/node/gateway/membership.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 
 	"egrethaven/internal/observe/event"
+	"egrethaven/internal/platform/pause"
 	"egrethaven/internal/state/follow"
 )
 
@@ -46,12 +47,7 @@
 			m.c.Events.Emit(event.LeaseLost, m.c.Key, err.Error())
 			d = registerRetry/2 + rand.N(registerRetry)
 		}
-		t := time.NewTimer(d)
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-		}
-		t.Stop()
+		pause.Sleep(ctx, d)
 	}
 }
 
--- a/internal/observe/gatewaymetric/metric.go
+++ b/internal/observe/gatewaymetric/metric.go
@@ -1,5 +1,4 @@
-// Package gatewaymetric measures one gateway with OpenTelemetry and shows the
-// figures as Prometheus text.
+// Package gatewaymetric measures one gateway.
 //
 // # Usage
 //
@@ -11,29 +10,21 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
 	"github.com/juju/errors"
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.opentelemetry.io/otel/attribute"
-	exporter "go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
-	sdk "go.opentelemetry.io/otel/sdk/metric"
-	"go.opentelemetry.io/otel/sdk/resource"
+
+	"egrethaven/internal/observe/meter"
 )
 
 // bounds of the latency histogram, in seconds.
 var bounds = []float64{.005, .01, .02, .035, .05, .075, .1, .15, .25, .4, .6, 1, 2, 4}
 
-// Config sets up a Metrics.
-type Config struct {
-	// Node and Domain label all figures.
-	Node   string
-	Domain string
-}
+// Config sets up a Metrics; both fields label all figures.
+type Config = meter.Config
 
 // key is a set of attributes of a request.
 type key struct{ route, reason string }
@@ -41,25 +32,19 @@
 // Metrics holds the instruments of one gateway. It is an http.Handler. It is
 // safe for concurrent use.
 type Metrics struct {
-	provider *sdk.MeterProvider
-	meter    metric.Meter
-	handler  http.Handler
+	*meter.Meter
 	requests metric.Float64Histogram
 	attrs    sync.Map // of key to metric.MeasurementOption
 }
 
 // New returns the instruments of a process.
 func New(c Config) (*Metrics, error) {
-	reg := prometheus.NewRegistry()
-	exp, err := exporter.New(exporter.WithRegisterer(reg), exporter.WithoutScopeInfo(), exporter.WithoutTargetInfo(),
-		exporter.WithResourceAsConstantLabels(attribute.NewAllowKeysFilter("node", "failure_domain")))
+	p, err := meter.New(c)
 	if err != nil {
-		return nil, errors.Annotate(err, "making the metrics exporter")
+		return nil, errors.Trace(err)
 	}
-	res := resource.NewSchemaless(attribute.String("node", c.Node), attribute.String("failure_domain", c.Domain))
-	p := sdk.NewMeterProvider(sdk.WithReader(exp), sdk.WithResource(res))
-	m := &Metrics{provider: p, meter: p.Meter("egrethaven"), handler: promhttp.HandlerFor(reg, promhttp.HandlerOpts{})}
-	m.requests, err = m.meter.Float64Histogram("egrethaven_request_duration", metric.WithUnit("s"),
+	m := &Metrics{Meter: p}
+	m.requests, err = m.Float64Histogram("egrethaven_request_duration", metric.WithUnit("s"),
 		metric.WithDescription("time from a request's header to its answer, by route and reason of failure"),
 		metric.WithExplicitBucketBoundaries(bounds...))
 	return m, errors.Annotate(err, "making the request histogram")
@@ -78,18 +63,10 @@
 
 // Gauge shows a figure that is read when the page is asked for.
 func (m *Metrics) Gauge(name, unit, help string, read func() float64) error {
-	_, err := m.meter.Float64ObservableGauge(name, metric.WithUnit(unit), metric.WithDescription(help),
+	_, err := m.Float64ObservableGauge(name, metric.WithUnit(unit), metric.WithDescription(help),
 		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
 			o.Observe(read())
 			return nil
 		}))
 	return errors.Annotatef(err, "making the gauge %s", name)
 }
-
-// ServeHTTP shows the figures.
-func (m *Metrics) ServeHTTP(w http.ResponseWriter, r *http.Request) { m.handler.ServeHTTP(w, r) }
-
-// Close ends the measurement.
-func (m *Metrics) Close() error {
-	return errors.Trace(m.provider.Shutdown(context.Background()))
-}
--- a/internal/observe/metric/metric.go
+++ b/internal/observe/metric/metric.go
@@ -19,14 +19,10 @@
 	"time"
 
 	"github.com/juju/errors"
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.opentelemetry.io/otel/attribute"
-	exporter "go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
-	sdk "go.opentelemetry.io/otel/sdk/metric"
-	"go.opentelemetry.io/otel/sdk/resource"
 
+	"egrethaven/internal/observe/meter"
 	"egrethaven/internal/query/ask"
 	"egrethaven/internal/query/outcome"
 	"egrethaven/internal/query/write"
@@ -45,9 +41,7 @@
 // Metrics holds the instruments of one process. It is an http.Handler. It is
 // safe for concurrent use.
 type Metrics struct {
-	provider *sdk.MeterProvider
-	meter    metric.Meter
-	handler  http.Handler
+	meter *meter.Meter
 
 	queries  metric.Float64Histogram
 	writes   metric.Float64Histogram
@@ -69,15 +63,11 @@
 
 // New returns the instruments of a process.
 func New(c Config) (*Metrics, error) {
-	reg := prometheus.NewRegistry()
-	exp, err := exporter.New(exporter.WithRegisterer(reg), exporter.WithoutScopeInfo(), exporter.WithoutTargetInfo(),
-		exporter.WithResourceAsConstantLabels(attribute.NewAllowKeysFilter("node", "failure_domain")))
+	p, err := meter.New(meter.Config{Node: c.Node, Domain: string(c.Domain)})
 	if err != nil {
-		return nil, errors.Annotate(err, "making the metrics exporter")
+		return nil, errors.Trace(err)
 	}
-	res := resource.NewSchemaless(attribute.String("node", c.Node), attribute.String("failure_domain", string(c.Domain)))
-	p := sdk.NewMeterProvider(sdk.WithReader(exp), sdk.WithResource(res))
-	m := &Metrics{provider: p, meter: p.Meter("egrethaven"), handler: promhttp.HandlerFor(reg, promhttp.HandlerOpts{})}
+	m := &Metrics{meter: p}
 	return m, errors.Annotate(m.instruments(), "making the instruments")
 }
 
@@ -154,10 +144,10 @@
 
 // ServeHTTP answers with Prometheus text.
 func (m *Metrics) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	m.handler.ServeHTTP(w, r)
+	m.meter.ServeHTTP(w, r)
 }
 
 // Close releases the instruments.
 func (m *Metrics) Close() error {
-	return errors.Trace(m.provider.Shutdown(context.Background()))
+	return errors.Trace(m.meter.Close())
 }
--- a/internal/state/field/field.go
+++ b/internal/state/field/field.go
@@ -13,6 +13,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 
 	"egrethaven/internal/state/inifile"
 	"egrethaven/internal/state/problem"
@@ -43,6 +44,55 @@
 	valid func(*T) bool
 }
 
+// ReadFile sets the fields of t from an INI file that has each section once,
+// without a name, and returns every problem. The fields' sections are the ones
+// that are known.
+func ReadFile[T any](fs []Field[T], f inifile.File, t *T) []problem.Problem {
+	var ps []problem.Problem
+	known := Sections(fs)
+	for _, sec := range f.Sections {
+		if sec.Name != "" || !slices.Contains(known, sec.Kind) {
+			ps = append(ps, problem.Problem{File: f.Name, Line: sec.Line, Section: sec.Header,
+				What: "section is not known", Allowed: strings.Join(known, ", ")})
+		}
+	}
+	for _, kind := range known {
+		ps = append(ps, Read(fs, f.Name, Find(f, kind), t)...)
+	}
+	return ps
+}
+
+// Find returns the first section of a kind without a name, or an empty one, so
+// that its missing keys are reported and its defaults set.
+func Find(f inifile.File, kind string) inifile.Section {
+	for _, s := range f.Sections {
+		if s.Kind == kind && s.Name == "" {
+			return s
+		}
+	}
+	return inifile.Section{Header: kind, Kind: kind}
+}
+
+// Sections lists the kinds of section of the fields, in their order.
+func Sections[T any](fs []Field[T]) []string {
+	var out []string
+	for _, f := range fs {
+		if !slices.Contains(out, f.Section) {
+			out = append(out, f.Section)
+		}
+	}
+	return out
+}
+
+// Reference returns the description of every key, in the order of the fields.
+func Reference[T any](fs []Field[T]) []About {
+	out := make([]About, len(fs))
+	for i, f := range fs {
+		out[i] = f.About
+	}
+	return out
+}
+
 // Read sets the fields of t that belong to s, defaults included, and returns
 // every problem of the section.
 func Read[T any](fs []Field[T], file string, s inifile.Section, t *T) []problem.Problem {
--- a/internal/state/follow/follow.go
+++ b/internal/state/follow/follow.go
@@ -20,6 +20,7 @@
 	"github.com/juju/errors"
 
 	"egrethaven/internal/observe/event"
+	"egrethaven/internal/platform/pause"
 )
 
 // Revision numbers the changes of the store. 0 is before the first.
@@ -121,11 +122,11 @@
 		case err != nil:
 			f.failed(now, err)
 			f.retry = min(max(2*f.retry, retryFirst), retryMost)
-			sleep(ctx, f.retry/2+rand.N(f.retry/2))
+			pause.Sleep(ctx, f.retry/2+rand.N(f.retry/2))
 		default:
 			f.reached(now)
 			if changed {
-				sleep(ctx, gather)
+				pause.Sleep(ctx, gather)
 			}
 		}
 	}
@@ -170,13 +171,3 @@
 	f.down, f.retry = false, 0
 	f.c.Handler.Confirmed(now)
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/state/gatewaysettings/fields.go
+++ b/internal/state/gatewaysettings/fields.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math"
-	"slices"
 	"strconv"
 	"time"
 
@@ -75,21 +74,4 @@
 }
 
 // Reference returns the description of every key, in the order of the table.
-func Reference() []field.About {
-	out := make([]field.About, len(fields))
-	for i, f := range fields {
-		out[i] = f.About
-	}
-	return out
-}
-
-// sections lists the kinds of section.
-func sections() []string {
-	var out []string
-	for _, f := range fields {
-		if !slices.Contains(out, f.Section) {
-			out = append(out, f.Section)
-		}
-	}
-	return out
-}
+func Reference() []field.About { return field.Reference(fields) }
--- a/internal/state/gatewaysettings/settings.go
+++ b/internal/state/gatewaysettings/settings.go
@@ -11,8 +11,6 @@
 package gatewaysettings
 
 import (
-	"slices"
-	"strings"
 	"time"
 
 	"egrethaven/internal/state/field"
@@ -56,27 +54,7 @@
 func Parse(name string, b []byte) (Settings, []problem.Problem) {
 	var s Settings
 	f, ps := inifile.Parse(name, b)
-	known := sections()
-	for _, sec := range f.Sections {
-		if sec.Name != "" || !slices.Contains(known, sec.Kind) {
-			ps = append(ps, problem.Problem{File: name, Line: sec.Line, Section: sec.Header,
-				What: "section is not known", Allowed: strings.Join(known, ", ")})
-		}
-	}
-	for _, kind := range known {
-		ps = append(ps, field.Read(fields, name, find(f, kind), &s)...)
-	}
+	ps = append(ps, field.ReadFile(fields, f, &s)...)
 	problem.Sort(ps)
 	return s, ps
 }
-
-// find returns the section of a kind, or an empty one, so that its missing
-// keys are reported and its defaults set.
-func find(f inifile.File, kind string) inifile.Section {
-	for _, s := range f.Sections {
-		if s.Kind == kind && s.Name == "" {
-			return s
-		}
-	}
-	return inifile.Section{Header: kind, Kind: kind}
-}
--- a/internal/state/settings/fields.go
+++ b/internal/state/settings/fields.go
@@ -1,7 +1,6 @@
 package settings
 
 import (
-	"slices"
 	"time"
 
 	"egrethaven/internal/state/field"
@@ -83,21 +82,4 @@
 }
 
 // Reference returns the description of every key, in the order of the table.
-func Reference() []field.About {
-	out := make([]field.About, len(fields))
-	for i, f := range fields {
-		out[i] = f.About
-	}
-	return out
-}
-
-// sections lists the kinds of section.
-func sections() []string {
-	var out []string
-	for _, f := range fields {
-		if !slices.Contains(out, f.Section) {
-			out = append(out, f.Section)
-		}
-	}
-	return out
-}
+func Reference() []field.About { return field.Reference(fields) }
--- a/internal/state/settings/settings.go
+++ b/internal/state/settings/settings.go
@@ -14,8 +14,6 @@
 import (
 	"fmt"
 	"net/netip"
-	"slices"
-	"strings"
 	"time"
 
 	"egrethaven/internal/state/field"
@@ -115,31 +113,12 @@
 func Parse(name string, b []byte) (Settings, []problem.Problem) {
 	var s Settings
 	f, ps := inifile.Parse(name, b)
-	for _, sec := range f.Sections {
-		if sec.Name != "" || !slices.Contains(sections(), sec.Kind) {
-			ps = append(ps, problem.Problem{File: name, Line: sec.Line, Section: sec.Header,
-				What: "section is not known", Allowed: strings.Join(sections(), ", ")})
-		}
-	}
-	for _, kind := range sections() {
-		ps = append(ps, field.Read(fields, name, find(f, kind), &s)...)
-	}
-	ps = append(ps, s.checkToken(name, find(f, "listen").Line)...)
+	ps = append(ps, field.ReadFile(fields, f, &s)...)
+	ps = append(ps, s.checkToken(name, field.Find(f, "listen").Line)...)
 	problem.Sort(ps)
 	return s, ps
 }
 
-// find returns the first section of a kind, or an empty one, so that its
-// missing keys are reported and its defaults set.
-func find(f inifile.File, kind string) inifile.Section {
-	for _, s := range f.Sections {
-		if s.Kind == kind && s.Name == "" {
-			return s
-		}
-	}
-	return inifile.Section{Header: kind, Kind: kind}
-}
-
 // checkToken requires a loopback operator address when there is no token.
 func (s Settings) checkToken(file string, line int) []problem.Problem {
 	if s.Operator.Token != "" {
