Let work run to its end that may run once only; end a stop by Shutdown

Cause, found by reading the change: when a client left, its request was broken off after 200 ms even if it may run only once and so can't be repeated; a stopping gateway closed all connections at one moment, so a request that had just arrived was cut; a hedge took from the budget although no searcher was left to send to.

Change: work that may run once only is left until its deadline; the stop goes through net/http's Shutdown, which lets what arrived be answered; the budget is asked only if there is another searcher. Factors without a name got one.

Tests: TestClientLeaves (fails before: "1 answers broken off, want 0").

--- a/internal/back/instance/instance.go
+++ b/internal/back/instance/instance.go
@@ -34,6 +34,8 @@
 	redialMost  = time.Second
 	// gain is the weight of a new observation in the averages.
 	gain = 0.1
+	// mostFactor bounds how much one slow answer counts.
+	mostFactor = 20
 	// suspectFactor, in usual service times, and suspectLeast bound how long
 	// a searcher may answer nothing while requests are under way before it is
 	// taken to be out of reach. Searchers pause for a tenth of a second.
@@ -131,7 +133,6 @@
 	redial   time.Duration
 	redialAt time.Time
 	draining bool
-	closed   bool
 	v        view
 }
 
@@ -209,7 +210,7 @@
 // Close ends all requests, closes all connections and waits for them.
 func (i *Instance) Close() {
 	i.mu.Lock()
-	i.closed, i.draining = true, true
+	i.draining = true
 	i.stop()
 	var ks []*conn.Conn
 	ks = append(ks, i.idle...)
--- a/internal/back/instance/observe.go
+++ b/internal/back/instance/observe.go
@@ -45,14 +45,14 @@
 		i.v.suspend = min(max(2*i.v.suspend, suspectFirst), suspectMost)
 		i.v.suspended = now.Add(i.v.suspend)
 		i.c.Events.Emit(event.LinkSilent, i.s.ID,
-			fmt.Sprintf("no answer for %s, %s; left alone for %s", elapsed.Round(time.Millisecond), since(now, i.v.lastEnd), i.v.suspend))
+			fmt.Sprintf("no answer for %s, %s; left alone for %s", elapsed.Round(time.Millisecond), lastAnswer(now, i.v.lastEnd), i.v.suspend))
 		return
 	case Failed, Refused:
 		i.v.failures += gain * (1 - i.v.failures)
 	case Served:
 		i.v.failures -= gain * i.v.failures
 		if usual > 0 {
-			i.v.factor += gain * (min(float64(elapsed)/float64(usual), 20) - i.v.factor)
+			i.v.factor += gain * (min(float64(elapsed)/float64(usual), mostFactor) - i.v.factor)
 		}
 	}
 	if i.v.silent > 0 {
@@ -62,8 +62,8 @@
 	i.v.lastEnd = now
 }
 
-// since says how long ago the last answer came.
-func since(now, t time.Time) string {
+// lastAnswer says how long ago the last answer came.
+func lastAnswer(now, t time.Time) string {
 	if t.IsZero() {
 		return "none before"
 	}
--- a/internal/front/ingress/ingress.go
+++ b/internal/front/ingress/ingress.go
@@ -144,8 +144,14 @@
 		}
 		time.Sleep(stopPoll)
 	}
+	// What arrived at this moment is still answered.
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	err := s.srv.Shutdown(ctx)
+	if err != nil {
+		err = s.srv.Close()
+	}
 	close(s.done)
-	err := s.srv.Close()
 	s.wg.Wait()
 	return errors.Trace(err)
 }
--- a/internal/node/gateway/view.go
+++ b/internal/node/gateway/view.go
@@ -28,6 +28,11 @@
 	keepShare = 0.48
 	// maxKept bounds the kept connections where a searcher accepts many.
 	maxKept = 3
+	// lapsedLeast and lapsedShare are how many searchers, and what part of all,
+	// have to vanish at once to be taken for entries that lapsed while the
+	// store was away.
+	lapsedLeast = 3
+	lapsedShare = 1.0 / 3
 	// retireAfter is how long requests at a searcher that left may take.
 	retireAfter = 10 * time.Second
 	// retireInterval is the time between two looks at them.
@@ -162,7 +167,7 @@
 			gone++
 		}
 	}
-	return gone > 2 && 3*gone > known
+	return gone >= lapsedLeast && float64(gone) > lapsedShare*float64(known)
 }
 
 // searcher decodes an entry. The lock is held.
--- a/internal/query/forward/fake_test.go
+++ b/internal/query/forward/fake_test.go
@@ -64,6 +64,8 @@
 	got  []*http.Request
 	room chan struct{}
 	held int
+	// brokenOff counts the answers that nobody took.
+	brokenOff int
 }
 
 // enter takes a slot, or reports false if too many wait for one.
@@ -145,6 +147,9 @@
 			out += "Not-Run: 1\r\n"
 		}
 		if _, err := io.WriteString(c, out+"\r\n"+a.body); err != nil {
+			s.mu.Lock()
+			s.brokenOff++
+			s.mu.Unlock()
 			return
 		}
 	}
--- a/internal/query/forward/forward_test.go
+++ b/internal/query/forward/forward_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"testing"
@@ -200,3 +201,26 @@
 		})
 	}
 }
+
+// TestClientLeaves ends work for a client that has left, unless the request
+// may run once only: that one is let run to its end.
+func TestClientLeaves(t *testing.T) {
+	for repeat, want := range map[routing.Repeat]int{routing.Idempotent: 1, routing.AtMostOnce: 0} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &fakeSearcher{id: "s-1", answer: served(time.Second, "good")}
+			w := newWorld(t, []routing.Route{plain(repeat)}, map[string][]*fakeSearcher{"s": {s}})
+			synctest.Wait()
+			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+			defer cancel()
+			if a := w.e.Do(ctx, request(2*time.Second)); a.Reason != ClientGone {
+				t.Errorf("got %d (%s)", a.Status, a.Reason)
+			}
+			time.Sleep(1500 * time.Millisecond)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if s.brokenOff != want {
+				t.Errorf("repeat %v: %d answers broken off, want %d", repeat, s.brokenOff, want)
+			}
+		})
+	}
+}
--- a/internal/query/forward/part.go
+++ b/internal/query/forward/part.go
@@ -109,6 +109,12 @@
 	return true
 }
 
+// another tells whether a searcher is left to send to, so that nothing is
+// taken from the budget in vain.
+func (p *part) another() bool {
+	return slices.ContainsFunc(p.instances, func(i *instance.Instance) bool { return i.Usable() && !p.tried(i) })
+}
+
 // tried tells whether a searcher has had this part before, or had it waiting
 // in vain.
 func (p *part) tried(i *instance.Instance) bool {
@@ -122,7 +128,7 @@
 	if left <= 0 {
 		return nil
 	}
-	b := make([]byte, 0, len(x.head)+len(x.q.Body)+160)
+	b := make([]byte, 0, len(x.head)+len(x.q.Body)+sendSize)
 	b = append(b, x.head...)
 	b = x.e.c.Dialect.AppendSending(b, Sending{ID: x.q.ID, Left: left, Expect: f.at.Searcher().ID})
 	if len(x.q.Body) > 0 || methodHasBody(x.q.Method) {
@@ -233,7 +239,8 @@
 	if p.open > 0 {
 		return
 	}
-	if allowed && p.sends < max(p.run.route.Attempts, 1) && now.Before(p.run.end) && p.budget.Extra(now, retrybudget.Retry) && p.place(now) {
+	allowed = allowed && p.sends < max(p.run.route.Attempts, 1) && now.Before(p.run.end)
+	if allowed && p.another() && p.budget.Extra(now, retrybudget.Retry) && p.place(now) {
 		p.run.retries++
 		return
 	}
@@ -256,7 +263,7 @@
 		}
 		return
 	}
-	if x.route.Repeat != routing.Idempotent || p.sends >= x.route.Attempts || x.e.c.Policy.NoHedges {
+	if x.route.Repeat != routing.Idempotent || p.sends >= x.route.Attempts || x.e.c.Policy.NoHedges || !p.another() {
 		return
 	}
 	if !p.budget.Extra(now, retrybudget.Hedge) {
--- a/internal/query/forward/run.go
+++ b/internal/query/forward/run.go
@@ -22,6 +22,10 @@
 	// answers come within it, and closing their connections would cost the
 	// searchers more. Work that lasts longer is ended.
 	goneGrace = 200 * time.Millisecond
+	// headSize is room for the common part of a send, in bytes, and sendSize
+	// for the lines that each send adds.
+	headSize = 512
+	sendSize = 160
 	// longest bounds a request for which neither client nor route does.
 	longest = time.Minute
 )
@@ -78,7 +82,7 @@
 	for i, name := range services {
 		x.parts[i] = &part{run: x, service: name, budget: e.budget(name), instances: s.Instances[name]}
 	}
-	x.events = make(chan done, len(services)*(max(r.Attempts, 1)+maxUnsent))
+	x.events = make(chan done, len(services)*(max(r.Attempts, 1)+maxUnsent+1))
 	x.head = x.encodeHead()
 	return x
 }
@@ -112,12 +116,21 @@
 				p.late(now)
 			}
 		case <-ctx.Done():
-			x.leave(time.Now().Add(goneGrace))
+			x.leave(x.abandonAt(time.Now()))
 			return Answer{Status: statusClientClosed, Reason: ClientGone}
 		}
 	}
 }
 
+// abandonAt is when work for a client that has left is ended. A request that
+// may run once only is not broken off: it could not be repeated.
+func (x *run) abandonAt(now time.Time) time.Time {
+	if x.route.Repeat != routing.Idempotent {
+		return x.end.Add(leftoverGrace)
+	}
+	return now.Add(goneGrace)
+}
+
 // drain takes the sends that have ended meanwhile.
 func (x *run) drain(now time.Time) {
 	for {
@@ -159,7 +172,7 @@
 // encodeHead lays out the part of a send that is the same for all searchers.
 func (x *run) encodeHead() []byte {
 	q := x.q
-	b := make([]byte, 0, 512)
+	b := make([]byte, 0, headSize)
 	b = append(b, q.Method...)
 	b = append(b, ' ')
 	b = append(b, q.Target...)
--- a/internal/query/placement/placement.go
+++ b/internal/query/placement/placement.go
@@ -26,6 +26,11 @@
 	// stallLeast is the least time before a searcher is taken to have
 	// stalled.
 	stallLeast = 15 * time.Millisecond
+	// leastFactor bounds how fast a searcher is taken to be.
+	leastFactor = 0.1
+	// othersShare is the part of a slot that each request in hand is taken to
+	// cost beside it: other VMs choose the same searchers.
+	othersShare = 0.5
 	// failureCost is the time that a failed request costs its caller, in
 	// usual service times: it has to be sent again.
 	failureCost = 4
@@ -72,7 +77,7 @@
 // the searcher would then take for it. The recent factor of the searcher
 // contains the queue that requests met there.
 func Predict(c Candidate) (wait, service time.Duration) {
-	service = time.Duration(float64(c.Usual) * max(c.Factor, 0.1))
+	service = time.Duration(float64(c.Usual) * max(c.Factor, leastFactor))
 	if c.Cold {
 		service = time.Duration(float64(service) * coldFactor)
 	}
@@ -94,10 +99,7 @@
 		ahead += float64(c.Waiting) * float64(loadAge) / float64(c.Age)
 	}
 	d := service + wait + time.Duration(float64(service)*max(0, ahead+1-float64(slots))/float64(slots))
-	if c.InFlight > 0 {
-		// Requests of other VMs share the slots with those in hand.
-		d += time.Duration(float64(service) * float64(c.InFlight) / float64(2*slots))
-	}
+	d += time.Duration(float64(service) * othersShare * float64(c.InFlight) / float64(slots))
 	if c.Stalled > max(stallFactor*service, stallLeast) {
 		d += c.Stalled
 	}
