--- a/internal/query/forward/report.go
+++ b/internal/query/forward/report.go
@@ -8,6 +8,7 @@
 
 	"egrethaven/internal/back/conn"
 	"egrethaven/internal/observe/event"
+	"egrethaven/internal/state/routing"
 )
 
 // report counts and logs what became of a request.
@@ -25,6 +26,7 @@
 		l.Str("route", x.route.Name).Int64("config_version", int64(x.s.Config.Version))
 		l.Int64("config_age_ms", time.Since(x.s.Confirmed).Milliseconds())
 		l.Int("status", a.Status).Str("reason", string(a.Reason)).Float64("elapsed_ms", float64(elapsed.Microseconds())/1000)
+		l.Bool("repeatable", x.route.Repeat == routing.Idempotent).Int("attempts", x.route.Attempts)
 		l.Int("sends", x.sent).Int("hedges", x.hedges).Int("retries", x.retries)
 		if a.Reason != Served {
 			l.Int64("patience_ms", x.q.Patience.Milliseconds())
