Let what was learnt of a searcher fade, so that refusals end

While requests are refused nothing new is learnt, so a high factor and an old load report of waiting requests could refuse them for good.

Change: what was learnt counts half 500 ms after the last answer, a load report counts for 250 ms.

Test: TestAfterBurst (fails before: "two seconds later: 503 (overloaded)").

--- a/internal/back/instance/instance.go
+++ b/internal/back/instance/instance.go
@@ -36,6 +36,11 @@
 	gain = 0.1
 	// mostFactor bounds how much one slow answer counts.
 	mostFactor = 20
+	// fadeTime is how long after the last answer what was learnt counts half,
+	// and reportAge how long a load report counts: queues that are not added
+	// to drain within it.
+	fadeTime  = 500 * time.Millisecond
+	reportAge = 250 * time.Millisecond
 	// suspectFactor, in usual service times, and suspectLeast bound how long
 	// a searcher may answer nothing while requests are under way before it is
 	// taken to be out of reach. Searchers pause for a tenth of a second.
--- a/internal/back/instance/observe.go
+++ b/internal/back/instance/observe.go
@@ -62,6 +62,13 @@
 	i.v.lastEnd = now
 }
 
+// fading is the weight of what was learnt when the last answer came d ago.
+// Requests that are refused because of it teach nothing new, so without fading
+// they would be refused for good.
+func fading(d time.Duration) float64 {
+	return 1 / (1 + float64(d)/float64(fadeTime))
+}
+
 // lastAnswer says how long ago the last answer came.
 func lastAnswer(now, t time.Time) string {
 	if t.IsZero() {
@@ -95,15 +102,17 @@
 		InFlight: len(i.sends),
 		Queued:   len(i.waiting),
 		Conns:    max(i.c.Conns.Most, 1),
-		Waiting:  i.v.load.Waiting,
 		Age:      now.Sub(i.v.loadAt),
 		Usual:    usual,
-		Factor:   i.v.factor,
+		Factor:   1 + (i.v.factor-1)*fading(now.Sub(i.v.lastEnd)),
 		Failures: i.v.failures,
 		Cold:     now.Before(i.s.ColdUntil),
 		Suspect:  now.Before(i.v.suspended) || i.v.silent > 0 && len(i.sends) > 0,
 		NoConn:   len(i.idle) == 0,
 	}
+	if c.Age < reportAge {
+		c.Waiting = i.v.load.Waiting
+	}
 	if i.open == 0 && i.v.dialFailed {
 		c.Suspect = true
 	}
--- a/internal/query/forward/fake_test.go
+++ b/internal/query/forward/fake_test.go
@@ -30,6 +30,9 @@
 func (testDialect) Reply(status int, h http.Header) Reply {
 	r := Reply{ID: h.Get("Id"), Stamp: h.Get("Stamp"), Misdirected: status == http.StatusMisdirectedRequest}
 	r.NotRun = h.Get("Not-Run") != "" || r.Misdirected
+	if n, err := strconv.Atoi(h.Get("Waiting")); err == nil {
+		r.Load, r.HasLoad = instance.Load{Waiting: n}, true
+	}
 	return r
 }
 
@@ -137,6 +140,11 @@
 			id = a.id
 		}
 		out := fmt.Sprintf("HTTP/1.1 %d X\r\nContent-Length: %d\r\n", a.status, len(a.body))
+		if s.slots > 0 {
+			s.mu.Lock()
+			out += fmt.Sprintf("Waiting: %d\r\n", max(0, s.held-s.slots))
+			s.mu.Unlock()
+		}
 		if !a.unnamed {
 			out += "Id: " + id + "\r\n"
 		}
--- a/internal/query/forward/load_test.go
+++ b/internal/query/forward/load_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"egrethaven/internal/back/instance"
 	"egrethaven/internal/state/routing"
 )
 
@@ -104,3 +105,26 @@
 		}
 	})
 }
+
+// TestAfterBurst asks a searcher that was flooded and slow a moment ago. While
+// requests are refused nothing new is learnt of it, so what was learnt has to
+// fade: otherwise all are refused for good.
+func TestAfterBurst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeSearcher{id: "i-0", answer: served(loadService, "0123456789abcdef"), slots: 1, queue: 12}
+		w := newWorld(t, []routing.Route{fanOut(1)}, map[string][]*fakeSearcher{"s0": {s}})
+		synctest.Wait()
+		i := w.snap.Instances["s0"][0]
+		for range 60 {
+			i.Learn(instance.Served, 2*time.Second, loadService)
+		}
+		i.Report(instance.Load{Running: 1, Waiting: 12, Slots: 1})
+		if a := w.e.Do(t.Context(), request(300*time.Millisecond)); a.Reason != Overloaded {
+			t.Errorf("in the flood: %d (%s), want a refusal", a.Status, a.Reason)
+		}
+		time.Sleep(2 * time.Second)
+		if a := w.e.Do(t.Context(), request(300*time.Millisecond)); a.Status != http.StatusOK {
+			t.Errorf("two seconds later: %d (%s)", a.Status, a.Reason)
+		}
+	})
+}
