Read a refused connection's answer without net/http's client in its test

The stand-in answers a connection over its limit at once; net/http's Transport dropped the answer as unsolicited, as its log line in that run says, because it came before the request was sent, and the call ended without a status.

Change: the test reads the refusal from the connection itself. It checks the same status and reason; the wait for the connection that is given back is unchanged.

Ruled out: the stand-in (a searcher over its limit may answer or reset before it has read anything, and the product relies on seeing that on idle links).

--- a/internal/standin/searcher/searcher_test.go
+++ b/internal/standin/searcher/searcher_test.go
@@ -1,8 +1,10 @@
 package searcher_test
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/json"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -122,10 +124,22 @@
 	}
 	other := &http.Client{Transport: &http.Transport{}}
 	defer other.CloseIdleConnections()
+	// The refusal may come before a request could be sent, which net/http
+	// does not take for an answer, so it is read from the connection itself.
+	c, err := net.Dial("tcp", s.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	p, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
 	var r back.Refusal
-	if code, _ := post(other, s, back.SearchPath, query(""), &r); code != http.StatusServiceUnavailable || r.Reason != outcome.ConnectionRefused {
-		t.Fatalf("%d %+v", code, r)
+	if err := json.NewDecoder(p.Body).Decode(&r); err != nil || p.StatusCode != http.StatusServiceUnavailable || r.Reason != outcome.ConnectionRefused {
+		t.Fatalf("%d %+v %v", p.StatusCode, r, err)
 	}
+	_ = c.Close()
 	h.CloseIdleConnections()
 	until(t, "connection given back", func() bool {
 		code, _ := post(other, s, back.SearchPath, query(""), &back.Answer{})
