--- a/internal/back/instance/instance.go
+++ b/internal/back/instance/instance.go
@@ -7,7 +7,7 @@
 //
 // # Usage
 //
-//	i := instance.New(instance.Config{Searcher: s, Conns: 2})
+//	i := instance.New(instance.Config{Searcher: s, Conns: instance.Conns{Keep: 1, Most: 2}})
 //	x := i.Send(instance.Request{Method: "GET", Build: build, Done: done})
 //	x.Withdraw() // or x.Abort()
 //	i.Close()
--- a/internal/back/instance/observe.go
+++ b/internal/back/instance/observe.go
@@ -124,18 +124,3 @@
 	c.Suspect = c.Suspect || c.Stalled > max(suspectFactor*usual, suspectLeast)
 	return c
 }
-
-// Stats are counts for operators.
-type Stats struct {
-	// Open connections, and requests under way.
-	Open, InFlight int
-	// Factor and Failures as placement sees them.
-	Factor, Failures float64
-}
-
-// Stats returns the counts.
-func (i *Instance) Stats() Stats {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return Stats{Open: i.open, InFlight: len(i.sends), Factor: i.v.factor, Failures: i.v.failures}
-}
--- a/internal/cli/command/cmd_gateway.go
+++ b/internal/cli/command/cmd_gateway.go
@@ -6,6 +6,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync"
 	"syscall"
 
 	"github.com/spf13/cobra"
@@ -71,7 +72,10 @@
 		w := gatewaysettings.NewWatcher(gatewaysettings.WatcherConfig{
 			File: file, Read: b, Signal: hup, Changed: g.Reload, Refused: g.RefuseReload,
 		})
-		go w.Run(ctx)
+		var wg sync.WaitGroup
+		wg.Go(func() { w.Run(ctx) })
+		// Run returns only once ctx has ended, and so does the watcher.
+		defer wg.Wait()
 	}
 	if err := g.Run(ctx); err != nil {
 		return &failure{code: exitDegraded, what: "the gateway stopped: " + err.Error()}
--- a/internal/front/httpserver/server.go
+++ b/internal/front/httpserver/server.go
@@ -13,6 +13,7 @@
 	stdlog "log"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -62,10 +63,16 @@
 	}
 	return &Server{c: c, lis: l, srv: &http.Server{
 		Handler: c.Handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout,
-		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader, ErrorLog: stdlog.New(sink{c.Events, c.Addr}, "", 0),
+		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader, ErrorLog: ErrorLog(c.Events, c.Addr),
 	}}, nil
 }
 
+// ErrorLog returns a logger that turns what net/http complains of at an address
+// into events.
+func ErrorLog(events event.Sink, addr string) *stdlog.Logger {
+	return stdlog.New(sink{events, addr}, "", 0)
+}
+
 // sink turns the server's own complaints into events.
 type sink struct {
 	events event.Sink
@@ -74,7 +81,7 @@
 
 // Write emits one line.
 func (s sink) Write(b []byte) (int, error) {
-	s.events.Emit(event.ListenerFailed, s.addr, string(b))
+	s.events.Emit(event.ListenerFailed, s.addr, strings.TrimSpace(string(b)))
 	return len(b), nil
 }
 
--- a/internal/front/ingress/ingress.go
+++ b/internal/front/ingress/ingress.go
@@ -9,13 +9,12 @@
 //
 //	s, err := ingress.New(ingress.Config{Addr: "10.0.0.1:8226", Dialect: d, Do: engine.Do, Limits: limits})
 //	s.Serve()
-//	s.Stop(deadline)
+//	s.Stop(linger, deadline)
 package ingress
 
 import (
 	"context"
 	"io"
-	stdlog "log"
 	"net"
 	"net/http"
 	"strconv"
@@ -26,6 +25,7 @@
 
 	"github.com/juju/errors"
 
+	"egrethaven/internal/front/httpserver"
 	"egrethaven/internal/observe/event"
 	"egrethaven/internal/query/forward"
 	"egrethaven/internal/state/routing"
@@ -103,21 +103,12 @@
 	s.srv = &http.Server{
 		Handler: http.HandlerFunc(s.handle), ConnState: s.changed,
 		ConnContext:    func(ctx context.Context, k net.Conn) context.Context { return context.WithValue(ctx, connKey{}, k) },
-		MaxHeaderBytes: defaultHeaderBytes, ErrorLog: stdlog.New(complaints{c}, "", 0),
+		MaxHeaderBytes: defaultHeaderBytes, ErrorLog: httpserver.ErrorLog(c.Events, c.Addr),
 		DisableGeneralOptionsHandler: true,
 	}
 	return s, nil
 }
 
-// complaints turns what net/http logs into events.
-type complaints struct{ c Config }
-
-// Write emits one line.
-func (w complaints) Write(b []byte) (int, error) {
-	w.c.Events.Emit(event.ListenerFailed, w.c.Addr, strings.TrimSpace(string(b)))
-	return len(b), nil
-}
-
 // Addr is the IP and port that it listens on.
 func (s *Server) Addr() string { return s.lis.Addr().String() }
 
--- a/internal/node/gateway/view.go
+++ b/internal/node/gateway/view.go
@@ -108,7 +108,7 @@
 func (v *view) Current() *forward.Snapshot { return v.current.Load() }
 
 // Replace takes all entries of the store.
-func (v *view) Replace(now time.Time, all []follow.Change, _ follow.Revision) {
+func (v *view) Replace(now time.Time, all []follow.Change) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	var ss []registry.Searcher
@@ -131,7 +131,7 @@
 }
 
 // Apply takes changes of the store.
-func (v *view) Apply(now time.Time, cs []follow.Change, _ follow.Revision) {
+func (v *view) Apply(now time.Time, cs []follow.Change) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.lapsed(cs) {
@@ -161,7 +161,7 @@
 // lapsed tells whether so many entries vanish at once that the store must
 // have been out of reach of the searchers. The lock is held.
 func (v *view) lapsed(cs []follow.Change) bool {
-	known, gone := len(v.registry.Searchers()), 0
+	known, gone := v.registry.Len(), 0
 	for _, c := range cs {
 		if c.Deleted && strings.HasPrefix(c.Key, v.c.Decode.SearcherPrefix) {
 			gone++
@@ -209,7 +209,7 @@
 }
 
 // Outage notes that the store could not be reached.
-func (v *view) Outage(now time.Time, _ error) {
+func (v *view) Outage(now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.down = true
@@ -246,7 +246,7 @@
 		v.c.Events.Emit(event.VMsCounted, "", fmt.Sprint(len(v.vms)))
 		v.c.OnVMs(n)
 	}
-	s := &forward.Snapshot{Config: v.config, Instances: map[string][]*instance.Instance{}, Confirmed: now}
+	s := &forward.Snapshot{Config: v.config, Instances: map[string][]*instance.Instance{}, Built: now}
 	used := map[process]bool{}
 	for _, e := range v.registry.Searchers() {
 		if e.State != registry.Ready {
--- a/internal/query/forward/admit.go
+++ b/internal/query/forward/admit.go
@@ -56,12 +56,7 @@
 // outlook is what to expect of the best searcher of a part. It reports false
 // if none seems to answer.
 func (p *part) outlook(now time.Time) (admission.Shard, bool) {
-	var cs []placement.Candidate
-	for _, i := range p.instances {
-		if i.Usable() {
-			cs = append(cs, i.Candidate(now, p.run.e.c.Domain, p.run.usual))
-		}
-	}
+	cs, _ := p.candidates(now)
 	n := placement.Choose(cs, pick)
 	if n < 0 {
 		return admission.Shard{}, false
--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -114,8 +114,8 @@
 	Config *routing.Config
 	// Instances holds the usable searchers of each service.
 	Instances map[string][]*instance.Instance
-	// Age tells how long ago the store last confirmed the snapshot.
-	Confirmed time.Time
+	// Built is when the snapshot was made.
+	Built time.Time
 }
 
 // Policy switches decisions off, to compare with and without them.
--- a/internal/query/forward/part.go
+++ b/internal/query/forward/part.go
@@ -87,15 +87,7 @@
 // place sends to the best searcher that was not tried before. It reports
 // false if there is none.
 func (p *part) place(now time.Time) bool {
-	var cs []placement.Candidate
-	var is []*instance.Instance
-	for _, i := range p.instances {
-		if !i.Usable() || p.tried(i) {
-			continue
-		}
-		cs = append(cs, i.Candidate(now, p.run.e.c.Domain, p.run.usual))
-		is = append(is, i)
-	}
+	cs, is := p.candidates(now)
 	n := placement.Choose(cs, pick)
 	if n < 0 {
 		return false
@@ -109,6 +101,23 @@
 	return true
 }
 
+// candidates returns the searchers that may be sent to, and what is known of
+// each.
+func (p *part) candidates(now time.Time) (cs []placement.Candidate, is []*instance.Instance) {
+	for _, i := range p.instances {
+		if i.Usable() && !p.tried(i) {
+			cs = append(cs, p.candidate(i, now))
+			is = append(is, i)
+		}
+	}
+	return cs, is
+}
+
+// candidate is what is known of a searcher for placing this part.
+func (p *part) candidate(i *instance.Instance, now time.Time) placement.Candidate {
+	return i.Candidate(now, p.run.e.c.Domain, p.run.usual)
+}
+
 // another tells whether a searcher is left to send to, so that nothing is
 // taken from the budget in vain.
 func (p *part) another() bool {
@@ -148,63 +157,62 @@
 
 // done takes the end of the send. It runs on the connection's goroutine.
 func (f *flight) done(r conn.Result) {
-	f.learn(r)
-	f.part.run.events <- done{f, r}
+	a := &reply{Result: r}
+	if r.Err == nil {
+		a.Reply = f.part.run.e.c.Dialect.Reply(r.Status, r.Header)
+	}
+	f.learn(a)
+	f.part.run.events <- done{f, a}
 	f.ended.Store(true)
 	f.part.run.e.leftover.remove(f)
 }
 
 // learn tells the searcher's record what became of the send.
-func (f *flight) learn(r conn.Result) {
+func (f *flight) learn(a *reply) {
 	x := f.part.run
-	if r.Err != nil {
-		if r.Sent && r.Err != conn.ErrClosed {
-			f.at.Learn(instance.Failed, r.Elapsed, x.usual)
+	if a.Err != nil {
+		if a.Sent && a.Err != conn.ErrClosed {
+			f.at.Learn(instance.Failed, a.Elapsed, x.usual)
 		}
 		return
 	}
-	p := x.e.c.Dialect.Reply(r.Status, r.Header)
-	if p.HasLoad {
-		f.at.Report(p.Load)
+	if a.HasLoad {
+		f.at.Report(a.Load)
 	}
 	switch {
-	case p.Misdirected:
-		f.at.Learn(instance.Misdirected, r.Elapsed, x.usual)
-	case p.NotRun:
-		f.at.Learn(instance.Refused, r.Elapsed, x.usual)
-	case r.Status >= http.StatusInternalServerError || p.Stamp == "":
-		f.at.Learn(instance.Failed, r.Elapsed, x.usual)
+	case a.Misdirected:
+		f.at.Learn(instance.Misdirected, a.Elapsed, x.usual)
+	case a.NotRun:
+		f.at.Learn(instance.Refused, a.Elapsed, x.usual)
+	case a.Status >= http.StatusInternalServerError || a.Stamp == "":
+		f.at.Learn(instance.Failed, a.Elapsed, x.usual)
 	default:
-		x.kind.times.Add(r.Elapsed)
-		f.at.Learn(instance.Served, r.Elapsed, x.usual)
+		x.kind.times.Add(a.Elapsed)
+		f.at.Learn(instance.Served, a.Elapsed, x.usual)
 	}
 }
 
 // ends takes the result of a send.
-func (p *part) ends(f *flight, r conn.Result, now time.Time) {
+func (p *part) ends(f *flight, a *reply, now time.Time) {
 	f.settled = true
-	f.result = r
+	f.result = a.Result
 	p.open--
 	if p.over() {
 		return
 	}
-	if r.Err != nil && !r.Sent {
-		p.notSent(r, now)
+	if a.Err != nil && !a.Sent {
+		p.notSent(a.Err, now)
 		return
 	}
-	a := &reply{Result: r}
-	if r.Err == nil {
-		a.Reply = p.run.e.c.Dialect.Reply(r.Status, r.Header)
-	}
 	switch {
-	case r.Err == nil && (a.NotRun || a.Misdirected):
+	case a.Err == nil && (a.NotRun || a.Misdirected):
 		p.full = p.full || a.NotRun
 		p.again(now, true)
-	case r.Err == nil && p.accept(a):
+	case a.Err == nil && p.accept(a):
 		p.good = a
 	default:
 		p.ran = true
-		if r.Err == nil && a.Stamp != "" && r.Status >= http.StatusMultipleChoices && p.failure == nil {
+		if a.Err == nil && a.Stamp != "" && a.Status >= http.StatusMultipleChoices && p.failure == nil {
 			p.failure = a
 		}
 		p.again(now, p.run.route.Repeat == routing.Idempotent)
@@ -224,10 +232,10 @@
 }
 
 // notSent places a send anew that never left: it has cost nothing.
-func (p *part) notSent(r conn.Result, now time.Time) {
+func (p *part) notSent(err error, now time.Time) {
 	p.sends--
 	p.run.sent--
-	p.full = p.full || r.Err == instance.ErrFull
+	p.full = p.full || err == instance.ErrFull
 	if p.unsent++; p.unsent <= maxUnsent && p.open == 0 && p.place(now) {
 		return
 	}
@@ -278,12 +286,12 @@
 // shorter tells whether another searcher has a shorter queue than one, or
 // answers while that one does not.
 func (p *part) shorter(now time.Time, than *instance.Instance) bool {
-	stay := than.Candidate(now, p.run.e.c.Domain, p.run.usual)
+	stay := p.candidate(than, now)
 	return slices.ContainsFunc(p.instances, func(i *instance.Instance) bool {
 		if i == than || !i.Usable() || p.tried(i) {
 			return false
 		}
-		c := i.Candidate(now, p.run.e.c.Domain, p.run.usual)
+		c := p.candidate(i, now)
 		return !c.Suspect && (c.Queued < stay.Queued || stay.Stalled > p.run.hedge && c.Stalled < p.run.hedge)
 	})
 }
--- a/internal/query/forward/run.go
+++ b/internal/query/forward/run.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"time"
 
-	"egrethaven/internal/back/conn"
 	"egrethaven/internal/state/routing"
 )
 
@@ -56,7 +55,7 @@
 // done is the end of a send.
 type done struct {
 	f *flight
-	r conn.Result
+	a *reply
 }
 
 // newRun prepares a request.
@@ -107,7 +106,7 @@
 		select {
 		case d := <-x.events:
 			now = time.Now()
-			d.f.part.ends(d.f, d.r, now)
+			d.f.part.ends(d.f, d.a, now)
 			x.drain(now)
 		case <-t.C:
 			now = time.Now()
@@ -136,7 +135,7 @@
 	for {
 		select {
 		case d := <-x.events:
-			d.f.part.ends(d.f, d.r, now)
+			d.f.part.ends(d.f, d.a, now)
 		default:
 			return
 		}
--- a/internal/query/forward/settle.go
+++ b/internal/query/forward/settle.go
@@ -83,7 +83,7 @@
 // fail answers a request that was not served. Only one that no searcher can
 // have run is refused with the promise that it has not run.
 func (x *run) fail(now time.Time) Answer {
-	ran, full, served := false, false, false
+	ran, full := false, false
 	for _, p := range x.parts {
 		ran = ran || p.ran || p.good != nil
 		full = full || p.full
@@ -94,7 +94,6 @@
 				ran = true
 			}
 		}
-		served = served || p.good != nil
 	}
 	late := !now.Before(x.end)
 	switch {
--- a/internal/state/follow/follow.go
+++ b/internal/state/follow/follow.go
@@ -55,20 +55,19 @@
 	Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) ([]Change, Revision, error)
 	Grant(ctx context.Context, ttl time.Duration) (Lease, error)
 	Keep(ctx context.Context, l Lease) error
-	End(ctx context.Context, l Lease) error
 	Put(ctx context.Context, key string, value []byte, l Lease) error
 }
 
 // Handler takes what was read. Its methods are called by one goroutine.
 type Handler interface {
 	// Replace takes all entries.
-	Replace(now time.Time, all []Change, at Revision)
+	Replace(now time.Time, all []Change)
 	// Apply takes changes in the order in which they were made.
-	Apply(now time.Time, cs []Change, at Revision)
+	Apply(now time.Time, cs []Change)
 	// Confirmed tells that the store was reached and the copy is current.
 	Confirmed(now time.Time)
 	// Outage tells that the store could not be reached.
-	Outage(now time.Time, err error)
+	Outage(now time.Time)
 }
 
 const (
@@ -139,7 +138,7 @@
 		if err != nil {
 			return false, errors.Trace(err)
 		}
-		f.c.Handler.Replace(time.Now(), all, at)
+		f.c.Handler.Replace(time.Now(), all)
 		f.at = at
 		return false, nil
 	}
@@ -148,7 +147,7 @@
 		return false, errors.Trace(err)
 	}
 	if len(cs) > 0 {
-		f.c.Handler.Apply(time.Now(), cs, at)
+		f.c.Handler.Apply(time.Now(), cs)
 	}
 	f.at = max(f.at, at)
 	return len(cs) > 0, nil
@@ -160,7 +159,7 @@
 		f.c.Events.Emit(event.PlatformDown, f.c.Prefix, err.Error())
 	}
 	f.down = true
-	f.c.Handler.Outage(now, err)
+	f.c.Handler.Outage(now)
 }
 
 // reached notes that the store was reached.
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -9,14 +9,13 @@
 //
 //	r := registry.New(registry.Config{Grace: 2 * time.Second})
 //	r.Replace(now, entries)           // a full read
-//	r.Put(now, searcher)              // one change
+//	r.Put(searcher)                   // one change
 //	next := r.Expire(now)             // when to call it again
 //	for _, s := range r.Searchers() { ... }
 package registry
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 )
@@ -158,11 +157,5 @@
 	return out
 }
 
-// Known returns how many searchers are known for each service.
-func (r *Registry) Known() map[string]int {
-	n := map[string]int{}
-	for e := range maps.Values(r.entries) {
-		n[e.Service]++
-	}
-	return n
-}
+// Len returns how many searchers are known.
+func (r *Registry) Len() int { return len(r.entries) }
