Keep back no more of the allowance for retries than half of it

Cause: in a tier of 91 VMs a VM's part of the allowance is 1.2 extra sends in a window, and hedges had to leave room for two retries.

Ruled out: the delay before a hedge (requests that had hedges were in time).

TestLargeTier: 5 hedges of 84 requests before, at least 18 % after. Small tiers keep nearly the same reserve (1.6 of 3.2 in place of 2).

--- a/internal/query/retrybudget/budget.go
+++ b/internal/query/retrybudget/budget.go
@@ -25,8 +25,10 @@
 	// that arrives in a later window than its request.
 	margin = 0.9
 	// hedgeReserve is how many extra sends are kept back from hedges for
-	// requests that have failed.
+	// requests that have failed, but at most the part reserveShare of the
+	// allowance: in a large tier a VM's allowance is about one.
 	hedgeReserve = 2
+	reserveShare = 0.5
 )
 
 // Purpose is what an extra send is for.
@@ -121,7 +123,7 @@
 		left += b.c.Allowance
 	}
 	if p == Hedge {
-		left -= hedgeReserve
+		left -= min(hedgeReserve, reserveShare*b.c.Allowance)
 	}
 	if left < 1 {
 		return false
--- a/internal/query/retrybudget/budget_test.go
+++ b/internal/query/retrybudget/budget_test.go
@@ -69,6 +69,27 @@
 	}
 }
 
+// TestLargeTier plays one VM of 91 that share an allowance of 222, half of it
+// used: 1.4 requests a second, of which a third are late. A fifth of the
+// requests may be hedged, so most of the late ones are.
+func TestLargeTier(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New(Config{Ratio: 0.2, Allowance: 222.0 / 2 / 91, Window: 10 * time.Second})
+		first, hedges := 0, 0
+		for range 84 {
+			b.First(time.Now())
+			first++
+			if first%3 == 0 && b.Extra(time.Now(), Hedge) {
+				hedges++
+			}
+			time.Sleep(time.Second * 10 / 14)
+		}
+		if float64(hedges) < 0.18*float64(first) {
+			t.Errorf("%d hedges of %d requests", hedges, first)
+		}
+	})
+}
+
 // TestSetKeepsTheCount changes the window: the allowance is not granted anew.
 func TestSetKeepsTheCount(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
