--- a/internal/state/follow/follow.go
+++ b/internal/state/follow/follow.go
@@ -71,12 +71,10 @@
 }
 
 const (
-	// wait is how long one watch waits at the store. A watch that is cut
-	// without a sign is noticed after it at the latest.
-	wait = 10 * time.Second
-	// gather is how long changes are collected before the next watch, so that
-	// a burst of them costs one call. Changes have seconds to take effect.
-	gather = 250 * time.Millisecond
+	// defaultWait stands for Config.Wait.
+	defaultWait = 3 * time.Second
+	// defaultGather stands for Config.Gather.
+	defaultGather = 250 * time.Millisecond
 	// retryFirst and retryMost bound the wait between failed calls, which
 	// doubles. The store prices every call, also while it is down.
 	retryFirst = 50 * time.Millisecond
@@ -89,6 +87,15 @@
 	Prefix  string
 	Handler Handler
 	Events  event.Sink
+	// Wait is how long one watch waits at the store; 0 means 3 s. A watch that
+	// the store has forgotten, as it does when it drops its history, is
+	// noticed after it at the latest, so it has to end within the time that
+	// the tier has to catch up after a disruption of the store.
+	Wait time.Duration
+	// Gather returns how long changes are collected before the next watch, so
+	// that a burst of them costs one call; nil is 250 ms always. Changes have
+	// seconds to take effect.
+	Gather func() time.Duration
 }
 
 // Follower keeps a copy up to date.
@@ -105,6 +112,12 @@
 	if c.Events == nil {
 		c.Events = event.Discard{}
 	}
+	if c.Wait == 0 {
+		c.Wait = defaultWait
+	}
+	if c.Gather == nil {
+		c.Gather = func() time.Duration { return defaultGather }
+	}
 	return &Follower{c: c}
 }
 
@@ -125,7 +138,7 @@
 		default:
 			f.reached(now)
 			if changed {
-				pause.Sleep(ctx, gather)
+				pause.Sleep(ctx, f.c.Gather())
 			}
 		}
 	}
@@ -142,7 +155,7 @@
 		f.at = at
 		return false, nil
 	}
-	cs, at, err := f.c.Store.Watch(ctx, f.c.Prefix, f.at, wait)
+	cs, at, err := f.c.Store.Watch(ctx, f.c.Prefix, f.at, f.c.Wait)
 	if err != nil {
 		return false, errors.Trace(err)
 	}
--- a/internal/state/gatewaysettings/fields.go
+++ b/internal/state/gatewaysettings/fields.go
@@ -35,6 +35,9 @@
 	field.Duration(field.About{Section: "store", Key: "entry_grace", Default: "2s",
 		Help: "how long searchers are kept that are missing in the store after an outage of it"},
 		0, time.Minute, func(s *Settings) *time.Duration { return &s.EntryGrace }),
+	milliseconds(field.About{Section: "store", Key: "catch_up_ms", Default: "4000",
+		Help: "time after a disruption of the store within which its changes have to be known"},
+		200, 600_000, func(s *Settings) *time.Duration { return &s.CatchUp }),
 
 	field.Float(field.About{Section: "retries", Key: "ratio", Default: "0.2",
 		Help: "extra sends of all VMs to a service, for each of its requests in a window"},
@@ -64,12 +67,23 @@
 // seconds is a time given as a plain number of seconds.
 func seconds(a field.About, least, most float64, at func(*Settings) *time.Duration) field.Field[Settings] {
 	a.Unit = "s"
+	return number(a, time.Second, least, most, at)
+}
+
+// milliseconds is a time given as a plain number of milliseconds.
+func milliseconds(a field.About, least, most float64, at func(*Settings) *time.Duration) field.Field[Settings] {
+	a.Unit = "ms"
+	return number(a, time.Millisecond, least, most, at)
+}
+
+// number is a time given as a plain number of units.
+func number(a field.About, unit time.Duration, least, most float64, at func(*Settings) *time.Duration) field.Field[Settings] {
 	parse := func(s *Settings, text string) bool {
 		v, err := strconv.ParseFloat(text, 64)
-		*at(s) = time.Duration(v * float64(time.Second))
+		*at(s) = time.Duration(v * float64(unit))
 		return err == nil && !math.IsNaN(v)
 	}
-	valid := func(s *Settings) bool { v := at(s).Seconds(); return least <= v && v <= most }
+	valid := func(s *Settings) bool { v := float64(*at(s)) / float64(unit); return least <= v && v <= most }
 	return field.Custom(a, fmt.Sprintf("a number from %g to %g", least, most), parse, valid)
 }
 
--- a/internal/state/gatewaysettings/settings.go
+++ b/internal/state/gatewaysettings/settings.go
@@ -35,6 +35,9 @@
 	// EntryGrace is how long searchers stay that are missing in the store
 	// after an outage of it.
 	EntryGrace time.Duration
+	// CatchUp is the time after a disruption of the store within which its
+	// changes have to be known.
+	CatchUp time.Duration
 	// RetryRatio, RetryWindow and RetryAllowance bound the extra sends of all
 	// VMs to a service: in each window, the ratio of its requests plus the
 	// allowance.
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -157,5 +157,11 @@
 	return out
 }
 
+// Ready returns the known searchers that take requests, in the order of their
+// IDs.
+func (r *Registry) Ready() []Searcher {
+	return slices.DeleteFunc(r.Searchers(), func(s Searcher) bool { return s.State != Ready })
+}
+
 // Len returns how many searchers are known.
 func (r *Registry) Len() int { return len(r.entries) }
