Learn a searcher's speed by the time since its last answer

Cause: a VM of a large tier sees a searcher about once in two seconds, and each answer counted a tenth, so one that had become eleven times slower was still chosen for half a minute.

Change: an answer counts more the longer ago the last one was: a tenth at 20 a second and VM, as before, 0.86 after two seconds. What was learnt fades as it did.

Ruled out: reports of load (they tell queues, not speed).

--- a/internal/back/instance/instance.go
+++ b/internal/back/instance/instance.go
@@ -32,8 +32,10 @@
 	// connect, which doubles.
 	redialFirst = 50 * time.Millisecond
 	redialMost  = time.Second
-	// gain is the weight of a new observation in the averages.
-	gain = 0.1
+	// gain is the least weight of a new observation in the averages, and
+	// learnTime how long after the last one it counts for two thirds.
+	gain      = 0.1
+	learnTime = time.Second
 	// mostFactor bounds how much one slow answer counts.
 	mostFactor = 20
 	// fadeTime is how long after the last answer what was learnt counts half,
--- a/internal/back/instance/instance_test.go
+++ b/internal/back/instance/instance_test.go
@@ -154,3 +154,38 @@
 		}
 	})
 }
+
+// TestLearnsFromFewAnswers has a searcher answer every two seconds, as one VM
+// of a large tier sees it, then every 50 ms. In the first case one slow answer
+// has to be enough to look for another searcher, in the second it is not.
+func TestLearnsFromFewAnswers(t *testing.T) {
+	const usual, slow = 10 * time.Millisecond, 110 * time.Millisecond
+	for name, c := range map[string]struct {
+		every       time.Duration
+		least, most float64
+	}{
+		"large tier": {2 * time.Second, 2, 11},
+		"small tier": {50 * time.Millisecond, 1, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				i := start(t, &peer{}, instance.Conns{Keep: 1, Most: 1})
+				for range 10 {
+					i.Learn(instance.Served, usual, usual)
+					time.Sleep(c.every)
+				}
+				i.Learn(instance.Served, slow, usual)
+				time.Sleep(c.every)
+				if f := i.Candidate(time.Now(), "", usual).Factor; f < c.least || f > c.most {
+					t.Errorf("taken to be %.1f times slower after one slow answer, want %g to %g", f, c.least, c.most)
+				}
+				i.Learn(instance.Served, usual, usual)
+				time.Sleep(c.every)
+				i.Learn(instance.Served, usual, usual)
+				if f := i.Candidate(time.Now(), "", usual).Factor; f > 2 {
+					t.Errorf("still taken to be %.1f times slower", f)
+				}
+			})
+		})
+	}
+}
--- a/internal/back/instance/observe.go
+++ b/internal/back/instance/observe.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"egrethaven/internal/observe/event"
@@ -52,7 +53,7 @@
 	case Served:
 		i.v.failures -= gain * i.v.failures
 		if usual > 0 {
-			i.v.factor += gain * (min(float64(elapsed)/float64(usual), mostFactor) - i.v.factor)
+			i.v.factor += weight(now.Sub(i.v.lastEnd)) * (min(float64(elapsed)/float64(usual), mostFactor) - i.v.factor)
 		}
 	}
 	if i.v.silent > 0 {
@@ -62,6 +63,13 @@
 	i.v.lastEnd = now
 }
 
+// weight is how much a new observation counts when the last one was made d
+// ago. A VM of a large tier sees a searcher every few seconds only, and has to
+// learn from one answer.
+func weight(d time.Duration) float64 {
+	return max(gain, 1-math.Exp(-float64(d)/float64(learnTime)))
+}
+
 // fading is the weight of what was learnt when the last answer came d ago.
 // Requests that are refused because of it teach nothing new, so without fading
 // they would be refused for good.
