Log which part of a fan-out came last

Change: slowest, slowest_ms and slowest_searchers in the line of each fan-out; a send that was not the first says when it was sent.

--- a/internal/query/forward/part.go
+++ b/internal/query/forward/part.go
@@ -41,6 +41,8 @@
 	// good is the answer, failure the first answer that was a failure.
 	good    *reply
 	failure *reply
+	// overAt is when the answer came.
+	overAt time.Time
 	// dead parts will get no answer.
 	dead bool
 	// doubtful parts have no searcher that seems to answer.
@@ -209,7 +211,7 @@
 		p.full = p.full || a.NotRun
 		p.again(now, true)
 	case a.Err == nil && p.accept(a):
-		p.good = a
+		p.good, p.overAt = a, now
 	default:
 		p.ran = true
 		if a.Err == nil && a.Stamp != "" && a.Status >= http.StatusMultipleChoices && p.failure == nil {
--- a/internal/query/forward/report.go
+++ b/internal/query/forward/report.go
@@ -76,12 +76,27 @@
 	}
 	if x.route.FansOut() {
 		l.Int("shards", len(x.parts)).Int("missing", missing)
+		x.logSlowest(l)
 	}
 	if a.RetryAfter > 0 {
 		l.Int64("retry_after_ms", a.RetryAfter.Milliseconds())
 	}
 }
 
+// logSlowest names the searchers of the part whose answer came last.
+func (x *run) logSlowest(l *log.Entry) {
+	var last *part
+	for _, p := range x.parts {
+		if p.good != nil && (last == nil || p.overAt.After(last.overAt)) {
+			last = p
+		}
+	}
+	if last != nil {
+		l.Str("slowest", last.service).Float64("slowest_ms", float64(last.overAt.Sub(x.q.Arrived).Microseconds())/1000)
+		l.Strs("slowest_searchers", last.describe())
+	}
+}
+
 // maxLogged is how many missing shards are described in one line.
 const maxLogged = 3
 
@@ -93,6 +108,9 @@
 		if f.settled {
 			what = outcome(f.result)
 		}
+		if d := f.began.Sub(p.run.q.Arrived).Round(time.Millisecond); d > 0 {
+			what += ", sent at " + d.String()
+		}
 		out = append(out, f.at.Searcher().ID+": "+what)
 	}
 	switch {
