Keep half of the extra sends for hedges that decide

Cause: in a calm large tier most late fan-outs had no hedge, each waiting for one searcher in its pause of 120 ms, while others had spent 12 to 24 at once on parts that took 26 ms and would have come in time. A VM's budget for a shard is one to three sends in a window.

Change: hedges at the usual delay may use half of the bound. At the last moment at which a second send can still be answered in time the other half is open as well.

TestEarlyHedgesLeaveHalf.

--- a/internal/query/forward/load_test.go
+++ b/internal/query/forward/load_test.go
@@ -4,11 +4,13 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"egrethaven/internal/back/instance"
+	"egrethaven/internal/query/retrybudget"
 	"egrethaven/internal/state/routing"
 )
 
@@ -128,3 +130,38 @@
 		}
 	})
 }
+
+// TestLastHedgeDecides plays a shard whose answers take longer than the delay
+// of a hedge, but come in time, and then a replica that answers nothing. The
+// budget must not be spent on the first, so that the second is hedged in time.
+func TestLastHedgeDecides(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const sluggish = 30 * time.Millisecond
+		var mute atomic.Bool
+		a := &fakeSearcher{id: "i-a", answer: func(int, *http.Request) fakeAnswer {
+			if mute.Load() {
+				return fakeAnswer{after: time.Hour, cut: true}
+			}
+			return fakeAnswer{after: sluggish, status: http.StatusOK, body: "0123456789abcdef"}
+		}}
+		b := &fakeSearcher{id: "i-b", answer: served(sluggish, "0123456789abcdef")}
+		r := fanOut(1)
+		w := newWorld(t, []routing.Route{r}, map[string][]*fakeSearcher{"s0": {a, b}})
+		w.e.SetBudget(retrybudget.Config{Allowance: 8, Window: 10 * time.Second})
+		synctest.Wait()
+		for range 8 {
+			w.e.Do(t.Context(), request(300*time.Millisecond))
+			time.Sleep(100 * time.Millisecond)
+		}
+		mute.Store(true)
+		// The other replica looks worse, so the mute one is chosen.
+		for range 20 {
+			w.snap.Instances["s0"][1].Learn(instance.Failed, 0, 0)
+		}
+		q := request(300 * time.Millisecond)
+		got := w.e.Do(t.Context(), q)
+		if took := time.Since(q.Arrived); got.Status != http.StatusOK || took > r.Objective {
+			t.Errorf("got %d (%s) after %s, want an answer within %s", got.Status, got.Reason, took, r.Objective)
+		}
+	})
+}
--- a/internal/query/forward/part.go
+++ b/internal/query/forward/part.go
@@ -276,8 +276,15 @@
 	if x.route.Repeat != routing.Idempotent || p.sends >= x.route.Attempts || x.e.c.Policy.NoHedges || !p.another() {
 		return
 	}
-	if !p.budget.Extra(now, retrybudget.Hedge) {
+	purpose := retrybudget.EarlyHedge
+	if !now.Before(x.lastHedge) {
+		purpose = retrybudget.LastHedge
+	}
+	if !p.budget.Extra(now, purpose) {
 		p.hedgeAt = now.Add(x.hedge / hedgeAgain)
+		if now.Before(x.lastHedge) && x.lastHedge.Before(p.hedgeAt) {
+			p.hedgeAt = x.lastHedge
+		}
 		return
 	}
 	if p.place(now) {
--- a/internal/query/forward/run.go
+++ b/internal/query/forward/run.go
@@ -21,6 +21,10 @@
 	// answers come within it, and closing their connections would cost the
 	// searchers more. Work that lasts longer is ended.
 	goneGrace = 200 * time.Millisecond
+	// lastHedgeFactor, times the delay of a hedge, is how long before the
+	// objective a send is hedged at the latest: nine of ten answers take no
+	// longer than that delay, and a connection may have to be opened.
+	lastHedgeFactor = 1.5
 	// headSize is room for the common part of a send, in bytes, and sendSize
 	// for the lines that each send adds.
 	headSize = 512
@@ -46,6 +50,8 @@
 	end   time.Time
 	usual time.Duration
 	hedge time.Duration
+	// lastHedge is when a hedge is needed for an answer in time.
+	lastHedge time.Time
 	// refused is set if the request was not sent at all.
 	refused *refusal
 	// sent, hedges and retries count the sends, for the log.
@@ -73,6 +79,7 @@
 		x.cut = t
 	}
 	x.usual, x.hedge = x.kind.expect(q.Arrived)
+	x.lastHedge = x.cut.Add(-time.Duration(lastHedgeFactor * float64(x.hedge)))
 	services := r.Shards
 	if !r.FansOut() {
 		services = []string{e.service(s.Config.Version, r)}
--- a/internal/query/retrybudget/budget.go
+++ b/internal/query/retrybudget/budget.go
@@ -10,7 +10,7 @@
 //
 //	b := retrybudget.New(retrybudget.Config{Ratio: 0.2, Allowance: 5, Window: 10 * time.Second})
 //	b.First(now)
-//	if b.Extra(now, retrybudget.Hedge) { send again }
+//	if b.Extra(now, retrybudget.EarlyHedge) { send again }
 package retrybudget
 
 import (
@@ -29,6 +29,9 @@
 	// allowance: in a large tier a VM's allowance is about one.
 	hedgeReserve = 2
 	reserveShare = 0.5
+	// earlyShare is the part of the bound that early hedges may use. The rest
+	// is for sends that decide whether an answer is in time.
+	earlyShare = 0.5
 )
 
 // Purpose is what an extra send is for.
@@ -38,8 +41,11 @@
 const (
 	// Retry sends a failed request again.
 	Retry Purpose = iota
-	// Hedge sends a late request a second time.
-	Hedge
+	// EarlyHedge sends a request a second time that takes longer than most.
+	EarlyHedge
+	// LastHedge sends a request a second time at the last moment at which its
+	// answer can be in time.
+	LastHedge
 )
 
 // Config sets up a Budget.
@@ -118,13 +124,17 @@
 	b.m.Lock()
 	defer b.m.Unlock()
 	b.advance(now)
-	left := b.c.Ratio*margin*float64(b.first.total) - float64(b.extra.total)
+	bound := b.c.Ratio * margin * float64(b.first.total)
 	if !now.Before(b.held) {
-		left += b.c.Allowance
+		bound += b.c.Allowance
 	}
-	if p == Hedge {
+	left := bound - float64(b.extra.total)
+	if p != Retry {
 		left -= min(hedgeReserve, reserveShare*b.c.Allowance)
 	}
+	if p == EarlyHedge {
+		left = min(left, earlyShare*bound-float64(b.extra.total))
+	}
 	if left < 1 {
 		return false
 	}
--- a/internal/query/retrybudget/budget_test.go
+++ b/internal/query/retrybudget/budget_test.go
@@ -61,7 +61,7 @@
 	b := New(Config{Ratio: 0.2, Allowance: 5, Window: 10 * time.Second})
 	now := time.Now()
 	hedges := 0
-	for b.Extra(now, Hedge) {
+	for b.Extra(now, LastHedge) {
 		hedges++
 	}
 	if hedges != 5-hedgeReserve || !b.Extra(now, Retry) {
@@ -69,6 +69,26 @@
 	}
 }
 
+// TestEarlyHedgesLeaveHalf spends what early hedges may: half of the bound is
+// left for those that decide whether an answer is in time.
+func TestEarlyHedgesLeaveHalf(t *testing.T) {
+	b := New(Config{Ratio: 0.2, Allowance: 2, Window: 10 * time.Second})
+	now := time.Now()
+	for range 100 {
+		b.First(now)
+	}
+	early, last := 0, 0
+	for b.Extra(now, EarlyHedge) {
+		early++
+	}
+	for b.Extra(now, LastHedge) {
+		last++
+	}
+	if early != 10 || last < early-hedgeReserve {
+		t.Errorf("%d early and %d last hedges of a bound of 20", early, last)
+	}
+}
+
 // TestLargeTier plays one VM of 91 that share an allowance of 222, half of it
 // used: 1.4 requests a second, of which a third are late. A fifth of the
 // requests may be hedged, so most of the late ones are.
@@ -79,7 +99,7 @@
 		for range 84 {
 			b.First(time.Now())
 			first++
-			if first%3 == 0 && b.Extra(time.Now(), Hedge) {
+			if first%3 == 0 && b.Extra(time.Now(), LastHedge) {
 				hedges++
 			}
 			time.Sleep(time.Second * 10 / 14)
