Bound the gathering of changes by the time to catch up

Cause: the time for which changes are gathered had a bound of its own, 1 s, which a deployment with a shorter time to catch up would not bear.

--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -100,7 +100,7 @@
 	}
 	g.log = event.New(e)
 	g.view = newView(viewConfig{
-		VM: s.ID, Domain: s.Domain, Decode: c.Decode, Grace: s.EntryGrace, Events: g.log, OnVMs: g.countVMs,
+		VM: s.ID, Domain: s.Domain, Decode: c.Decode, Grace: s.EntryGrace, CatchUp: s.CatchUp, Events: g.log, OnVMs: g.countVMs,
 	})
 	if err := g.build(); err != nil {
 		g.close()
--- a/internal/node/gateway/view.go
+++ b/internal/node/gateway/view.go
@@ -26,12 +26,12 @@
 	// connection for each service. Machines start within 0.3 s of each other.
 	settleTime = 2 * time.Second
 	// gatherPerVM, times the number of VMs, is how long changes of the store
-	// are collected, so that all VMs together make about a hundred calls a
-	// second while something changes all the time. gatherLeast and gatherMost
-	// bound it: changes have three seconds to take effect everywhere.
+	// are collected, so that all VMs together make about a hundred calls a second
+	// while something changes all the time. gatherLeast bounds it, and
+	// gatherShare of the time to catch up with the store.
 	gatherPerVM = 10 * time.Millisecond
 	gatherLeast = 250 * time.Millisecond
-	gatherMost  = time.Second
+	gatherShare = 0.25
 	// lapsedLeast and lapsedShare are how many searchers, and what part of all,
 	// have to vanish at once to be taken for entries that lapsed while the
 	// store was away.
@@ -59,7 +59,10 @@
 	Domain string
 	Decode Decoder
 	Grace  time.Duration
-	Events event.Sink
+	// CatchUp is the time after a disruption of the store within which its
+	// changes have to be known.
+	CatchUp time.Duration
+	Events  event.Sink
 	// OnVMs is called when the number of VMs changes.
 	OnVMs func(int)
 }
@@ -319,7 +322,8 @@
 func (v *view) gather() time.Duration {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return min(max(time.Duration(v.counted)*gatherPerVM, gatherLeast), gatherMost)
+	most := time.Duration(gatherShare * float64(v.c.CatchUp))
+	return min(max(time.Duration(v.counted)*gatherPerVM, gatherLeast), most)
 }
 
 // conns is how many connections this VM opens to each of the given searchers.
