Learn failures by the time since the last answer, and let them fade

A VM of a large tier hears of one every two seconds, and each failure counted a tenth, so it went on choosing those that shed; parts ran out of attempts and 38 to 103 of 350 fan-outs in two seconds failed.

Change: failures and refusals count like speed, by the time since the last answer. As one failure may now be enough to leave a searcher alone, they fade by half in five seconds without an answer.

Ruled out: more attempts (the route's max_attempts) and the budget (502, not late).

--- a/internal/back/instance/instance.go
+++ b/internal/back/instance/instance.go
@@ -38,11 +38,13 @@
 	learnTime = time.Second
 	// mostFactor bounds how much one slow answer counts.
 	mostFactor = 20
-	// fadeTime is how long after the last answer what was learnt counts half,
-	// and reportAge how long a load report counts: queues that are not added
+	// fadeTime is how long after the last answer the learnt speed counts half,
+	// failuresFade the same for failures, which last longer than a queue, and
+	// reportAge how long a load report counts: queues that are not added
 	// to drain within it.
-	fadeTime  = 500 * time.Millisecond
-	reportAge = 250 * time.Millisecond
+	fadeTime     = 500 * time.Millisecond
+	failuresFade = 5 * time.Second
+	reportAge    = 250 * time.Millisecond
 	// suspectFactor, in usual service times, and suspectLeast bound how long
 	// a searcher may answer nothing while requests are under way before it is
 	// taken to be out of reach. Searchers pause for a tenth of a second.
--- a/internal/back/instance/instance_test.go
+++ b/internal/back/instance/instance_test.go
@@ -189,3 +189,27 @@
 		})
 	}
 }
+
+// TestLearnsFailuresFromFewAnswers has a searcher fail once, as one VM of a
+// large tier sees it: that is enough to look for another searcher, and fades
+// when nothing is sent there any more.
+func TestLearnsFailuresFromFewAnswers(t *testing.T) {
+	for _, v := range []instance.Verdict{instance.Failed, instance.Refused} {
+		synctest.Test(t, func(t *testing.T) {
+			i := start(t, &peer{}, instance.Conns{Keep: 1, Most: 1})
+			for range 10 {
+				i.Learn(instance.Served, time.Millisecond, time.Millisecond)
+				time.Sleep(2 * time.Second)
+			}
+			i.Learn(v, time.Millisecond, time.Millisecond)
+			time.Sleep(2 * time.Second)
+			if f := i.Candidate(time.Now(), "", time.Millisecond).Failures; f < 0.5 {
+				t.Errorf("verdict %d: %.2f of the requests are taken to fail after one that did", v, f)
+			}
+			time.Sleep(time.Minute)
+			if f := i.Candidate(time.Now(), "", time.Millisecond).Failures; f > 0.1 {
+				t.Errorf("verdict %d: still %.2f after a minute without requests", v, f)
+			}
+		})
+	}
+}
--- a/internal/back/instance/observe.go
+++ b/internal/back/instance/observe.go
@@ -32,12 +32,13 @@
 	now := time.Now()
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	w := weight(now.Sub(i.v.lastEnd))
 	switch v {
 	case Misdirected:
 		i.v.misdirected = true
 		return
 	case Silent:
-		i.v.failures += gain * (1 - i.v.failures)
+		i.v.failures += w * (1 - i.v.failures)
 		if i.v.lastEnd.After(now.Add(-elapsed)) {
 			// Others were answered meanwhile: one answer was lost.
 			return
@@ -49,11 +50,11 @@
 			fmt.Sprintf("no answer for %s, %s; left alone for %s", elapsed.Round(time.Millisecond), lastAnswer(now, i.v.lastEnd), i.v.suspend))
 		return
 	case Failed, Refused:
-		i.v.failures += gain * (1 - i.v.failures)
+		i.v.failures += w * (1 - i.v.failures)
 	case Served:
-		i.v.failures -= gain * i.v.failures
+		i.v.failures -= w * i.v.failures
 		if usual > 0 {
-			i.v.factor += weight(now.Sub(i.v.lastEnd)) * (min(float64(elapsed)/float64(usual), mostFactor) - i.v.factor)
+			i.v.factor += w * (min(float64(elapsed)/float64(usual), mostFactor) - i.v.factor)
 		}
 	}
 	if i.v.silent > 0 {
@@ -70,11 +71,11 @@
 	return max(gain, 1-math.Exp(-float64(d)/float64(learnTime)))
 }
 
-// fading is the weight of what was learnt when the last answer came d ago.
-// Requests that are refused because of it teach nothing new, so without fading
-// they would be refused for good.
-func fading(d time.Duration) float64 {
-	return 1 / (1 + float64(d)/float64(fadeTime))
+// fading is the weight of what was learnt when the last answer came d ago, half
+// of it after a time. Requests that are refused or sent elsewhere because of
+// it teach nothing new, so without fading that would go on for good.
+func fading(d, half time.Duration) float64 {
+	return 1 / (1 + float64(d)/float64(half))
 }
 
 // lastAnswer says how long ago the last answer came.
@@ -119,8 +120,8 @@
 		Conns:    max(i.c.Conns.Most, 1),
 		Age:      now.Sub(i.v.loadAt),
 		Usual:    usual,
-		Factor:   1 + (i.v.factor-1)*fading(now.Sub(i.v.lastEnd)),
-		Failures: i.v.failures,
+		Factor:   1 + (i.v.factor-1)*fading(now.Sub(i.v.lastEnd), fadeTime),
+		Failures: i.v.failures * fading(now.Sub(i.v.lastEnd), failuresFade),
 		Cold:     now.Before(i.s.ColdUntil),
 		Suspect:  now.Before(i.v.suspended) || i.v.silent > 0 && len(i.sends) > 0,
 		NoConn:   len(i.idle) == 0,
