Play random histories of the store against the follower

TestHistories draws writes, removals, outages, lost history and forgotten watches; a moment after the last, the copy has to be what the store holds, and no entry may ever go back.

--- a/internal/state/follow/follow_test.go
+++ b/internal/state/follow/follow_test.go
@@ -4,11 +4,16 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"pgregory.net/rapid"
+
+	_ "egrethaven/internal/proof/fixedseed"
 	"egrethaven/internal/state/follow"
 )
 
@@ -48,7 +53,7 @@
 		}
 		select {
 		case <-s.changed:
-			if s.forgetful {
+			if s.forgets() {
 				<-t.C
 				return nil, after, nil
 			}
@@ -60,6 +65,12 @@
 	}
 }
 
+func (s *fakeStore) forgets() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.forgetful
+}
+
 // since returns what changed after a revision.
 func (s *fakeStore) since(after follow.Revision) ([]follow.Change, follow.Revision, error) {
 	s.mu.Lock()
@@ -174,3 +185,150 @@
 		}
 	})
 }
+
+// model is a store of a few keys and a follower's copy of it, for random
+// histories.
+type model struct {
+	*fakeStore
+	keys map[string]follow.Change
+	log  []follow.Change
+	copy map[string]string
+	// back tells that an entry went back to an older revision.
+	back bool
+}
+
+func newModel() *model {
+	return &model{fakeStore: &fakeStore{changed: make(chan struct{})}, keys: map[string]follow.Change{}, copy: map[string]string{}}
+}
+
+// write puts or deletes a key.
+func (m *model) write(key string, deleted bool) {
+	m.set(func() {
+		m.rev++
+		c := follow.Change{Key: key, Value: []byte(fmt.Sprint(m.rev)), Revision: m.rev, Deleted: deleted}
+		m.log = append(m.log, c)
+		if delete(m.keys, key); !deleted {
+			m.keys[key] = c
+		}
+	})
+	select {
+	case m.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (m *model) Range(context.Context, string) ([]follow.Change, follow.Revision, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down {
+		return nil, 0, errDown
+	}
+	var all []follow.Change
+	for _, c := range m.keys {
+		all = append(all, c)
+	}
+	return all, m.rev, nil
+}
+
+func (m *model) Watch(ctx context.Context, _ string, after follow.Revision, wait time.Duration) ([]follow.Change, follow.Revision, error) {
+	if _, _, err := m.fakeStore.Watch(ctx, "", after, wait); err != nil {
+		return nil, 0, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down {
+		return nil, 0, errDown
+	}
+	if after < m.compacted {
+		return nil, 0, follow.ErrCompacted
+	}
+	var cs []follow.Change
+	for _, c := range m.log {
+		if c.Revision > after {
+			cs = append(cs, c)
+		}
+	}
+	return cs, m.rev, nil
+}
+
+func (m *model) Replace(now time.Time, all []follow.Change) {
+	old := m.copy
+	m.copy = map[string]string{}
+	for _, c := range all {
+		if v, ok := old[c.Key]; ok {
+			m.copy[c.Key] = v
+		}
+	}
+	m.Apply(now, all)
+}
+
+func (m *model) Apply(_ time.Time, cs []follow.Change) {
+	for _, c := range cs {
+		if old, _ := strconv.Atoi(m.copy[c.Key]); follow.Revision(old) > c.Revision {
+			m.back = true
+		}
+		if delete(m.copy, c.Key); !c.Deleted {
+			m.copy[c.Key] = string(c.Value)
+		}
+	}
+}
+
+func (*model) Confirmed(time.Time) {}
+
+func (*model) Outage(time.Time) {}
+
+// TestHistories plays random histories of a store: writes, removals, outages,
+// lost history, watches that are forgotten. Within the wait of a watch and a
+// moment after the last of them, the copy is what the store holds.
+func TestHistories(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		type step struct {
+			what  int
+			key   string
+			after time.Duration
+		}
+		var steps []step
+		for range rapid.IntRange(1, 30).Draw(rt, "steps") {
+			steps = append(steps, step{rapid.IntRange(0, 5).Draw(rt, "what"), rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "key"),
+				time.Duration(rapid.IntRange(0, 2000).Draw(rt, "after_ms")) * time.Millisecond})
+		}
+		fault := ""
+		synctest.Test(t, func(t *testing.T) {
+			m := newModel()
+			m.write("a", false)
+			ctx, cancel := context.WithCancel(t.Context())
+			f := follow.New(follow.Config{Store: m, Handler: m})
+			go f.Run(ctx)
+			for _, s := range steps {
+				time.Sleep(s.after)
+				switch s.what {
+				case 0, 1:
+					m.write(s.key, false)
+				case 2:
+					m.write(s.key, true)
+				case 3:
+					m.set(func() { m.down = !m.down })
+				case 4:
+					m.set(func() { m.compacted = m.rev })
+				case 5:
+					m.set(func() { m.forgetful = !m.forgetful })
+				}
+			}
+			m.set(func() { m.down, m.forgetful = false, false })
+			time.Sleep(3*time.Second + 900*time.Millisecond)
+			synctest.Wait()
+			cancel()
+			synctest.Wait()
+			want := map[string]string{}
+			for k, c := range m.keys {
+				want[k] = string(c.Value)
+			}
+			if !maps.Equal(want, m.copy) || m.back {
+				fault = fmt.Sprintf("the store holds %v, the copy %v; went back: %v", want, m.copy, m.back)
+			}
+		})
+		if fault != "" {
+			rt.Fatal(fault)
+		}
+	})
+}
