--- a/internal/back/subset/subset.go
+++ b/internal/back/subset/subset.go
@@ -78,18 +78,21 @@
 		ns[n] = n
 	}
 	slices.SortFunc(ns, func(a, b int) int {
-		if la, lb := ss[a].Domain == s.Domain, ss[b].Domain == s.Domain; la != lb {
-			if la {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Or(cmp.Compare(s.weight(ss[b]), s.weight(ss[a])), cmp.Compare(ss[a].ID, ss[b].ID))
+		x, y := ss[a], ss[b]
+		return cmp.Or(s.distance(x)-s.distance(y), cmp.Compare(s.weight(y), s.weight(x)), cmp.Compare(x.ID, y.ID))
 	})
 	return ns
 }
 
-// weight is the rank of a searcher for this VM.
+// distance is 0 for a searcher in this VM's failure domain, else 1.
+func (s Subset) distance(x registry.Searcher) int {
+	if x.Domain == s.Domain {
+		return 0
+	}
+	return 1
+}
+
+// weight orders searchers at the same distance, for each VM in its own way.
 func (s Subset) weight(x registry.Searcher) uint64 {
 	return xxhash.Sum64String(s.VM + "\x00" + x.ID)
 }
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -239,7 +239,7 @@
 	g.wg.Go(func() {
 		// Its own key, if the first read finds it, is one from before.
 		select {
-		case <-g.view.Loaded():
+		case <-g.view.FirstRead():
 			m.Run(background)
 		case <-background.Done():
 		}
--- a/internal/node/gateway/view.go
+++ b/internal/node/gateway/view.go
@@ -86,7 +86,8 @@
 	// settled is set once the other VMs have had time to register.
 	settled   bool
 	settledAt time.Time
-	ready     chan struct{}
+	// firstRead is closed once the store has been read.
+	firstRead chan struct{}
 	// instances are the searchers in use, by process.
 	instances map[process]*instance.Instance
 	expiry    *time.Timer
@@ -107,7 +108,7 @@
 func newView(c viewConfig) *view {
 	return &view{
 		c: c, registry: registry.New(registry.Config{Grace: c.Grace}), vms: map[string]bool{},
-		instances: map[process]*instance.Instance{}, stop: make(chan struct{}), ready: make(chan struct{}),
+		instances: map[process]*instance.Instance{}, stop: make(chan struct{}), firstRead: make(chan struct{}),
 	}
 }
 
@@ -152,14 +153,14 @@
 // there from before its restart finds those of the others too; one that is
 // new may have started together with all others. The lock is held.
 func (v *view) settle(now time.Time) {
-	close(v.ready)
+	close(v.firstRead)
 	if v.settled = v.vms[v.c.Decode.VMPrefix+v.c.VM]; !v.settled {
 		v.settledAt = now.Add(settleTime)
 	}
 }
 
-// Loaded is closed once the store has been read.
-func (v *view) Loaded() <-chan struct{} { return v.ready }
+// FirstRead is closed once the store has been read.
+func (v *view) FirstRead() <-chan struct{} { return v.firstRead }
 
 // Apply takes changes of the store.
 func (v *view) Apply(now time.Time, cs []follow.Change) {
