--- a/internal/peer/member/member_test.go
+++ b/internal/peer/member/member_test.go
@@ -238,6 +238,32 @@
 	})
 }
 
+// TestTellReachesAll publishes a drain, lets it be handed out as often as it
+// is without reaching one node, and tells all: that node hears of it, also
+// when its first answers do not come.
+func TestTellReachesAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, 1)
+		defer f.close()
+		time.Sleep(30 * time.Second)
+		var heard atomic.Bool
+		last := f.nodes[2]
+		last.set.Subscribe(rumor.SearcherDrain, func(rumor.Rumor) { heard.Store(true) })
+		f.net.Cut(func(_, to string) bool { return to == last.vm.Addr })
+		if err := f.nodes[0].set.Publish(rumor.SearcherDrain, "s-1", []byte("{}"), time.Minute); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(100 * time.Millisecond)
+		for len(f.nodes[0].set.Take(rumor.MaxSize, 3)) > 0 {
+		}
+		time.AfterFunc(700*time.Millisecond, func() { f.net.Cut(func(string, string) bool { return false }) })
+		f.nodes[0].Tell(t.Context())
+		if !heard.Load() {
+			t.Error("a node was not told")
+		}
+	})
+}
+
 // TestDrainReachesAll publishes a drain while a tenth of the nodes is dead; no
 // node may be without it after 3 s.
 func TestDrainReachesAll(t *testing.T) {
--- a/internal/peer/rumor/set.go
+++ b/internal/peer/rumor/set.go
@@ -239,6 +239,21 @@
 	}
 }
 
+// Own returns what was published here and is still valid, the newest first, up
+// to a number of bytes, however often it was handed out before.
+func (s *Set) Own(budget int) []Rumor {
+	var out []Rumor
+	own := slices.DeleteFunc(s.Held(), func(r Rumor) bool { return r.Origin != s.c.Node })
+	slices.SortStableFunc(own, func(a, b Rumor) int { return cmp.Compare(b.Sequence, a.Sequence) })
+	for _, r := range own {
+		if r.Size() <= budget {
+			budget -= r.Size()
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // Transmissions is how often something is handed out in a fleet of n nodes.
 func Transmissions(n int) int { return repeat * bits.Len(uint(n)) }
 
