Send first to the searcher that admission looked at

Cause: for each part of a request admission estimated every searcher and chose the best, and the first send did the same again at the same moment: twice the work on the path of every request, 54 times for a fan-out over 54 shards. The next time to wake was computed twice before the first wait as well.

Change: choose returns the best searcher and what is known of it; admission keeps it for the first send. The inputs and the moment are the same, so is the draw between equals. One that began to drain in between is refused by Send and placed anew, as before.

--- a/internal/query/forward/admit.go
+++ b/internal/query/forward/admit.go
@@ -53,16 +53,11 @@
 		RetryAfter: time.Duration(float64(d.RetryAfter) * spread)}, false
 }
 
-// outlook is what to expect of the best searcher of a part. It reports false
-// if none seems to answer.
+// outlook is what to expect of the best searcher of a part, which the first
+// send goes to. It reports false if none seems to answer.
 func (p *part) outlook(now time.Time) (admission.Shard, bool) {
-	cs, _ := p.candidates(now)
-	n := placement.Choose(cs, pick)
-	if n < 0 {
-		return admission.Shard{}, false
-	}
-	c := cs[n]
-	if c.Suspect {
+	var c placement.Candidate
+	if p.best, c = p.choose(now); p.best == nil || c.Suspect {
 		return admission.Shard{}, false
 	}
 	wait, service := placement.Predict(c)
--- a/internal/query/forward/part.go
+++ b/internal/query/forward/part.go
@@ -45,6 +45,9 @@
 	overAt time.Time
 	// dead parts will get no answer.
 	dead bool
+	// best is the searcher that admission chose for the first send; nil
+	// without one.
+	best *instance.Instance
 	// doubtful parts have no searcher that seems to answer.
 	doubtful bool
 	// left are the searchers in whose queues the send waited in vain.
@@ -81,38 +84,53 @@
 	p.hedgeAt = now.Add(p.run.hedge)
 	// A fan-out that has enough other shards does not wait for one whose
 	// searchers are left alone for a moment.
-	if p.run.route.FansOut() && p.doubtful || !p.place(now) {
+	switch {
+	case p.run.route.FansOut() && p.doubtful:
 		p.dead = true
+	case p.best != nil:
+		p.sendTo(p.best, now)
+	default:
+		p.dead = !p.place(now)
 	}
 }
 
 // place sends to the best searcher that was not tried before. It reports
 // false if there is none.
 func (p *part) place(now time.Time) bool {
-	cs, is := p.candidates(now)
-	n := placement.Choose(cs, pick)
-	if n < 0 {
+	i, _ := p.choose(now)
+	if i == nil {
 		return false
 	}
-	p.sends++
-	p.open++
-	p.run.sent++
-	f := &flight{part: p, at: is[n], began: now}
-	p.flights = append(p.flights, f)
-	f.send = f.at.Send(instance.Request{Method: p.run.q.Method, Build: f.build, Owns: f.owns, Done: f.done})
+	p.sendTo(i, now)
 	return true
 }
 
-// candidates returns the searchers that may be sent to, and what is known of
-// each.
-func (p *part) candidates(now time.Time) (cs []placement.Candidate, is []*instance.Instance) {
+// choose returns the best searcher that may be sent to and was not tried
+// before, and what is known of it; nil if there is none.
+func (p *part) choose(now time.Time) (*instance.Instance, placement.Candidate) {
+	var cs []placement.Candidate
+	var is []*instance.Instance
 	for _, i := range p.instances {
 		if i.Usable() && !p.tried(i) {
 			cs = append(cs, p.candidate(i, now))
 			is = append(is, i)
 		}
 	}
-	return cs, is
+	n := placement.Choose(cs, pick)
+	if n < 0 {
+		return nil, placement.Candidate{}
+	}
+	return is[n], cs[n]
+}
+
+// sendTo sends to a searcher.
+func (p *part) sendTo(i *instance.Instance, now time.Time) {
+	p.sends++
+	p.open++
+	p.run.sent++
+	f := &flight{part: p, at: i, began: now}
+	p.flights = append(p.flights, f)
+	f.send = i.Send(instance.Request{Method: p.run.q.Method, Build: f.build, Owns: f.owns, Done: f.done})
 }
 
 // candidate is what is known of a searcher for placing this part.
--- a/internal/query/forward/run.go
+++ b/internal/query/forward/run.go
@@ -103,7 +103,7 @@
 	for _, p := range x.parts {
 		p.first(now)
 	}
-	t := time.NewTimer(time.Until(x.wake(now)))
+	t := time.NewTimer(time.Until(x.end))
 	defer t.Stop()
 	for {
 		if a, ok := x.settled(now); ok {
