Read only the attempt's ID to tell whose answer it is

Cause: whose answer it is was told by reading the whole header, load report included, with a status of 200 that was made up for the call; the header was then read again for the decision.

Change: the dialect has a method for the ID alone, and Reply no longer holds it. The check is the same.

--- a/internal/query/forward/fake_test.go
+++ b/internal/query/forward/fake_test.go
@@ -27,8 +27,10 @@
 	return fmt.Appendf(b, "Id: %s\r\nLeft: %d\r\nExpect: %s\r\n", s.ID, s.Left.Milliseconds(), s.Expect)
 }
 
+func (testDialect) Attempt(h http.Header) string { return h.Get("Id") }
+
 func (testDialect) Reply(status int, h http.Header) Reply {
-	r := Reply{ID: h.Get("Id"), Stamp: h.Get("Stamp"), Misdirected: status == http.StatusMisdirectedRequest}
+	r := Reply{Stamp: h.Get("Stamp"), Misdirected: status == http.StatusMisdirectedRequest}
 	r.NotRun = h.Get("Not-Run") != "" || r.Misdirected
 	if n, err := strconv.Atoi(h.Get("Waiting")); err == nil {
 		r.Load, r.HasLoad = instance.Load{Waiting: n}, true
--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -86,8 +86,6 @@
 
 // Reply is what the header of a searcher's answer says.
 type Reply struct {
-	// ID is the attempt that the answer belongs to; empty if it names none.
-	ID string
 	// Stamp is the searcher's signature.
 	Stamp string
 	// NotRun tells that the searcher did not run the request.
@@ -103,7 +101,10 @@
 type Dialect interface {
 	// AppendSending appends the header lines of one send.
 	AppendSending(b []byte, s Sending) []byte
-	// Reply reads the header of an answer.
+	// Attempt returns the ID of the attempt that an answer belongs to; empty
+	// if it names none.
+	Attempt(h http.Header) string
+	// Reply reads the rest of an answer's header.
 	Reply(status int, h http.Header) Reply
 	// Parts writes the header of an answer to a fan-out.
 	Parts(h http.Header, stamps []string, missing int)
--- a/internal/query/forward/part.go
+++ b/internal/query/forward/part.go
@@ -171,8 +171,7 @@
 
 // owns tells whether an answer belongs to this send.
 func (f *flight) owns(h http.Header) bool {
-	id := f.part.run.e.c.Dialect.Reply(http.StatusOK, h).ID
-	return id == f.part.run.q.ID
+	return f.part.run.e.c.Dialect.Attempt(h) == f.part.run.q.ID
 }
 
 // done takes the end of the send. It runs on the connection's goroutine.
