Hand out rumors by one method

Cause: Take was left for tests only once messages used TakeMost.

Change: one Take, whose argument is how often a rumor may be handed out; callers say Transmissions. The tests pass the same number as before; their assertions are as they were.

--- a/internal/peer/member/beat.go
+++ b/internal/peer/member/beat.go
@@ -52,7 +52,7 @@
 	m.mu.Lock()
 	live := m.t.live
 	m.mu.Unlock()
-	return m.c.Rumors.TakeMost(rumorBytes, rumor.Transmissions(live)+peers)
+	return m.c.Rumors.Take(rumorBytes, rumor.Transmissions(live)+peers)
 }
 
 // beatWith sends a heartbeat with the given rumors.
--- a/internal/peer/member/push.go
+++ b/internal/peer/member/push.go
@@ -17,8 +17,8 @@
 	pushCross = 0.125
 	// pushSpacing is the least time between two pushes.
 	pushSpacing = 50 * time.Millisecond
-	// pushTries is how many members are tried in place of one that does not
-	// answer: what fits, at beatTimeout each, into the 3 s by which all nodes
+	// pushTries is how many members are tried until one answers, or how often
+	// one that has to be told: what fits, at beatTimeout each, into the 3 s by which all nodes
 	// have to know of a drain.
 	pushTries = 5
 )
--- a/internal/peer/rumor/rumor_test.go
+++ b/internal/peer/rumor/rumor_test.go
@@ -38,8 +38,8 @@
 	for range rounds {
 		for i := range nodes {
 			j := r.IntN(nodes)
-			sets[j].Merge(sets[i].Take(300, nodes))
-			sets[i].Merge(sets[j].Take(300, nodes))
+			sets[j].Merge(sets[i].Take(300, rumor.Transmissions(nodes)))
+			sets[i].Merge(sets[j].Take(300, rumor.Transmissions(nodes)))
 		}
 	}
 	if heard != nodes*20 {
@@ -68,7 +68,7 @@
 			t.Errorf("time to live %v after half of it", r[0].TTL)
 		}
 		time.Sleep(31 * time.Second)
-		if len(a.Held()) != 0 || len(a.Take(1000, 10)) != 0 {
+		if len(a.Held()) != 0 || len(a.Take(1000, rumor.Transmissions(10))) != 0 {
 			t.Error("a rumor outlived its time")
 		}
 	})
@@ -87,7 +87,7 @@
 			}})
 			budget := rapid.IntRange(0, 3000).Draw(t, "budget")
 			n := 0
-			for _, r := range s.Take(budget, 10) {
+			for _, r := range s.Take(budget, rumor.Transmissions(10)) {
 				n += r.Size()
 			}
 			if n > budget || len(s.Held()) > 5 {
--- a/internal/peer/rumor/set.go
+++ b/internal/peer/rumor/set.go
@@ -187,12 +187,9 @@
 }
 
 // Take hands out rumors for one message, those sent least often first, up to a
-// number of bytes. nodes is the size of the fleet.
-func (s *Set) Take(budget, nodes int) []Rumor { return s.TakeMost(budget, Transmissions(nodes)) }
-
-// TakeMost is Take for a message to one of many peers that are told at the
-// same moment: it hands out each rumor up to most times.
-func (s *Set) TakeMost(budget, most int) []Rumor {
+// number of bytes, and each at most so many times. See Transmissions for how
+// often is enough; where many peers are told at the same moment, as many more.
+func (s *Set) Take(budget, most int) []Rumor {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
