Name the part of the allowance that is divided; say why settled is kept

Cause: half of the allowance was a bare 2. settled looked as if the time alone could stand for it.

Change: allowanceShare is the half, with its reason. settled stays: without it a timer that Confirmed stops late would leave the VM with one connection for each service until something changes.

--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -42,6 +42,10 @@
 	// stopReserve is the part of the time for a stop that is kept for closing
 	// connections and for logs.
 	stopReserve = 1500 * time.Millisecond
+	// allowanceShare is the part of the allowance for extra sends that is
+	// divided among the VMs; the rest is for VMs that are not counted yet and
+	// for those that start anew within a window.
+	allowanceShare = 0.5
 	// watchShare is the part of the time to catch up with the store for which
 	// one watch waits; the rest is for the read that may have to follow.
 	watchShare = 0.8
@@ -182,7 +186,7 @@
 // is left out, for VMs that are not counted yet and for those that start again
 // within a window.
 func budget(s gatewaysettings.Settings, vms int) retrybudget.Config {
-	return retrybudget.Config{Ratio: s.RetryRatio, Window: s.RetryWindow, Allowance: s.RetryAllowance / 2 / float64(vms)}
+	return retrybudget.Config{Ratio: s.RetryRatio, Window: s.RetryWindow, Allowance: allowanceShare * s.RetryAllowance / float64(vms)}
 }
 
 // countVMs takes the number of VMs that share the allowance.
--- a/internal/node/gateway/view.go
+++ b/internal/node/gateway/view.go
@@ -83,7 +83,9 @@
 	vms      map[string]bool
 	count    vmCount
 	counted  int
-	// settled is set once the other VMs have had time to register.
+	// settled is set by the first rebuild after the other VMs have had time to
+	// register. The time alone would not tell that a rebuild is still due when
+	// its timer is stopped late, as after a freeze.
 	settled   bool
 	settledAt time.Time
 	// firstRead is closed once the store has been read.
