Set TCP_USER_TIMEOUT in one place

Cause: the connections between nodes had the socket option of package tcpdial once more, and tcpdial its number as a constant of its own.

Change: tcpdial.UserTimeout is the Control function of all dialers and listeners that set it, with the number from golang.org/x/sys, which the project already uses.

--- a/internal/peer/rpc/dialer.go
+++ b/internal/peer/rpc/dialer.go
@@ -10,6 +10,8 @@
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcpool"
+
+	"egrethaven/internal/world/tcpdial"
 )
 
 const (
@@ -113,7 +115,7 @@
 
 // connect opens a connection and makes the first exchange on it.
 func (d *Dialer) connect(ctx context.Context, addr string) (*conn, error) {
-	n := net.Dialer{Timeout: d.c.Timeout, KeepAliveConfig: keepAlive, Control: setUserTimeout}
+	n := net.Dialer{Timeout: d.c.Timeout, KeepAliveConfig: keepAlive, Control: tcpdial.UserTimeout(userTimeout)}
 	c, err := n.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, errors.Trace(err)
--- a/internal/peer/rpc/server.go
+++ b/internal/peer/rpc/server.go
@@ -14,6 +14,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"egrethaven/internal/observe/event"
+	"egrethaven/internal/world/tcpdial"
 )
 
 const (
@@ -61,7 +62,7 @@
 	if c.Events == nil {
 		c.Events = event.Discard{}
 	}
-	lc := net.ListenConfig{KeepAliveConfig: keepAlive, Control: setUserTimeout}
+	lc := net.ListenConfig{KeepAliveConfig: keepAlive, Control: tcpdial.UserTimeout(userTimeout)}
 	l, err := lc.Listen(context.Background(), "tcp", c.Listen)
 	if err != nil {
 		return nil, errors.Annotatef(err, "listening on %s", c.Listen)
--- a/internal/peer/rpc/socket.go
+++ b/internal/peer/rpc/socket.go
@@ -2,10 +2,8 @@
 
 import (
 	"net"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcstream"
 	"storj.io/drpc/drpcwire"
@@ -24,18 +22,6 @@
 
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 15 * time.Second, Interval: 5 * time.Second, Count: 3}
 
-// setUserTimeout bounds how long the kernel waits for acknowledgements.
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
-	var err error
-	e := c.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-	})
-	if e != nil {
-		return e
-	}
-	return err
-}
-
 // manager returns drpc's options for messages of at most limit bytes.
 func manager(limit int) drpcmanager.Options {
 	return drpcmanager.Options{
--- a/internal/world/tcpdial/tcpdial.go
+++ b/internal/world/tcpdial/tcpdial.go
@@ -14,12 +14,9 @@
 	"time"
 
 	"github.com/juju/errors"
+	"golang.org/x/sys/unix"
 )
 
-// tcpUserTimeout is the number of Linux's TCP_USER_TIMEOUT option, which
-// package syscall does not name.
-const tcpUserTimeout = 0x12
-
 // Config sets up a dialer.
 type Config struct {
 	// Timeout bounds the opening of a connection.
@@ -37,20 +34,21 @@
 	return &net.Dialer{
 		Timeout:         c.Timeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: c.KeepAlive, Interval: c.KeepAlive, Count: c.Probes},
-		Control: func(_, _ string, r syscall.RawConn) error {
-			return setUserTimeout(r, c.UserTimeout)
-		},
+		Control:         UserTimeout(c.UserTimeout),
 	}
 }
 
-// setUserTimeout bounds how long sent bytes may stay unacknowledged.
-func setUserTimeout(r syscall.RawConn, d time.Duration) error {
-	var err error
-	cerr := r.Control(func(fd uintptr) {
-		err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(d.Milliseconds()))
-	})
-	if cerr != nil {
-		return errors.Trace(cerr)
+// UserTimeout returns the Control function of a dialer or listener that bounds
+// how long sent bytes may stay unacknowledged.
+func UserTimeout(d time.Duration) func(network, addr string, c syscall.RawConn) error {
+	return func(_, _ string, c syscall.RawConn) error {
+		var err error
+		cerr := c.Control(func(fd uintptr) {
+			err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+		})
+		if cerr != nil {
+			return errors.Trace(cerr)
+		}
+		return errors.Trace(err)
 	}
-	return errors.Trace(err)
 }
