Listen, serve and shut down by the same functions in both HTTP listeners

Cause: ingress had httpserver's first lines, its serving goroutine and its end once more; a method Drain had one caller, the line below it.

Change: httpserver.Listen, Run and Shutdown serve both. The listeners stay two types, as their limits and stops differ.

--- a/internal/front/httpserver/server.go
+++ b/internal/front/httpserver/server.go
@@ -56,10 +56,9 @@
 	if c.Events == nil {
 		c.Events = event.Discard{}
 	}
-	l, err := net.Listen("tcp", c.Addr)
+	l, err := Listen(c.Addr, c.Events)
 	if err != nil {
-		c.Events.Emit(event.ListenerFailed, c.Addr, err.Error())
-		return nil, errors.Annotatef(err, "listening on %s", c.Addr)
+		return nil, err
 	}
 	return &Server{c: c, lis: l, srv: &http.Server{
 		Handler: c.Handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout,
@@ -67,6 +66,32 @@
 	}}, nil
 }
 
+// Listen listens on an address. A failure is an event as well.
+func Listen(addr string, events event.Sink) (net.Listener, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		events.Emit(event.ListenerFailed, addr, err.Error())
+		return nil, errors.Annotatef(err, "listening on %s", addr)
+	}
+	return l, nil
+}
+
+// Run serves until the server is told to end. Any other end is an event.
+func Run(s *http.Server, l net.Listener, addr string, events event.Sink) {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		events.Emit(event.ListenerFailed, addr, err.Error())
+	}
+}
+
+// Shutdown lets answers that are being sent end until ctx does, and ends every
+// connection.
+func Shutdown(ctx context.Context, s *http.Server) error {
+	if err := s.Shutdown(ctx); err != nil {
+		return s.Close()
+	}
+	return nil
+}
+
 // ErrorLog returns a logger that turns what net/http complains of at an address
 // into events.
 func ErrorLog(events event.Sink, addr string) *stdlog.Logger {
@@ -90,11 +115,7 @@
 
 // Serve starts to take connections and returns at once.
 func (s *Server) Serve() {
-	s.wg.Go(func() {
-		if err := s.srv.Serve(s.lis); !errors.Is(err, http.ErrServerClosed) {
-			s.c.Events.Emit(event.ListenerFailed, s.c.Addr, err.Error())
-		}
-	})
+	s.wg.Go(func() { Run(s.srv, s.lis, s.c.Addr, s.c.Events) })
 }
 
 // Close stops listening, lets answers that are being sent end for a short
@@ -102,10 +123,7 @@
 func (s *Server) Close() error {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	err := s.srv.Shutdown(ctx)
-	if err != nil {
-		err = s.srv.Close()
-	}
+	err := Shutdown(ctx, s.srv)
 	s.lis.Close()
 	s.wg.Wait()
 	return errors.Trace(err)
--- a/internal/front/ingress/ingress.go
+++ b/internal/front/ingress/ingress.go
@@ -94,10 +94,9 @@
 	if c.Events == nil {
 		c.Events = event.Discard{}
 	}
-	l, err := net.Listen("tcp", c.Addr)
+	l, err := httpserver.Listen(c.Addr, c.Events)
 	if err != nil {
-		c.Events.Emit(event.ListenerFailed, c.Addr, err.Error())
-		return nil, errors.Annotatef(err, "listening on %s", c.Addr)
+		return nil, errors.Trace(err)
 	}
 	s := &Server{c: c, lis: l, done: make(chan struct{}), conns: map[net.Conn]*clientConn{}}
 	s.srv = &http.Server{
@@ -114,21 +113,14 @@
 
 // Serve starts to take connections and returns at once.
 func (s *Server) Serve() {
-	s.wg.Go(func() {
-		if err := s.srv.Serve(s.lis); !errors.Is(err, http.ErrServerClosed) {
-			s.c.Events.Emit(event.ListenerFailed, s.c.Addr, err.Error())
-		}
-	})
+	s.wg.Go(func() { httpserver.Run(s.srv, s.lis, s.c.Addr, s.c.Events) })
 	s.wg.Go(s.sweep)
 }
 
-// Drain asks clients to leave: each answer from now on ends its connection.
-func (s *Server) Drain() { s.stopping.Store(true) }
-
 // Stop ends the server: it goes on answering until nothing is under way after
-// linger, or until the deadline.
+// linger, or until the deadline. Each answer from now on ends its connection.
 func (s *Server) Stop(linger, deadline time.Time) error {
-	s.Drain()
+	s.stopping.Store(true)
 	for now := time.Now(); now.Before(deadline); now = time.Now() {
 		if now.After(linger) && s.active.Load() == 0 {
 			break
@@ -138,10 +130,7 @@
 	// What arrived at this moment is still answered.
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	err := s.srv.Shutdown(ctx)
-	if err != nil {
-		err = s.srv.Close()
-	}
+	err := httpserver.Shutdown(ctx, s.srv)
 	close(s.done)
 	s.wg.Wait()
 	return errors.Trace(err)
