Follow the store through a relay of the failure domain

Cause: every VM watched the store by itself, so store calls grew with the number of VMs.

Ruled out: longer watches (a watch that the store forgot has to end within the time to catch up); stale reads (how stale is not said, and a configuration has to be in force within five seconds); a fixed VM for it (none is set aside).

Change: VMs register with their address and link, and each works out the same one or two of its domain that watch the store. The others follow through them by calls of a second, over drpc, and ask the store itself, from the revision they have reached, once a relay is silent, cannot reach the store or does not watch it. After a full read a relay works out what changed, so its followers need none. A VM that finds its own registration from before a restart renews its lease. At a start of all, the first watch waits until all have registered.

--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -33,6 +33,7 @@
 	"egrethaven/internal/state/follow"
 	"egrethaven/internal/state/gatewaysettings"
 	"egrethaven/internal/state/problem"
+	"egrethaven/internal/state/roster"
 	"egrethaven/internal/state/routing"
 )
 
@@ -83,6 +84,7 @@
 	engine  *forward.Engine
 	clients *ingress.Server
 	checks  []*httpserver.Server
+	peers   *peers
 
 	stopping atomic.Bool
 	wg       sync.WaitGroup
@@ -104,7 +106,7 @@
 	}
 	g.log = event.New(e)
 	g.view = newView(viewConfig{
-		VM: s.ID, Domain: s.Domain, Decode: c.Decode, Grace: s.EntryGrace, CatchUp: s.CatchUp, Events: g.log, OnVMs: g.countVMs,
+		Self: self(s), Decode: c.Decode, Grace: s.EntryGrace, CatchUp: s.CatchUp, Events: g.log, OnVMs: g.countVMs,
 	})
 	if err := g.build(); err != nil {
 		g.close()
@@ -132,6 +134,9 @@
 	}); err != nil {
 		return errors.Trace(err)
 	}
+	if g.peers, err = newPeers(s.Peers, g.c.Store, watchWait(s), g.view, g.log); err != nil {
+		return errors.Trace(err)
+	}
 	ready := http.NewServeMux()
 	ready.HandleFunc(g.c.ReadyPath, g.answerReady)
 	pages := http.NewServeMux()
@@ -235,19 +240,12 @@
 		s.Serve()
 	}
 	g.clients.Serve()
-	f := follow.New(follow.Config{Store: g.c.Store, Handler: g.view, Events: g.log,
-		Wait: time.Duration(watchShare * float64(g.c.Settings.CatchUp)), Gather: g.view.gather})
+	g.peers.serve()
+	f := follow.New(follow.Config{Source: g.peers.upstream, Handler: g.view, Events: g.log,
+		Wait:   watchWait(g.c.Settings),
+		Gather: func() time.Duration { return g.view.gather(g.peers.upstream.Direct()) }})
 	g.wg.Go(func() { f.Run(background) })
-	m := newMembership(membershipConfig{Store: g.c.Store, Key: g.c.Decode.VMPrefix + g.c.Settings.ID,
-		Domain: g.c.Settings.Domain, Events: g.log})
-	g.wg.Go(func() {
-		// Its own key, if the first read finds it, is one from before.
-		select {
-		case <-g.view.FirstRead():
-			m.Run(background)
-		case <-background.Done():
-		}
-	})
+	g.wg.Go(func() { g.register(background) })
 	<-ctx.Done()
 	err := g.stop()
 	cancel()
@@ -256,6 +254,30 @@
 	return err
 }
 
+// register registers this VM and keeps it registered. Its own key, if the first
+// read finds it, is one from before.
+func (g *Gateway) register(ctx context.Context) {
+	select {
+	case <-g.view.FirstRead():
+	case <-ctx.Done():
+		return
+	}
+	v := self(g.c.Settings)
+	newMembership(membershipConfig{
+		Store: g.c.Store, Key: g.c.Decode.VMPrefix + v.ID, Value: v.Encode(), Lease: g.view.Lease(), Events: g.log,
+	}).Run(ctx)
+}
+
+// self is how a VM with the given settings registers.
+func self(s gatewaysettings.Settings) roster.VM {
+	return roster.VM{ID: s.ID, Domain: s.Domain, Peers: s.Peers, LinkMbps: s.LinkMbps}
+}
+
+// watchWait is how long one watch waits at the store.
+func watchWait(s gatewaysettings.Settings) time.Duration {
+	return time.Duration(watchShare * float64(s.CatchUp))
+}
+
 // stop serves what is under way and what still comes, until the balancer has
 // noticed, and at most for the time that there is.
 func (g *Gateway) stop() error {
@@ -277,6 +299,11 @@
 			g.log.Emit(event.ListenerFailed, s.Addr(), err.Error())
 		}
 	}
+	if g.peers != nil {
+		if err := g.peers.close(); err != nil {
+			g.log.Emit(event.ListenerFailed, g.c.Settings.Peers, err.Error())
+		}
+	}
 	if g.metrics != nil {
 		if err := g.metrics.Close(); err != nil {
 			g.log.Emit(event.InvariantBroken, "metrics", err.Error())
--- a/internal/node/gateway/membership.go
+++ b/internal/node/gateway/membership.go
@@ -23,9 +23,12 @@
 
 // membershipConfig sets up a membership.
 type membershipConfig struct {
-	Store  follow.Store
-	Key    string
-	Domain string
+	Store follow.Store
+	Key   string
+	// Value is what is registered, and Lease what it was registered with before
+	// a restart, 0 if it was not.
+	Value  []byte
+	Lease  follow.Lease
 	Events event.Sink
 }
 
@@ -37,7 +40,7 @@
 }
 
 // newMembership returns a membership that is not registered.
-func newMembership(c membershipConfig) *membership { return &membership{c: c} }
+func newMembership(c membershipConfig) *membership { return &membership{c: c, lease: c.Lease} }
 
 // Run registers and renews until ctx ends.
 func (m *membership) Run(ctx context.Context) {
@@ -64,7 +67,7 @@
 	if err != nil {
 		return errors.Annotate(err, "asking for a lease")
 	}
-	if err := m.c.Store.Put(ctx, m.c.Key, []byte(m.c.Domain), l); err != nil {
+	if err := m.c.Store.Put(ctx, m.c.Key, m.c.Value, l); err != nil {
 		return errors.Annotate(err, "registering")
 	}
 	m.lease = l
--- /dev/null
+++ b/internal/node/gateway/peers.go
@@ -0,0 +1,115 @@
+package gateway
+
+import (
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"egrethaven/internal/observe/event"
+	"egrethaven/internal/peer/relay"
+	"egrethaven/internal/peer/relayrpc"
+	"egrethaven/internal/peer/rpc"
+	"egrethaven/internal/peer/upstream"
+	"egrethaven/internal/state/changelog"
+	"egrethaven/internal/state/follow"
+	"egrethaven/internal/state/roster"
+)
+
+const (
+	// peerDialTimeout bounds the opening of a connection to another VM. Those
+	// asked are in the same failure domain, a fraction of a millisecond away;
+	// the rest is for a VM with little processor time.
+	peerDialTimeout = 300 * time.Millisecond
+	// freshSlack is how long a watch may take beyond its wait before what this
+	// VM knows of the store is no longer passed on.
+	freshSlack = time.Second
+)
+
+// peers is this VM's part in following the store together with other VMs.
+type peers struct {
+	server   *rpc.Server
+	dialer   *rpc.Dialer
+	upstream *upstream.Upstream
+}
+
+// newPeers listens for other VMs, if the settings name an address for it.
+func newPeers(listen string, store follow.Source, watchWait time.Duration, v *view, events event.Sink) (*peers, error) {
+	p := &peers{dialer: rpc.NewDialer(rpc.DialerConfig{Timeout: peerDialTimeout})}
+	log := changelog.New(changelog.Config{Fresh: watchWait + freshSlack})
+	p.upstream = upstream.New(upstream.Config{Store: store, Log: log, Dialer: p.dialer, Relays: v.relays, Events: events})
+	if listen == "" {
+		return p, nil
+	}
+	var err error
+	if p.server, err = rpc.NewServer(rpc.ServerConfig{Listen: listen, Known: v.knows, Events: events}); err != nil {
+		return p, errors.Trace(err)
+	}
+	return p, errors.Trace(relayrpc.DRPCRegisterRelay(p.server.Mux(), relay.New(relay.Config{Log: log})))
+}
+
+// serve begins to answer other VMs.
+func (p *peers) serve() {
+	if p.server != nil {
+		p.server.Serve()
+	}
+}
+
+// close ends all calls and waits.
+func (p *peers) close() error {
+	err := p.dialer.Close()
+	if p.server != nil {
+		err = errors.Wrap(err, p.server.Close())
+	}
+	return errors.Trace(err)
+}
+
+// vm takes the registration of a VM. The lock is held.
+func (v *view) vm(c follow.Change) {
+	id := strings.TrimPrefix(c.Key, v.c.Decode.VMPrefix)
+	if c.Deleted {
+		delete(v.vms, id)
+		return
+	}
+	r, err := roster.Decode(id, c.Value)
+	if err != nil {
+		v.c.Events.Emit(event.EntryUnreadable, c.Key, err.Error())
+		r = roster.VM{ID: id}
+	}
+	v.vms[id] = r
+}
+
+// choose works out through which VMs this one follows the store. The lock is
+// held.
+func (v *view) choose() {
+	vms := make([]roster.VM, 0, len(v.vms))
+	known := make(map[netip.Addr]bool, len(v.vms))
+	for _, r := range v.vms {
+		vms = append(vms, r)
+		if a, err := netip.ParseAddrPort(r.Peers); err == nil {
+			known[a.Addr()] = true
+		}
+	}
+	var addrs []string
+	for _, r := range roster.Relays(vms, v.c.Self) {
+		addrs = append(addrs, r.Peers)
+	}
+	v.relayAddrs.Store(&addrs)
+	v.known.Store(&known)
+}
+
+// relays returns the addresses of the VMs through which this one follows the
+// store; none if it watches the store itself.
+func (v *view) relays() []string {
+	if a := v.relayAddrs.Load(); a != nil && v.c.Self.Peers != "" {
+		return *a
+	}
+	return nil
+}
+
+// knows tells whether a registered VM has an address.
+func (v *view) knows(a netip.Addr) bool {
+	m := v.known.Load()
+	return m != nil && (*m)[a]
+}
--- a/internal/node/gateway/view.go
+++ b/internal/node/gateway/view.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"net/netip"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -14,6 +15,7 @@
 	"egrethaven/internal/query/forward"
 	"egrethaven/internal/state/follow"
 	"egrethaven/internal/state/registry"
+	"egrethaven/internal/state/roster"
 	"egrethaven/internal/state/routing"
 )
 
@@ -25,10 +27,11 @@
 	// started at the same moment to register, before it opens more than one
 	// connection for each service. Machines start within 0.3 s of each other.
 	settleTime = 2 * time.Second
-	// gatherPerVM, times the number of VMs, is how long changes of the store
-	// are collected, so that all VMs together make about a hundred calls a second
-	// while something changes all the time. gatherLeast bounds it, and
-	// gatherShare of the time to catch up with the store.
+	// gatherLeast is how long changes are collected before they are asked for
+	// again, so that a burst of them costs one call. VMs that ask the store
+	// because no relay answers collect for gatherPerVM times the number of VMs,
+	// so that all together make about a hundred calls a second while something
+	// changes all the time, and at most gatherShare of the time to catch up.
 	gatherPerVM = 10 * time.Millisecond
 	gatherLeast = 250 * time.Millisecond
 	gatherShare = 0.25
@@ -54,9 +57,8 @@
 
 // viewConfig sets up a view.
 type viewConfig struct {
-	// VM and Domain name this VM and its failure domain.
-	VM     string
-	Domain string
+	// Self is how this VM registers.
+	Self   roster.VM
 	Decode Decoder
 	Grace  time.Duration
 	// CatchUp is the time after a disruption of the store within which its
@@ -70,9 +72,12 @@
 // view is what this VM knows from the store, as snapshots that requests use.
 // It is a follow.Handler.
 type view struct {
-	c         viewConfig
-	current   atomic.Pointer[forward.Snapshot]
-	confirmed atomic.Pointer[time.Time]
+	c       viewConfig
+	current atomic.Pointer[forward.Snapshot]
+	// relayAddrs and known are what follows from the registered VMs.
+	relayAddrs atomic.Pointer[[]string]
+	known      atomic.Pointer[map[netip.Addr]bool]
+	confirmed  atomic.Pointer[time.Time]
 
 	mu       sync.Mutex
 	wg       sync.WaitGroup
@@ -80,9 +85,12 @@
 	registry *registry.Registry
 	loaded   bool
 	down     bool
-	vms      map[string]bool
-	count    vmCount
-	counted  int
+	// vms are the registered VMs by ID, lease the one that this VM's own
+	// registration from before a restart stands under.
+	vms     map[string]roster.VM
+	lease   follow.Lease
+	count   vmCount
+	counted int
 	// settled is set by the first rebuild after the other VMs have had time to
 	// register. The time alone would not tell that a rebuild is still due when
 	// its timer is stopped late, as after a freeze.
@@ -109,7 +117,7 @@
 // newView returns a view that knows nothing.
 func newView(c viewConfig) *view {
 	return &view{
-		c: c, registry: registry.New(registry.Config{Grace: c.Grace}), vms: map[string]bool{},
+		c: c, registry: registry.New(registry.Config{Grace: c.Grace}), vms: map[string]roster.VM{},
 		instances: map[process]*instance.Instance{}, stop: make(chan struct{}), firstRead: make(chan struct{}),
 	}
 }
@@ -130,13 +138,14 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	var ss []registry.Searcher
-	v.vms = map[string]bool{}
+	v.vms = map[string]roster.VM{}
 	for _, c := range all {
 		switch {
 		case c.Key == v.c.Decode.ConfigKey:
 			v.adopt(c.Value)
 		case strings.HasPrefix(c.Key, v.c.Decode.VMPrefix):
-			v.vms[c.Key] = true
+			v.vm(c)
+			v.recall(c)
 		case strings.HasPrefix(c.Key, v.c.Decode.SearcherPrefix):
 			if s, ok := v.searcher(c, now); ok {
 				ss = append(ss, s)
@@ -156,11 +165,27 @@
 // new may have started together with all others. The lock is held.
 func (v *view) settle(now time.Time) {
 	close(v.firstRead)
-	if v.settled = v.vms[v.c.Decode.VMPrefix+v.c.VM]; !v.settled {
+	if _, v.settled = v.vms[v.c.Self.ID]; !v.settled {
 		v.settledAt = now.Add(settleTime)
 	}
 }
 
+// recall notes the lease of this VM's own registration, if the first read finds
+// it as it would be written now: it can be renewed. The lock is held.
+func (v *view) recall(c follow.Change) {
+	if !v.loaded && v.vms[strings.TrimPrefix(c.Key, v.c.Decode.VMPrefix)] == v.c.Self {
+		v.lease = c.Lease
+	}
+}
+
+// Lease returns the lease of this VM's registration from before a restart; 0 if
+// there is none.
+func (v *view) Lease() follow.Lease {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.lease
+}
+
 // FirstRead is closed once the store has been read.
 func (v *view) FirstRead() <-chan struct{} { return v.firstRead }
 
@@ -176,11 +201,7 @@
 		case c.Key == v.c.Decode.ConfigKey && !c.Deleted:
 			v.adopt(c.Value)
 		case strings.HasPrefix(c.Key, v.c.Decode.VMPrefix):
-			if c.Deleted {
-				delete(v.vms, c.Key)
-			} else {
-				v.vms[c.Key] = true
-			}
+			v.vm(c)
 		case strings.HasPrefix(c.Key, v.c.Decode.SearcherPrefix):
 			if s, ok := v.searcher(c, now); ok {
 				v.registry.Put(s)
@@ -292,6 +313,7 @@
 		v.c.Events.Emit(event.VMsCounted, "", fmt.Sprintf("%d counted, %d registered", n, len(v.vms)))
 		v.c.OnVMs(n)
 	}
+	v.choose()
 	v.expire(now)
 	s := &forward.Snapshot{Config: v.config, Instances: map[string][]*instance.Instance{}, Built: now}
 	used := map[process]bool{}
@@ -321,10 +343,19 @@
 	}
 }
 
-// gather is how long changes are collected before they are asked for again.
-func (v *view) gather() time.Duration {
+// gather is how long changes are collected before they are asked for again;
+// direct tells that the store itself was asked. A VM that starts together with
+// all others waits until they have registered.
+func (v *view) gather(direct bool) time.Duration {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if !v.settled {
+		return time.Until(v.settledAt)
+	}
+	if v.relays() == nil || !direct {
+		return gatherLeast
+	}
+	// No relay answers, so all VMs of the domain ask the store.
 	most := time.Duration(gatherShare * float64(v.c.CatchUp))
 	return min(max(time.Duration(v.counted)*gatherPerVM, gatherLeast), most)
 }
@@ -332,7 +363,7 @@
 // conns is how many connections this VM opens to each of the given searchers.
 // The lock is held.
 func (v *view) conns(all []registry.Searcher) map[string]instance.Conns {
-	s := subset.Subset{VM: v.c.VM, Domain: v.c.Domain}
+	s := subset.Subset{VM: v.c.Self.ID, Domain: v.c.Self.Domain}
 	if v.settled {
 		s.VMs = v.counted
 	}
--- a/internal/observe/event/number.go
+++ b/internal/observe/event/number.go
@@ -44,6 +44,8 @@
 	EntryUnreadable   Number = 406
 	LeaseLost         Number = 407
 	VMsCounted        Number = 408
+	RelayChanged      Number = 409
+	RelayLost         Number = 410
 
 	ConfigAdopted  Number = 500
 	ConfigRefused  Number = 501
@@ -94,6 +96,7 @@
 	PlatformDown: "platform_down", PlatformBack: "platform_back", PlatformThrottled: "platform_throttled",
 	PlatformUnsure: "platform_unsure", VMListStale: "vm_list_stale", HistoryLost: "history_lost",
 	EntryUnreadable: "entry_unreadable", LeaseLost: "lease_lost", VMsCounted: "vms_counted",
+	RelayChanged: "relay_changed", RelayLost: "relay_lost",
 
 	ConfigAdopted: "config_adopted", ConfigRefused: "config_refused", ConfigAccepted: "config_accepted",
 	ConfigConflict: "config_conflict", ConfigUnsure: "config_unsure", ConfigFromPeer: "config_from_peer",
--- /dev/null
+++ b/internal/peer/relay/relay.go
@@ -0,0 +1,52 @@
+// Package relay answers VMs that follow the platform's store through this one.
+//
+// # Usage
+//
+//	r := relay.New(relay.Config{Log: log})
+//	err := relayrpc.DRPCRegisterRelay(server.Mux(), r)
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"egrethaven/internal/peer/relayrpc"
+	"egrethaven/internal/state/changelog"
+	"egrethaven/internal/state/follow"
+)
+
+// longestWait bounds how long one call waits here.
+const longestWait = 10 * time.Second
+
+// Config sets up a Relay.
+type Config struct {
+	// Log holds the changes that this VM has read.
+	Log *changelog.Log
+}
+
+// Relay implements the service of relay.proto.
+type Relay struct{ c Config }
+
+// New returns a relay.
+func New(c Config) *Relay { return &Relay{c: c} }
+
+// Follow answers with the changes after a revision. It is called by drpc.
+func (r *Relay) Follow(ctx context.Context, in *relayrpc.FollowRequest) (*relayrpc.FollowReply, error) {
+	wait := min(max(time.Duration(in.GetWaitMs())*time.Millisecond, 0), longestWait)
+	cs, at, err := r.c.Log.Wait(ctx, follow.Revision(in.GetAfter()), wait)
+	switch {
+	case errors.Is(err, changelog.ErrUnavailable):
+		return &relayrpc.FollowReply{Outcome: relayrpc.FollowReply_UNAVAILABLE}, nil
+	case errors.Is(err, follow.ErrCompacted):
+		return &relayrpc.FollowReply{Outcome: relayrpc.FollowReply_COMPACTED}, nil
+	case err != nil:
+		return nil, errors.Trace(err)
+	}
+	out := &relayrpc.FollowReply{Revision: int64(at), Changes: make([]*relayrpc.Change, len(cs))}
+	for i, c := range cs {
+		out.Changes[i] = &relayrpc.Change{Key: c.Key, Value: c.Value, Revision: int64(c.Revision), Deleted: c.Deleted}
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/peer/upstream/upstream.go
@@ -0,0 +1,196 @@
+// Package upstream follows the platform's store through another VM where there
+// is one that does, and by itself where there is none.
+//
+// The store prices each call, and a tier of many VMs that all watch it asks the
+// same question many times. So a few VMs of each failure domain watch the store
+// and pass on what changes. Nothing depends on them: a VM whose relay does not
+// answer in time asks the next one, and then the store, from the revision that
+// it has reached.
+//
+// # Usage
+//
+//	s := upstream.New(upstream.Config{Store: store, Log: log, Dialer: dialer, Relays: relays})
+//	f := follow.New(follow.Config{Source: s, ...})
+package upstream
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"storj.io/drpc"
+
+	"egrethaven/internal/observe/event"
+	"egrethaven/internal/peer/relayrpc"
+	"egrethaven/internal/state/changelog"
+	"egrethaven/internal/state/follow"
+)
+
+const (
+	// relayWait is how long one call waits at a relay. A relay that falls
+	// silent is noticed after it, well within the time in which a
+	// configuration has to be in force.
+	relayWait = time.Second
+	// relayTimeout bounds a call beside its wait: opening a connection to a VM
+	// that has a tenth of a core takes some tens of milliseconds.
+	relayTimeout = 400 * time.Millisecond
+	// avoidSilent is how long a relay is left alone that did not answer, and
+	// avoidDeclined one that cannot reach the store or does not follow it.
+	avoidSilent   = 5 * time.Second
+	avoidDeclined = time.Second
+)
+
+// Dialer reaches other VMs. A *rpc.Dialer is one.
+type Dialer interface {
+	Conn(ctx context.Context, addr string) (drpc.Conn, error)
+}
+
+// Config sets up an Upstream.
+type Config struct {
+	// Store is the platform's store.
+	Store follow.Source
+	// Log keeps what was read, for VMs that follow through this one.
+	Log *changelog.Log
+	// Dialer reaches the relays.
+	Dialer Dialer
+	// Relays returns the addresses of the VMs to follow through, the first
+	// choice first; none if this VM watches the store itself.
+	Relays func() []string
+	Events event.Sink
+}
+
+// Upstream is a follow.Source. It is used by one goroutine.
+type Upstream struct {
+	c Config
+
+	mu sync.Mutex
+	// avoided tells until when relays are left alone.
+	avoided map[string]time.Time
+	// through is the relay that answered last; empty for the store.
+	through string
+}
+
+var _ follow.Source = (*Upstream)(nil)
+
+// New returns an upstream.
+func New(c Config) *Upstream {
+	if c.Events == nil {
+		c.Events = event.Discard{}
+	}
+	return &Upstream{c: c, avoided: map[string]time.Time{}}
+}
+
+// Direct tells whether the store itself was asked last.
+func (u *Upstream) Direct() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.through == ""
+}
+
+// Range reads everything from the store itself.
+func (u *Upstream) Range(ctx context.Context, prefix string) ([]follow.Change, follow.Revision, error) {
+	u.use("")
+	all, at, err := u.c.Store.Range(ctx, prefix)
+	if err != nil {
+		u.c.Log.Unreachable()
+		return nil, 0, errors.Trace(err)
+	}
+	u.c.Log.Reset(all, at)
+	return all, at, nil
+}
+
+// Watch returns the changes after a revision, from a relay or from the store.
+func (u *Upstream) Watch(ctx context.Context, prefix string, after follow.Revision, wait time.Duration) ([]follow.Change, follow.Revision, error) {
+	for _, addr := range u.c.Relays() {
+		if u.avoids(addr) {
+			continue
+		}
+		cs, at, err := u.ask(ctx, addr, after)
+		if err == nil {
+			u.use(addr)
+			u.c.Log.Relayed(after, cs, at)
+			return cs, at, nil
+		}
+		if ctx.Err() != nil {
+			return nil, 0, errors.Trace(err)
+		}
+		u.avoid(addr, err)
+	}
+	u.use("")
+	cs, at, err := u.c.Store.Watch(ctx, prefix, after, wait)
+	if err != nil {
+		u.c.Log.Unreachable()
+		return nil, 0, errors.Trace(err)
+	}
+	u.c.Log.Append(after, cs, at)
+	return cs, at, nil
+}
+
+// errDeclined tells that a relay answered, but has nothing to tell.
+const errDeclined = errors.ConstError("the relay does not follow the store")
+
+// ask asks a relay.
+func (u *Upstream) ask(ctx context.Context, addr string, after follow.Revision) ([]follow.Change, follow.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, relayWait+relayTimeout)
+	defer cancel()
+	c, err := u.c.Dialer.Conn(ctx, addr)
+	if err != nil {
+		return nil, 0, errors.Trace(err)
+	}
+	defer func() { _ = c.Close() }()
+	out, err := relayrpc.NewDRPCRelayClient(c).Follow(ctx, &relayrpc.FollowRequest{After: int64(after), WaitMs: relayWait.Milliseconds()})
+	switch {
+	case err != nil:
+		return nil, 0, errors.Trace(err)
+	case out.GetOutcome() != relayrpc.FollowReply_FOLLOWED:
+		return nil, 0, errors.WithType(errors.New(out.GetOutcome().String()), errDeclined)
+	}
+	cs := make([]follow.Change, 0, len(out.GetChanges()))
+	for _, c := range out.GetChanges() {
+		if c.GetKey() != "" {
+			cs = append(cs, follow.Change{Key: c.GetKey(), Value: c.GetValue(), Revision: follow.Revision(c.GetRevision()), Deleted: c.GetDeleted()})
+		}
+	}
+	return cs, max(after, follow.Revision(out.GetRevision())), nil
+}
+
+// avoids tells whether a relay is left alone.
+func (u *Upstream) avoids(addr string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return time.Now().Before(u.avoided[addr])
+}
+
+// avoid leaves a relay alone for a while, not for the same time on all VMs.
+func (u *Upstream) avoid(addr string, why error) {
+	d := avoidSilent
+	if errors.Is(why, errDeclined) {
+		d = avoidDeclined
+	}
+	d += rand.N(d / 2)
+	u.c.Events.Emit(event.RelayLost, addr, why.Error()+"; left alone for "+d.Round(time.Millisecond).String())
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.avoided[addr] = time.Now().Add(d)
+}
+
+// use notes whom the VM follows.
+func (u *Upstream) use(addr string) {
+	u.mu.Lock()
+	old := u.through
+	u.through = addr
+	u.mu.Unlock()
+	if old != addr {
+		u.c.Events.Emit(event.RelayChanged, addr, "followed before: "+orStore(old))
+	}
+}
+
+// orStore names what is followed.
+func orStore(addr string) string {
+	if addr == "" {
+		return "the store"
+	}
+	return addr
+}
--- a/internal/state/follow/follow.go
+++ b/internal/state/follow/follow.go
@@ -8,7 +8,7 @@
 //
 // # Usage
 //
-//	f := follow.New(follow.Config{Store: s, Prefix: "", Handler: h})
+//	f := follow.New(follow.Config{Source: s, Prefix: "", Handler: h})
 //	f.Run(ctx)
 package follow
 
@@ -44,15 +44,24 @@
 	Key      string
 	Value    []byte
 	Revision Revision
-	Deleted  bool
+	// Lease is the lease with which the entry vanishes; 0 for none. It is known
+	// from full reads only.
+	Lease   Lease
+	Deleted bool
 }
 
-// Store is the part of the platform's store that is used.
-type Store interface {
+// Source is what can be followed: the store, or a VM that passes its changes
+// on.
+type Source interface {
 	// Range reads all entries under a prefix, up to date.
 	Range(ctx context.Context, prefix string) ([]Change, Revision, error)
 	// Watch waits for changes after a revision; none if the wait is over.
 	Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) ([]Change, Revision, error)
+}
+
+// Store is the part of the platform's store that is used.
+type Store interface {
+	Source
 	Grant(ctx context.Context, ttl time.Duration) (Lease, error)
 	Keep(ctx context.Context, l Lease) error
 	Put(ctx context.Context, key string, value []byte, l Lease) error
@@ -83,7 +92,7 @@
 
 // Config sets up a Follower.
 type Config struct {
-	Store   Store
+	Source  Source
 	Prefix  string
 	Handler Handler
 	Events  event.Sink
@@ -147,15 +156,15 @@
 // step makes one call: the first read, or a watch.
 func (f *Follower) step(ctx context.Context) (changed bool, err error) {
 	if f.at == 0 {
-		all, at, err := f.c.Store.Range(ctx, f.c.Prefix)
+		all, at, err := f.c.Source.Range(ctx, f.c.Prefix)
 		if err != nil {
 			return false, errors.Trace(err)
 		}
 		f.c.Handler.Replace(time.Now(), all)
 		f.at = at
-		return false, nil
+		return true, nil
 	}
-	cs, at, err := f.c.Store.Watch(ctx, f.c.Prefix, f.at, f.c.Wait)
+	cs, at, err := f.c.Source.Watch(ctx, f.c.Prefix, f.at, f.c.Wait)
 	if err != nil {
 		return false, errors.Trace(err)
 	}
--- a/internal/state/follow/follow_test.go
+++ b/internal/state/follow/follow_test.go
@@ -153,7 +153,7 @@
 				s := &fakeStore{rev: 7, changed: make(chan struct{}), forgetful: c.forgetful}
 				m := &mirror{}
 				ctx, cancel := context.WithCancel(t.Context())
-				f := follow.New(follow.Config{Store: s, Handler: m})
+				f := follow.New(follow.Config{Source: s, Handler: m})
 				go f.Run(ctx)
 				time.Sleep(time.Minute + 10*time.Millisecond)
 				c.play(s)
@@ -176,7 +176,7 @@
 func TestQuietStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &fakeStore{rev: 7, changed: make(chan struct{})}
-		f := follow.New(follow.Config{Store: s, Handler: &mirror{}, Wait: 4 * time.Second})
+		f := follow.New(follow.Config{Source: s, Handler: &mirror{}, Wait: 4 * time.Second})
 		ctx, cancel := context.WithTimeout(t.Context(), 59*time.Second)
 		defer cancel()
 		f.Run(ctx)
@@ -297,7 +297,7 @@
 			m := newModel()
 			m.write("a", false)
 			ctx, cancel := context.WithCancel(t.Context())
-			f := follow.New(follow.Config{Store: m, Handler: m})
+			f := follow.New(follow.Config{Source: m, Handler: m})
 			go f.Run(ctx)
 			for _, s := range steps {
 				time.Sleep(s.after)
--- a/internal/state/gatewaysettings/settings.go
+++ b/internal/state/gatewaysettings/settings.go
@@ -30,6 +30,8 @@
 	Clients string
 	Ready   string
 	Metrics string
+	// Peers is the address for other VMs; empty if there is none.
+	Peers string
 	// Store is the address of the platform's store.
 	Store string
 	// EntryGrace is how long searchers stay that are missing in the store
@@ -49,6 +51,9 @@
 	// MemoryMB is the memory that the process may use, in megabytes.
 	MemoryMB int
 	Cores    int
+	// LinkMbps is the bandwidth of the VM's network link, in megabits a
+	// second.
+	LinkMbps float64
 	LogLevel settings.LogLevel
 }
 
--- /dev/null
+++ b/internal/state/roster/roster_test.go
@@ -0,0 +1,63 @@
+package roster_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	_ "egrethaven/internal/proof/fixedseed"
+	"egrethaven/internal/state/roster"
+)
+
+// TestRelays draws deployments: in each failure domain one or two VMs watch the
+// store, all others of the domain follow through exactly these, and no VM with
+// a narrower link is chosen before one with a wider link.
+func TestRelays(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		vms := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) roster.VM {
+			return roster.VM{ID: fmt.Sprint("front-", rapid.IntRange(0, 1<<20).Draw(rt, "id")), Domain: rapid.SampledFrom([]string{"a", "b"}).Draw(rt, "domain"),
+				Peers: rapid.SampledFrom([]string{"", "127.0.0.1:1"}).Draw(rt, "peers"), LinkMbps: float64(rapid.SampledFrom([]int{14, 140}).Draw(rt, "link"))}
+		}), 1, 40).Draw(rt, "vms")
+		slices.SortFunc(vms, func(a, b roster.VM) int { return len(a.ID) - len(b.ID) })
+		vms = slices.CompactFunc(vms, func(a, b roster.VM) bool { return a.ID == b.ID })
+		for _, self := range vms {
+			relays := roster.Relays(vms, self)
+			for _, r := range relays {
+				if r.Domain != self.Domain || r.Peers == "" || r.ID == self.ID {
+					rt.Fatalf("%+v follows %+v", self, r)
+				}
+				if len(roster.Relays(vms, r)) != 0 {
+					rt.Fatalf("%s is asked, but follows others", r.ID)
+				}
+			}
+			for _, o := range vms {
+				if len(relays) == 0 || o.Domain != self.Domain || o.Peers == "" || slices.Contains(relays, o) {
+					continue
+				}
+				for _, r := range relays {
+					if r.LinkMbps < o.LinkMbps {
+						rt.Fatalf("%+v watches for others, not %+v", r, o)
+					}
+				}
+			}
+			if len(relays) > 2 {
+				rt.Fatalf("%d relays", len(relays))
+			}
+		}
+	})
+}
+
+// TestDecode reads back what a VM registers, and refuses what is none.
+func TestDecode(t *testing.T) {
+	v := roster.VM{ID: "front-1", Domain: "sapporo", Peers: "10.1.0.39:7740", LinkMbps: 14}
+	if got, err := roster.Decode("front-1", v.Encode()); err != nil || got != v {
+		t.Errorf("%+v, %v", got, err)
+	}
+	for _, bad := range []string{"", "sapporo", `{"peers":"front-1:7740"}`, `{"domain":7}`} {
+		if v, err := roster.Decode("x", []byte(bad)); err == nil {
+			t.Errorf("%s is read as %+v", bad, v)
+		}
+	}
+}
