Let the VMs of a large tier tell each other what they see of searchers

Cause: a VM of the grown sites sends a searcher one request in some seconds. It cannot tell a slow searcher from one that paused, and meets each slow one itself before it knows.

Change: each VM tells its relay four times a second how long its requests took over what is usual, those still under way included, and hears which searchers do not do as usual (scoreboard, pure, played with the load of a failure domain). While that works, an own slow answer fades within a second; what others saw lasts for seconds, not equally long on all VMs, so that few of them try first. Without it a VM goes by what it sees, as before. Domains of fewer than seven VMs share nothing.

--- a/internal/back/instance/instance.go
+++ b/internal/back/instance/instance.go
@@ -15,6 +15,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -23,6 +24,7 @@
 	"github.com/juju/errors"
 
 	"egrethaven/internal/back/conn"
+	"egrethaven/internal/back/scoreboard"
 	"egrethaven/internal/observe/event"
 	"egrethaven/internal/state/registry"
 )
@@ -36,6 +38,9 @@
 	// learnTime how long after the last one it counts for two thirds.
 	gain      = 0.1
 	learnTime = time.Second
+	// overdueFactor, times the usual service time, is when a request that is
+	// still under way is told of.
+	overdueFactor = 3
 	// mostFactor bounds how much one slow answer counts.
 	mostFactor = 20
 	// fadeTime is how long after the last answer the learnt speed counts half,
@@ -45,6 +50,16 @@
 	fadeTime     = 500 * time.Millisecond
 	failuresFade = 5 * time.Second
 	reportAge    = 250 * time.Millisecond
+	// While VMs tell each other what they see, each own answer says little, as
+	// it may have met a pause: ownFade is the time in which it fades to a third.
+	// sharedFresh is how long after it was heard what others see counts.
+	ownFade     = 300 * time.Millisecond
+	sharedFresh = 1500 * time.Millisecond
+	// patienceLeast and patienceMost bound how long after the last observation
+	// what others saw counts half. It differs between VMs, so that few of them
+	// try a searcher first that was slow.
+	patienceLeast = 300 * time.Millisecond
+	patienceMost  = 3 * time.Second
 	// suspectFactor, in usual service times, and suspectLeast bound how long
 	// a searcher may answer nothing while requests are under way before it is
 	// taken to be out of reach. Searchers pause for a tenth of a second.
@@ -100,6 +115,9 @@
 type Config struct {
 	Searcher registry.Searcher
 	Conns    Conns
+	// Observe is told how many times as long as usual each request took, and
+	// whether it failed; nil for none.
+	Observe func(ratio float64, failed bool)
 	// Events takes what becomes of connections; nil drops it.
 	Events event.Sink
 	// Dial opens network connections; nil is conn.DialTCP.
@@ -147,6 +165,8 @@
 	redial   time.Duration
 	redialAt time.Time
 	draining bool
+	// patience is between patienceLeast and patienceMost.
+	patience time.Duration
 	v        view
 }
 
@@ -162,6 +182,10 @@
 	suspend   time.Duration
 	// lastEnd is when the last answer came.
 	lastEnd time.Time
+	// shared is what other VMs have seen, sharedAt when it was heard and seenAt
+	// when they saw it last.
+	shared           scoreboard.Score
+	sharedAt, seenAt time.Time
 	// misdirected is set when another searcher answers at the address.
 	misdirected bool
 	dialFailed  bool
@@ -172,7 +196,11 @@
 	if c.Events == nil {
 		c.Events = event.Discard{}
 	}
-	i := &Instance{c: c, s: c.Searcher, sends: map[*Send]struct{}{}, v: view{factor: 1}}
+	if c.Observe == nil {
+		c.Observe = func(float64, bool) {}
+	}
+	i := &Instance{c: c, s: c.Searcher, sends: map[*Send]struct{}{}, v: view{factor: 1},
+		patience: patienceLeast + rand.N(patienceMost-patienceLeast)}
 	i.ctx, i.stop = context.WithCancel(context.Background())
 	i.mu.Lock()
 	defer i.mu.Unlock()
--- a/internal/back/instance/observe.go
+++ b/internal/back/instance/observe.go
@@ -5,6 +5,7 @@
 	"math"
 	"time"
 
+	"egrethaven/internal/back/scoreboard"
 	"egrethaven/internal/observe/event"
 	"egrethaven/internal/query/placement"
 )
@@ -29,6 +30,7 @@
 // Learn takes what became of a request. usual is the service time of its
 // kind over all searchers, 0 if unknown.
 func (i *Instance) Learn(v Verdict, elapsed, usual time.Duration) {
+	i.observe(v, elapsed, usual)
 	now := time.Now()
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -64,6 +66,44 @@
 	i.v.lastEnd = now
 }
 
+// observe tells other VMs what became of a request.
+func (i *Instance) observe(v Verdict, elapsed, usual time.Duration) {
+	switch {
+	case v == Misdirected || usual <= 0:
+	case v == Silent:
+		i.c.Observe(mostFactor, true)
+	default:
+		i.c.Observe(min(float64(elapsed)/float64(usual), mostFactor), v != Served)
+	}
+}
+
+// Overdue tells other VMs of a request that is under way for longer than usual.
+func (i *Instance) Overdue(elapsed, usual time.Duration) {
+	if usual > 0 && elapsed > overdueFactor*usual {
+		i.c.Observe(min(float64(elapsed)/float64(usual), mostFactor), false)
+	}
+}
+
+// Hear takes what all VMs have seen of the searcher.
+func (i *Instance) Hear(now time.Time, s scoreboard.Score) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.v.shared, i.v.sharedAt, i.v.seenAt = s, now, now.Add(-s.Age)
+}
+
+// speed returns how much slower the searcher is than others, and the share of
+// its requests that fail: what this VM saw, and what others saw if they tell.
+// The lock is held.
+func (i *Instance) speed(now time.Time) (factor, failures float64) {
+	since := now.Sub(i.v.lastEnd)
+	if now.Sub(i.v.sharedAt) > sharedFresh {
+		return 1 + (i.v.factor-1)*fading(since, fadeTime), i.v.failures * fading(since, failuresFade)
+	}
+	own := math.Exp(-float64(since) / float64(ownFade))
+	theirs := fading(now.Sub(i.v.seenAt), i.patience)
+	return 1 + max((i.v.factor-1)*own, (i.v.shared.Factor-1)*theirs), max(i.v.failures*own, i.v.shared.Failures*theirs)
+}
+
 // weight is how much a new observation counts when the last one was made d
 // ago. A VM of a large tier sees a searcher every few seconds only, and has to
 // learn from one answer.
@@ -120,12 +160,11 @@
 		Conns:    max(i.c.Conns.Most, 1),
 		Age:      now.Sub(i.v.loadAt),
 		Usual:    usual,
-		Factor:   1 + (i.v.factor-1)*fading(now.Sub(i.v.lastEnd), fadeTime),
-		Failures: i.v.failures * fading(now.Sub(i.v.lastEnd), failuresFade),
 		Cold:     now.Before(i.s.ColdUntil),
 		Suspect:  now.Before(i.v.suspended) || i.v.silent > 0 && len(i.sends) > 0,
 		NoConn:   len(i.idle) == 0,
 	}
+	c.Factor, c.Failures = i.speed(now)
 	if c.Age < reportAge {
 		c.Waiting = i.v.load.Waiting
 	}
--- a/internal/node/gateway/peers.go
+++ b/internal/node/gateway/peers.go
@@ -7,10 +7,12 @@
 
 	"github.com/juju/errors"
 
+	"egrethaven/internal/back/scoreboard"
 	"egrethaven/internal/observe/event"
 	"egrethaven/internal/peer/relay"
 	"egrethaven/internal/peer/relayrpc"
 	"egrethaven/internal/peer/rpc"
+	"egrethaven/internal/peer/sharing"
 	"egrethaven/internal/peer/upstream"
 	"egrethaven/internal/state/changelog"
 	"egrethaven/internal/state/follow"
@@ -22,6 +24,10 @@
 	// asked are in the same failure domain, a fraction of a millisecond away;
 	// the rest is for a VM with little processor time.
 	peerDialTimeout = 300 * time.Millisecond
+	// shareLeast is how many VMs a failure domain has to have for them to tell
+	// each other what they see of searchers. Fewer see each searcher many times
+	// a second by themselves.
+	shareLeast = 7
 	// freshSlack is how long a watch may take beyond its wait before what this
 	// VM knows of the store is no longer passed on.
 	freshSlack = time.Second
@@ -32,6 +38,7 @@
 	server   *rpc.Server
 	dialer   *rpc.Dialer
 	upstream *upstream.Upstream
+	sharing  *sharing.Sharing
 }
 
 // newPeers listens for other VMs, if the settings name an address for it.
@@ -39,6 +46,10 @@
 	p := &peers{dialer: rpc.NewDialer(rpc.DialerConfig{Timeout: peerDialTimeout})}
 	log := changelog.New(changelog.Config{Fresh: watchWait + freshSlack})
 	p.upstream = upstream.New(upstream.Config{Store: store, Log: log, Dialer: p.dialer, Relays: v.relays, Events: events})
+	board := scoreboard.New()
+	p.sharing = sharing.New(sharing.Config{Dialer: p.dialer, Board: board, Heard: v.hear, Events: events,
+		Relay: func() (string, bool) { return p.gatherer(v) }})
+	v.observe = p.sharing.Observe
 	if listen == "" {
 		return p, nil
 	}
@@ -46,7 +57,20 @@
 	if p.server, err = rpc.NewServer(rpc.ServerConfig{Listen: listen, Known: v.knows, Events: events}); err != nil {
 		return p, errors.Trace(err)
 	}
-	return p, errors.Trace(relayrpc.DRPCRegisterRelay(p.server.Mux(), relay.New(relay.Config{Log: log})))
+	return p, errors.Trace(relayrpc.DRPCRegisterRelay(p.server.Mux(), relay.New(relay.Config{Log: log, Board: board})))
+}
+
+// gatherer returns the address of the VM that gathers what this one sees of
+// searchers; empty if it does so itself. It reports false if nobody does.
+func (p *peers) gatherer(v *view) (string, bool) {
+	if !v.shares.Load() {
+		return "", false
+	}
+	if v.relays() == nil {
+		return "", true
+	}
+	addr := p.upstream.Through()
+	return addr, addr != ""
 }
 
 // serve begins to answer other VMs.
@@ -95,10 +119,29 @@
 	for _, r := range roster.Relays(vms, v.c.Self) {
 		addrs = append(addrs, r.Peers)
 	}
+	v.shares.Store(v.c.Self.Peers != "" && roster.Peers(vms, v.c.Self.Domain) >= shareLeast)
 	v.relayAddrs.Store(&addrs)
 	v.known.Store(&known)
 }
 
+// hear takes what the VMs of the domain have seen of searchers.
+func (v *view) hear(now time.Time, scores []scoreboard.Score) {
+	by := make(map[scoreboard.Searcher]scoreboard.Score, len(scores))
+	for _, s := range scores {
+		by[s.Searcher] = s
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for p, i := range v.instances {
+		name := scoreboard.Searcher{ID: p.id, Born: p.born}
+		s, ok := by[name]
+		if !ok {
+			s = scoreboard.Score{Searcher: name, Factor: 1}
+		}
+		i.Hear(now, s)
+	}
+}
+
 // relays returns the addresses of the VMs through which this one follows the
 // store; none if it watches the store itself.
 func (v *view) relays() []string {
--- a/internal/node/gateway/view.go
+++ b/internal/node/gateway/view.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"egrethaven/internal/back/instance"
+	"egrethaven/internal/back/scoreboard"
 	"egrethaven/internal/back/subset"
 	"egrethaven/internal/observe/event"
 	"egrethaven/internal/query/forward"
@@ -77,7 +78,12 @@
 	// relayAddrs and known are what follows from the registered VMs.
 	relayAddrs atomic.Pointer[[]string]
 	known      atomic.Pointer[map[netip.Addr]bool]
-	confirmed  atomic.Pointer[time.Time]
+	// shares tells whether the VMs of the domain tell each other what they see
+	// of searchers, and observe takes what this one sees; it is set once, before
+	// there are searchers.
+	shares    atomic.Bool
+	observe   func(s scoreboard.Searcher, ratio float64, failed bool)
+	confirmed atomic.Pointer[time.Time]
 
 	mu       sync.Mutex
 	wg       sync.WaitGroup
@@ -119,6 +125,7 @@
 	return &view{
 		c: c, registry: registry.New(registry.Config{Grace: c.Grace}), vms: map[string]roster.VM{},
 		instances: map[process]*instance.Instance{}, stop: make(chan struct{}), firstRead: make(chan struct{}),
+		observe: func(scoreboard.Searcher, float64, bool) {},
 	}
 }
 
@@ -325,7 +332,9 @@
 		i := v.instances[p]
 		if i == nil {
 			v.c.Events.Emit(event.SearcherFound, e.ID, e.Service+" at "+e.Addr)
-			i = instance.New(instance.Config{Searcher: e, Conns: conns[e.ID], Events: v.c.Events})
+			name := scoreboard.Searcher{ID: e.ID, Born: e.Born}
+			i = instance.New(instance.Config{Searcher: e, Conns: conns[e.ID], Events: v.c.Events,
+				Observe: func(ratio float64, failed bool) { v.observe(name, ratio, failed) }})
 			v.instances[p] = i
 		} else {
 			i.Update(e, conns[e.ID])
--- a/internal/observe/event/number.go
+++ b/internal/observe/event/number.go
@@ -46,6 +46,7 @@
 	VMsCounted        Number = 408
 	RelayChanged      Number = 409
 	RelayLost         Number = 410
+	SharingFailed     Number = 411
 
 	ConfigAdopted  Number = 500
 	ConfigRefused  Number = 501
@@ -96,7 +97,7 @@
 	PlatformDown: "platform_down", PlatformBack: "platform_back", PlatformThrottled: "platform_throttled",
 	PlatformUnsure: "platform_unsure", VMListStale: "vm_list_stale", HistoryLost: "history_lost",
 	EntryUnreadable: "entry_unreadable", LeaseLost: "lease_lost", VMsCounted: "vms_counted",
-	RelayChanged: "relay_changed", RelayLost: "relay_lost",
+	RelayChanged: "relay_changed", RelayLost: "relay_lost", SharingFailed: "sharing_failed",
 
 	ConfigAdopted: "config_adopted", ConfigRefused: "config_refused", ConfigAccepted: "config_accepted",
 	ConfigConflict: "config_conflict", ConfigUnsure: "config_unsure", ConfigFromPeer: "config_from_peer",
--- a/internal/peer/relay/relay.go
+++ b/internal/peer/relay/relay.go
@@ -1,8 +1,9 @@
-// Package relay answers VMs that follow the platform's store through this one.
+// Package relay answers VMs that follow the platform's store through this one,
+// and gathers what they see of searchers.
 //
 // # Usage
 //
-//	r := relay.New(relay.Config{Log: log})
+//	r := relay.New(relay.Config{Log: log, Board: board})
 //	err := relayrpc.DRPCRegisterRelay(server.Mux(), r)
 package relay
 
@@ -12,6 +13,7 @@
 
 	"github.com/juju/errors"
 
+	"egrethaven/internal/back/scoreboard"
 	"egrethaven/internal/peer/relayrpc"
 	"egrethaven/internal/state/changelog"
 	"egrethaven/internal/state/follow"
@@ -24,6 +26,8 @@
 type Config struct {
 	// Log holds the changes that this VM has read.
 	Log *changelog.Log
+	// Board takes what VMs have seen of searchers.
+	Board *scoreboard.Board
 }
 
 // Relay implements the service of relay.proto.
@@ -50,3 +54,19 @@
 	}
 	return out, nil
 }
+
+// Share takes what a VM has seen of searchers and answers with what all have
+// seen. It is called by drpc.
+func (r *Relay) Share(_ context.Context, in *relayrpc.ShareRequest) (*relayrpc.ShareReply, error) {
+	now := time.Now()
+	for _, o := range in.GetObservations() {
+		r.c.Board.Add(now, scoreboard.Observation{Searcher: scoreboard.Searcher{ID: o.GetSearcher(), Born: o.GetBorn()},
+			Answers: int(o.GetAnswers()), Ratios: o.GetRatios(), Failures: int(o.GetFailures())})
+	}
+	out := &relayrpc.ShareReply{}
+	for _, s := range r.c.Board.Scores(now) {
+		out.Scores = append(out.Scores, &relayrpc.Score{Searcher: s.Searcher.ID, Born: s.Searcher.Born,
+			Factor: s.Factor, Failures: s.Failures, AgeMs: s.Age.Milliseconds()})
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/peer/sharing/sharing.go
@@ -0,0 +1,155 @@
+// Package sharing tells what this VM sees of searchers to the VM through which
+// it follows the store, and hears from there what all have seen.
+//
+// # Usage
+//
+//	s := sharing.New(sharing.Config{Dialer: dialer, Board: board, Relay: relay, Heard: heard})
+//	s.Observe(searcher, 7.5, false)
+//	s.Run(ctx)
+package sharing
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"storj.io/drpc"
+
+	"egrethaven/internal/back/scoreboard"
+	"egrethaven/internal/observe/event"
+	"egrethaven/internal/peer/relayrpc"
+	"egrethaven/internal/platform/pause"
+)
+
+const (
+	// interval is the time between two calls, by which a slow searcher is known
+	// to all VMs: a call costs each of them about a tenth of a millisecond.
+	interval = 250 * time.Millisecond
+	// timeout bounds one call.
+	timeout = 400 * time.Millisecond
+	// pauseFailed is the wait after a call that failed.
+	pauseFailed = 2 * time.Second
+)
+
+// Dialer reaches other VMs. A *rpc.Dialer is one.
+type Dialer interface {
+	Conn(ctx context.Context, addr string) (drpc.Conn, error)
+}
+
+// Config sets up a Sharing.
+type Config struct {
+	Dialer Dialer
+	// Board is this VM's own, for what it and others see if it is the one that
+	// gathers.
+	Board *scoreboard.Board
+	// Relay returns the address of the VM to tell; empty if this one gathers.
+	// It reports false while nothing is shared.
+	Relay func() (addr string, ok bool)
+	// Heard is told how searchers do. Those that are not named do as usual.
+	Heard  func(now time.Time, scores []scoreboard.Score)
+	Events event.Sink
+}
+
+// Sharing collects what this VM sees. It is safe for concurrent use.
+type Sharing struct {
+	c  Config
+	mu sync.Mutex
+	// seen is what was not told yet.
+	seen map[scoreboard.Searcher]*scoreboard.Observation
+}
+
+// New returns a sharing without observations.
+func New(c Config) *Sharing {
+	if c.Events == nil {
+		c.Events = event.Discard{}
+	}
+	return &Sharing{c: c, seen: map[scoreboard.Searcher]*scoreboard.Observation{}}
+}
+
+// Observe notes that a request to a searcher took ratio times as long as usual,
+// or failed.
+func (s *Sharing) Observe(name scoreboard.Searcher, ratio float64, failed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o := s.seen[name]
+	if o == nil {
+		o = &scoreboard.Observation{Searcher: name}
+		s.seen[name] = o
+	}
+	o.Answers++
+	o.Ratios += ratio
+	if failed {
+		o.Failures++
+	}
+}
+
+// Run shares until ctx ends.
+func (s *Sharing) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		d := interval
+		if err := s.step(ctx); err != nil && ctx.Err() == nil {
+			s.c.Events.Emit(event.SharingFailed, "", err.Error())
+			d = pauseFailed
+		}
+		pause.Sleep(ctx, d)
+	}
+}
+
+// step tells and hears once.
+func (s *Sharing) step(ctx context.Context) error {
+	addr, ok := s.c.Relay()
+	seen := s.take()
+	if !ok {
+		return nil
+	}
+	if addr == "" {
+		now := time.Now()
+		for _, o := range seen {
+			s.c.Board.Add(now, *o)
+		}
+		s.c.Heard(now, s.c.Board.Scores(now))
+		return nil
+	}
+	scores, err := s.call(ctx, addr, seen)
+	if err != nil {
+		return errors.Annotatef(err, "telling %s", addr)
+	}
+	s.c.Heard(time.Now(), scores)
+	return nil
+}
+
+// take returns what was not told yet.
+func (s *Sharing) take() map[scoreboard.Searcher]*scoreboard.Observation {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	seen := s.seen
+	s.seen = make(map[scoreboard.Searcher]*scoreboard.Observation, len(seen))
+	return seen
+}
+
+// call tells another VM and returns what it knows.
+func (s *Sharing) call(ctx context.Context, addr string, seen map[scoreboard.Searcher]*scoreboard.Observation) ([]scoreboard.Score, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	c, err := s.c.Dialer.Conn(ctx, addr)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	defer func() { _ = c.Close() }()
+	in := &relayrpc.ShareRequest{Observations: make([]*relayrpc.Observation, 0, len(seen))}
+	for name, o := range seen {
+		in.Observations = append(in.Observations, &relayrpc.Observation{Searcher: name.ID, Born: name.Born,
+			Answers: int64(o.Answers), Failures: int64(o.Failures), Ratios: o.Ratios})
+	}
+	out, err := relayrpc.NewDRPCRelayClient(c).Share(ctx, in)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	scores := make([]scoreboard.Score, 0, len(out.GetScores()))
+	for _, x := range out.GetScores() {
+		scores = append(scores, scoreboard.Score{Searcher: scoreboard.Searcher{ID: x.GetSearcher(), Born: x.GetBorn()},
+			Factor: x.GetFactor(), Failures: x.GetFailures(), Age: time.Duration(x.GetAgeMs()) * time.Millisecond})
+	}
+	return scores, nil
+}
--- a/internal/peer/upstream/upstream.go
+++ b/internal/peer/upstream/upstream.go
@@ -82,11 +82,12 @@
 	return &Upstream{c: c, avoided: map[string]time.Time{}}
 }
 
-// Direct tells whether the store itself was asked last.
-func (u *Upstream) Direct() bool {
+// Through returns the address of the relay that answered last; empty if the
+// store itself was asked.
+func (u *Upstream) Through() string {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.through == ""
+	return u.through
 }
 
 // Range reads everything from the store itself.
--- a/internal/peer/upstream/upstream_test.go
+++ b/internal/peer/upstream/upstream_test.go
@@ -122,7 +122,7 @@
 			r.read(t)
 			r.store.set(func() { r.store.at = 2 })
 			r.watch(t, 1)
-			if cs, at := v.watch(t, 1); len(cs) != 1 || cs[0].Key != "k" || string(cs[0].Value) != "v" || at != 2 || v.up.Direct() {
+			if cs, at := v.watch(t, 1); len(cs) != 1 || cs[0].Key != "k" || string(cs[0].Value) != "v" || at != 2 || v.up.Through() == "" {
 				t.Errorf("through the relay: %+v up to %d", cs, at)
 			}
 			if n := v.store.calls.Load(); n != 0 {
@@ -132,7 +132,7 @@
 			// A relay without the store fails here, and is meant to.
 			_, _, _ = r.up.Watch(t.Context(), "", 2, 0)
 			v.store.set(func() { v.store.at = 3 })
-			if cs, at := v.watch(t, 2); len(cs) != 1 || at != 3 || !v.up.Direct() {
+			if cs, at := v.watch(t, 2); len(cs) != 1 || at != 3 || v.up.Through() != "" {
 				t.Errorf("without the relay: %+v up to %d", cs, at)
 			}
 		})
@@ -177,7 +177,7 @@
 	r, v := newVM(t), newVM(t)
 	v.relays = []string{r.server.Addr()}
 	r.read(t)
-	if cs, at := v.watch(t, 4); len(cs) != 0 || at != 4 || v.up.Direct() || v.store.calls.Load() != 0 {
+	if cs, at := v.watch(t, 4); len(cs) != 0 || at != 4 || v.up.Through() == "" || v.store.calls.Load() != 0 {
 		t.Errorf("%+v up to %d", cs, at)
 	}
 }
--- a/internal/query/forward/run.go
+++ b/internal/query/forward/run.go
@@ -167,9 +167,11 @@
 // leave gives up what is still under way: requests that were not sent are
 // withdrawn, the others are left until a time.
 func (x *run) leave(until time.Time) {
+	now := time.Now()
 	for _, p := range x.parts {
 		for _, f := range p.flights {
 			if !f.settled && !f.send.Withdraw() {
+				f.at.Overdue(now.Sub(f.began), x.usual)
 				x.e.leftover.add(f, until)
 			}
 		}
--- a/internal/state/roster/roster.go
+++ b/internal/state/roster/roster.go
@@ -68,12 +68,7 @@
 // first; none if it watches the store itself. VMs with the widest links are
 // chosen to watch.
 func Relays(vms []VM, self VM) []VM {
-	var own []VM
-	for _, v := range vms {
-		if v.Domain == self.Domain && v.Peers != "" {
-			own = append(own, v)
-		}
-	}
+	own := reachable(vms, self.Domain)
 	slices.SortFunc(own, func(a, b VM) int {
 		return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(hash(b.ID), hash(a.ID)), cmp.Compare(a.ID, b.ID))
 	})
@@ -90,5 +85,19 @@
 	return relays
 }
 
+// Peers returns how many VMs of a domain take calls of others.
+func Peers(vms []VM, domain string) int { return len(reachable(vms, domain)) }
+
+// reachable returns the VMs of a domain that take calls of others.
+func reachable(vms []VM, domain string) []VM {
+	var own []VM
+	for _, v := range vms {
+		if v.Domain == domain && v.Peers != "" {
+			own = append(own, v)
+		}
+	}
+	return own
+}
+
 // hash orders VMs without regard to their names.
 func hash(s string) uint64 { return xxhash.Sum64String(s) }
