Hedge early enough for the objective

Cause: the delay before a hedge is the ninetieth percentile of what this VM saw of a route.

Change: a send is hedged at the latest one and a half usual service times and the opening of a connection before the objective.

--- a/internal/query/forward/run.go
+++ b/internal/query/forward/run.go
@@ -22,10 +22,11 @@
 	// answers come within it, and closing their connections would cost the
 	// searchers more. Work that lasts longer is ended.
 	goneGrace = 200 * time.Millisecond
-	// lastHedgeFactor, times the delay of a hedge, is how long before the
-	// objective a send is hedged at the latest: nine of ten answers take no
-	// longer than that delay, and a connection may have to be opened.
+	// lastHedgeFactor, times the usual service time, and connectTime are how
+	// long before the objective a send is hedged at the latest: a connection may
+	// have to be opened, which takes a searcher some milliseconds.
 	lastHedgeFactor = 1.5
+	connectTime     = 10 * time.Millisecond
 	// headSize is room for the common part of a send, in bytes, and sendSize
 	// for the lines that each send adds.
 	headSize = 512
@@ -80,7 +81,10 @@
 		x.cut = t
 	}
 	x.usual, x.hedge = x.kind.expect(q.Arrived)
-	x.lastHedge = x.cut.Add(-time.Duration(lastHedgeFactor * float64(x.hedge)))
+	x.lastHedge = x.cut.Add(-time.Duration(lastHedgeFactor*float64(x.usual)) - connectTime)
+	// Few requests say little of how long most take. A hedge that comes too
+	// late is worth nothing.
+	x.hedge = min(x.hedge, max(x.lastHedge.Sub(q.Arrived), x.usual))
 	services := r.Shards
 	if !r.FansOut() {
 		services = []string{e.service(s.Config.Version, r)}
