Pool the extra sends of the VMs that follow one relay

A VM of 91 has two or three extra sends to a service in ten seconds, so one runs out by chance while others use none; all together hedged 8 % of the requests, where a fifth and 222 are allowed.

Change: with each report to the relay a VM tells what it has sent to each service within the window. While the group is below 0.6 of its part of the bound, a VM may use four times its own allowance; above, nobody hedges. A process in its first window, and a VM without a relay, keep to their own part as before. What a VM reports is its whole window, so a new relay knows all at the first report.

--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -47,6 +47,10 @@
 	// divided among the VMs; the rest is for VMs that are not counted yet and
 	// for those that start anew within a window.
 	allowanceShare = 0.5
+	// groupShare is the part of the allowance that groups of VMs divide which tell
+	// each other what they send. The rest is for VMs that start anew within a
+	// window and have the part of a single VM again.
+	groupShare = 0.75
 	// watchShare is the part of the time to catch up with the store for which
 	// one watch waits; the rest is for the read that may have to follow.
 	watchShare = 0.8
@@ -134,7 +138,8 @@
 	}); err != nil {
 		return errors.Trace(err)
 	}
-	if g.peers, err = newPeers(s.Peers, g.c.Store, watchWait(s), g.view, g.log); err != nil {
+	if g.peers, err = newPeers(peersConfig{Listen: s.Peers, Store: g.c.Store, WatchWait: watchWait(s), View: g.view,
+		Engine: g.engine, Bound: g.groupBound, Events: g.log}); err != nil {
 		return errors.Trace(err)
 	}
 	ready := http.NewServeMux()
@@ -194,6 +199,15 @@
 	return retrybudget.Config{Ratio: s.RetryRatio, Window: s.RetryWindow, Allowance: allowanceShare * s.RetryAllowance / float64(vms)}
 }
 
+// groupBound is how many extra sends to a service some of the VMs may make
+// together for a number of requests within a window.
+func (g *Gateway) groupBound(vms, first int) float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.settings
+	return s.RetryRatio*float64(first) + groupShare*s.RetryAllowance*float64(vms)/float64(max(g.vms, 1))
+}
+
 // countVMs takes the number of VMs that share the allowance.
 func (g *Gateway) countVMs(n int) {
 	g.mu.Lock()
--- a/internal/node/gateway/peers.go
+++ b/internal/node/gateway/peers.go
@@ -14,6 +14,8 @@
 	"egrethaven/internal/peer/rpc"
 	"egrethaven/internal/peer/sharing"
 	"egrethaven/internal/peer/upstream"
+	"egrethaven/internal/query/forward"
+	"egrethaven/internal/query/retrypool"
 	"egrethaven/internal/state/changelog"
 	"egrethaven/internal/state/follow"
 	"egrethaven/internal/state/roster"
@@ -41,23 +43,42 @@
 	sharing  *sharing.Sharing
 }
 
-// newPeers listens for other VMs, if the settings name an address for it.
-func newPeers(listen string, store follow.Source, watchWait time.Duration, v *view, events event.Sink) (*peers, error) {
+// peersConfig sets up peers.
+type peersConfig struct {
+	// Listen is the address for other VMs; empty for none.
+	Listen string
+	Store  follow.Source
+	// WatchWait is how long one watch waits at the store.
+	WatchWait time.Duration
+	View      *view
+	Engine    *forward.Engine
+	// Bound is how many extra sends a number of VMs may make to a service.
+	Bound  func(vms, first int) float64
+	Events event.Sink
+}
+
+// newPeers listens for other VMs, if there is an address for it.
+func newPeers(c peersConfig) (*peers, error) {
+	v := c.View
 	p := &peers{dialer: rpc.NewDialer(rpc.DialerConfig{Timeout: peerDialTimeout})}
-	log := changelog.New(changelog.Config{Fresh: watchWait + freshSlack})
-	p.upstream = upstream.New(upstream.Config{Store: store, Log: log, Dialer: p.dialer, Relays: v.relays, Events: events})
-	board := scoreboard.New()
-	p.sharing = sharing.New(sharing.Config{Dialer: p.dialer, Board: board, Heard: v.hear, Events: events,
-		Relay: func() (string, bool) { return p.gatherer(v) }})
+	log := changelog.New(changelog.Config{Fresh: c.WatchWait + freshSlack})
+	p.upstream = upstream.New(upstream.Config{Store: c.Store, Log: log, Dialer: p.dialer, Relays: v.relays, Events: c.Events})
+	board, pool := scoreboard.New(), retrypool.New(retrypool.Config{Bound: c.Bound})
+	p.sharing = sharing.New(sharing.Config{Dialer: p.dialer, Board: board, Pool: pool, VM: v.c.Self.ID, Events: c.Events,
+		Used: c.Engine.Used, Relay: func() (string, bool) { return p.gatherer(v) },
+		Heard: func(now time.Time, n sharing.News) {
+			v.hear(now, n.Scores)
+			c.Engine.Pool(now, n.Spent)
+		}})
 	v.observe = p.sharing.Observe
-	if listen == "" {
+	if c.Listen == "" {
 		return p, nil
 	}
 	var err error
-	if p.server, err = rpc.NewServer(rpc.ServerConfig{Listen: listen, Known: v.knows, Events: events}); err != nil {
+	if p.server, err = rpc.NewServer(rpc.ServerConfig{Listen: c.Listen, Known: v.knows, Events: c.Events}); err != nil {
 		return p, errors.Trace(err)
 	}
-	return p, errors.Trace(relayrpc.DRPCRegisterRelay(p.server.Mux(), relay.New(relay.Config{Log: log, Board: board})))
+	return p, errors.Trace(relayrpc.DRPCRegisterRelay(p.server.Mux(), relay.New(relay.Config{Log: log, Board: board, Pool: pool})))
 }
 
 // gatherer returns the address of the VM that gathers what this one sees of
--- a/internal/peer/relay/relay.go
+++ b/internal/peer/relay/relay.go
@@ -1,9 +1,9 @@
 // Package relay answers VMs that follow the platform's store through this one,
-// and gathers what they see of searchers.
+// and gathers what they see of searchers and send to them.
 //
 // # Usage
 //
-//	r := relay.New(relay.Config{Log: log, Board: board})
+//	r := relay.New(relay.Config{Log: log, Board: board, Pool: pool})
 //	err := relayrpc.DRPCRegisterRelay(server.Mux(), r)
 package relay
 
@@ -15,6 +15,7 @@
 
 	"egrethaven/internal/back/scoreboard"
 	"egrethaven/internal/peer/relayrpc"
+	"egrethaven/internal/query/retrypool"
 	"egrethaven/internal/state/changelog"
 	"egrethaven/internal/state/follow"
 )
@@ -28,6 +29,8 @@
 	Log *changelog.Log
 	// Board takes what VMs have seen of searchers.
 	Board *scoreboard.Board
+	// Pool takes what VMs have sent.
+	Pool *retrypool.Pool
 }
 
 // Relay implements the service of relay.proto.
@@ -55,15 +58,20 @@
 	return out, nil
 }
 
-// Share takes what a VM has seen of searchers and answers with what all have
-// seen. It is called by drpc.
+// Share takes what a VM has seen of searchers and sent to them, and answers with
+// what all have. It is called by drpc.
 func (r *Relay) Share(_ context.Context, in *relayrpc.ShareRequest) (*relayrpc.ShareReply, error) {
 	now := time.Now()
 	for _, o := range in.GetObservations() {
 		r.c.Board.Add(now, scoreboard.Observation{Searcher: scoreboard.Searcher{ID: o.GetSearcher(), Born: o.GetBorn()},
 			Answers: int(o.GetAnswers()), Ratios: o.GetRatios(), Failures: int(o.GetFailures())})
 	}
-	out := &relayrpc.ShareReply{}
+	usage := make([]retrypool.Usage, 0, len(in.GetUsage()))
+	for _, u := range in.GetUsage() {
+		usage = append(usage, retrypool.Usage{Service: u.GetService(), First: int(u.GetFirst()), Extra: int(u.GetExtra())})
+	}
+	r.c.Pool.Report(now, in.GetVm(), usage)
+	out := &relayrpc.ShareReply{Spent: r.c.Pool.Spent(now)}
 	for _, s := range r.c.Board.Scores(now) {
 		out.Scores = append(out.Scores, &relayrpc.Score{Searcher: s.Searcher.ID, Born: s.Searcher.Born,
 			Factor: s.Factor, Failures: s.Failures, AgeMs: s.Age.Milliseconds()})
--- a/internal/peer/sharing/sharing.go
+++ b/internal/peer/sharing/sharing.go
@@ -1,5 +1,6 @@
-// Package sharing tells what this VM sees of searchers to the VM through which
-// it follows the store, and hears from there what all have seen.
+// Package sharing tells what this VM sees of searchers and sends to them to the
+// VM through which it follows the store, and hears from there what all VMs of
+// the failure domain have seen and sent together.
 //
 // # Usage
 //
@@ -20,6 +21,7 @@
 	"egrethaven/internal/observe/event"
 	"egrethaven/internal/peer/relayrpc"
 	"egrethaven/internal/platform/pause"
+	"egrethaven/internal/query/retrypool"
 )
 
 const (
@@ -37,17 +39,29 @@
 	Conn(ctx context.Context, addr string) (drpc.Conn, error)
 }
 
+// News is what all VMs together have seen and sent.
+type News struct {
+	// Scores tells how searchers do; those that are not named do as usual.
+	Scores []scoreboard.Score
+	// Spent are the services for which the VMs have spent their extra sends.
+	Spent []string
+}
+
 // Config sets up a Sharing.
 type Config struct {
 	Dialer Dialer
 	// Board is this VM's own, for what it and others see if it is the one that
 	// gathers.
 	Board *scoreboard.Board
+	Pool  *retrypool.Pool
+	// VM names this VM, and Used returns what it has sent.
+	VM   string
+	Used func(now time.Time) []retrypool.Usage
 	// Relay returns the address of the VM to tell; empty if this one gathers.
 	// It reports false while nothing is shared.
 	Relay func() (addr string, ok bool)
-	// Heard is told how searchers do. Those that are not named do as usual.
-	Heard  func(now time.Time, scores []scoreboard.Score)
+	// Heard is told what all VMs have told.
+	Heard  func(now time.Time, n News)
 	Events event.Sink
 }
 
@@ -108,14 +122,15 @@
 		for _, o := range seen {
 			s.c.Board.Add(now, *o)
 		}
-		s.c.Heard(now, s.c.Board.Scores(now))
+		s.c.Pool.Report(now, s.c.VM, s.c.Used(now))
+		s.c.Heard(now, News{Scores: s.c.Board.Scores(now), Spent: s.c.Pool.Spent(now)})
 		return nil
 	}
-	scores, err := s.call(ctx, addr, seen)
+	n, err := s.call(ctx, addr, seen)
 	if err != nil {
 		return errors.Annotatef(err, "telling %s", addr)
 	}
-	s.c.Heard(time.Now(), scores)
+	s.c.Heard(time.Now(), n)
 	return nil
 }
 
@@ -129,27 +144,30 @@
 }
 
 // call tells another VM and returns what it knows.
-func (s *Sharing) call(ctx context.Context, addr string, seen map[scoreboard.Searcher]*scoreboard.Observation) ([]scoreboard.Score, error) {
+func (s *Sharing) call(ctx context.Context, addr string, seen map[scoreboard.Searcher]*scoreboard.Observation) (News, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	c, err := s.c.Dialer.Conn(ctx, addr)
 	if err != nil {
-		return nil, errors.Trace(err)
+		return News{}, errors.Trace(err)
 	}
 	defer func() { _ = c.Close() }()
-	in := &relayrpc.ShareRequest{Observations: make([]*relayrpc.Observation, 0, len(seen))}
+	in := &relayrpc.ShareRequest{Vm: s.c.VM, Observations: make([]*relayrpc.Observation, 0, len(seen))}
+	for _, u := range s.c.Used(time.Now()) {
+		in.Usage = append(in.Usage, &relayrpc.Usage{Service: u.Service, First: int64(u.First), Extra: int64(u.Extra)})
+	}
 	for name, o := range seen {
 		in.Observations = append(in.Observations, &relayrpc.Observation{Searcher: name.ID, Born: name.Born,
 			Answers: int64(o.Answers), Failures: int64(o.Failures), Ratios: o.Ratios})
 	}
 	out, err := relayrpc.NewDRPCRelayClient(c).Share(ctx, in)
 	if err != nil {
-		return nil, errors.Trace(err)
+		return News{}, errors.Trace(err)
 	}
 	scores := make([]scoreboard.Score, 0, len(out.GetScores()))
 	for _, x := range out.GetScores() {
 		scores = append(scores, scoreboard.Score{Searcher: scoreboard.Searcher{ID: x.GetSearcher(), Born: x.GetBorn()},
 			Factor: x.GetFactor(), Failures: x.GetFailures(), Age: time.Duration(x.GetAgeMs()) * time.Millisecond})
 	}
-	return scores, nil
+	return News{Scores: scores, Spent: out.GetSpent()}, nil
 }
--- a/internal/peer/sharing/sharing_test.go
+++ b/internal/peer/sharing/sharing_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -11,19 +12,21 @@
 	"egrethaven/internal/peer/relayrpc"
 	"egrethaven/internal/peer/rpc"
 	"egrethaven/internal/peer/sharing"
+	"egrethaven/internal/query/retrypool"
 	"egrethaven/internal/state/changelog"
 )
 
-// TestShare has one VM tell another of a slow searcher: the one that gathers and
-// the one that told both hear of it, and nobody hears anything while nothing is
-// shared.
+// TestShare has one VM tell another of a slow searcher, and of a service to which
+// too much was sent: the one that gathers and the one that told both hear of it,
+// and nobody hears anything while nothing is shared.
 func TestShare(t *testing.T) {
 	server, err := rpc.NewServer(rpc.ServerConfig{Listen: "127.0.0.1:0", Known: func(netip.Addr) bool { return true }})
 	if err != nil {
 		t.Fatal(err)
 	}
 	board := scoreboard.New()
-	r := relay.New(relay.Config{Log: changelog.New(changelog.Config{}), Board: board})
+	pool := retrypool.New(retrypool.Config{Bound: func(vms, first int) float64 { return float64(2*vms) + 0.2*float64(first) }})
+	r := relay.New(relay.Config{Log: changelog.New(changelog.Config{}), Board: board, Pool: pool})
 	if err := relayrpc.DRPCRegisterRelay(server.Mux(), r); err != nil {
 		t.Fatal(err)
 	}
@@ -33,13 +36,17 @@
 	defer func() { _ = d.Close() }()
 
 	slow := scoreboard.Searcher{ID: "i-7", Born: 9}
-	hear := func(addr string, ok bool, observe bool) []scoreboard.Score {
+	hear := func(addr string, ok bool, observe bool) sharing.News {
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		var heard []scoreboard.Score
-		s := sharing.New(sharing.Config{Dialer: d, Board: board, Relay: func() (string, bool) { return addr, ok },
-			Heard: func(_ time.Time, ss []scoreboard.Score) {
-				heard = ss
+		var heard sharing.News
+		s := sharing.New(sharing.Config{Dialer: d, Board: board, Pool: pool, VM: "a" + addr,
+			Used: func(time.Time) []retrypool.Usage {
+				return []retrypool.Usage{{Service: "s", First: 2, Extra: 2}, {Service: "calm", First: 9}}
+			},
+			Relay: func() (string, bool) { return addr, ok },
+			Heard: func(_ time.Time, n sharing.News) {
+				heard = n
 				cancel()
 			}})
 		if observe {
@@ -50,12 +57,12 @@
 		s.Run(ctx)
 		return heard
 	}
-	if got := hear(server.Addr(), false, true); got != nil {
+	if got := hear(server.Addr(), false, true); got.Scores != nil || got.Spent != nil {
 		t.Errorf("nothing is shared, heard %+v", got)
 	}
 	for _, addr := range []string{server.Addr(), ""} {
 		got := hear(addr, true, addr != "")
-		if len(got) != 1 || got[0].Searcher != slow || got[0].Factor < 8 || got[0].Failures < 0.7 {
+		if s := got.Scores; len(s) != 1 || s[0].Searcher != slow || s[0].Factor < 8 || s[0].Failures < 0.7 || !slices.Equal(got.Spent, []string{"s"}) {
 			t.Errorf("through %q: heard %+v", addr, got)
 		}
 	}
--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -20,12 +20,14 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
 	"egrethaven/internal/back/instance"
 	"egrethaven/internal/observe/event"
 	"egrethaven/internal/query/retrybudget"
+	"egrethaven/internal/query/retrypool"
 	"egrethaven/internal/state/routing"
 )
 
@@ -233,6 +235,29 @@
 	return b
 }
 
+// Used returns what was sent to each service within the window of the budgets.
+func (e *Engine) Used(now time.Time) []retrypool.Usage {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := make([]retrypool.Usage, 0, len(e.budgets))
+	for name, b := range e.budgets {
+		if first, extra := b.Used(now); first > 0 || extra > 0 {
+			out = append(out, retrypool.Usage{Service: name, First: first, Extra: extra})
+		}
+	}
+	return out
+}
+
+// Pool takes the services for which the group of VMs has spent its extra sends;
+// for all others it has not.
+func (e *Engine) Pool(now time.Time, spent []string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for name, b := range e.budgets {
+		b.Pool(now, slices.Contains(spent, name))
+	}
+}
+
 // service chooses the service of a plain route.
 func (e *Engine) service(v routing.Version, r *routing.Route) string {
 	if len(r.Shares) == 1 {
--- a/internal/query/retrybudget/budget.go
+++ b/internal/query/retrybudget/budget.go
@@ -5,6 +5,8 @@
 // In any span of the window, extra sends stay at or below a ratio of this
 // VM's own first sends in the same span, plus this VM's part of a fixed
 // allowance. A sum over VMs of such bounds is the bound of the whole system.
+// Where a group of VMs adds up what it has sent (package retrypool), a VM may
+// exceed its own part for as long as the group does not.
 //
 // # Usage
 //
@@ -16,6 +18,8 @@
 import (
 	"sync"
 	"time"
+
+	"egrethaven/internal/query/sliding"
 )
 
 const (
@@ -32,6 +36,11 @@
 	// earlyShare is the part of the bound that early hedges may use. The rest
 	// is for sends that decide whether an answer is in time.
 	earlyShare = 0.5
+	// poolFactor is how many times its own allowance a VM may use while the
+	// group of VMs is well within its bound, and poolFresh how long that is
+	// known: four reports.
+	poolFactor = 4
+	poolFresh  = time.Second
 )
 
 // Purpose is what an extra send is for.
@@ -60,92 +69,107 @@
 
 // Budget counts the sends to one service. It is safe for concurrent use.
 type Budget struct {
-	m     sync.Mutex
-	c     Config
-	start time.Time
+	m sync.Mutex
+	c Config
 	// held is when the allowance begins to count.
-	held  time.Time
-	first window
-	extra window
-}
-
-// window is a sliding count in steps.
-type window struct {
-	counts [steps + 1]int
-	// head is the number of the latest step.
-	head  int64
-	total int
+	held time.Time
+	// alone is until when the group is not looked at: it does not know what the
+	// process before this one has sent within the window.
+	alone time.Time
+	first *sliding.Count
+	extra *sliding.Count
+	// pooled tells whether the group's bound is known, until when, and whether
+	// it is spent.
+	pooledUntil time.Time
+	spent       bool
 }
 
-// advance drops the steps that have left the window of n steps.
-func (w *window) advance(step int64, n int) {
-	for ; w.head < step; w.head++ {
-		if step-w.head > int64(n) {
-			w.counts, w.total, w.head = [steps + 1]int{}, 0, step
-			return
-		}
-		i := int((w.head + 1) % int64(n))
-		w.total -= w.counts[i]
-		w.counts[i] = 0
-	}
+// New returns a budget that has seen no sends.
+func New(c Config) *Budget {
+	now := time.Now()
+	b := &Budget{c: c, alone: now.Add(c.Window)}
+	b.forget(now)
+	return b
 }
 
-// add counts one event in the latest step.
-func (w *window) add(n int) {
-	w.counts[int(w.head%int64(n))]++
-	w.total++
+// forget begins to count anew. Extra sends are remembered for one step more, so
+// that the count over any span errs on the safe side.
+func (b *Budget) forget(now time.Time) {
+	step := b.c.Window / steps
+	b.first, b.extra = sliding.New(now, step, steps), sliding.New(now, step, steps+1)
 }
 
-// New returns a budget that has seen no sends.
-func New(c Config) *Budget { return &Budget{c: c, start: time.Now()} }
-
 // Set changes the bound. A new window forgets what was counted in the old one,
 // and begins without allowance for as long as it lasts.
 func (b *Budget) Set(c Config) {
 	b.m.Lock()
 	defer b.m.Unlock()
-	if c.Window != b.c.Window {
-		b.start, b.first, b.extra = time.Now(), window{}, window{}
-		b.held = time.Now().Add(c.Window)
-	}
+	old := b.c.Window
 	b.c = c
+	if c.Window != old {
+		now := time.Now()
+		b.forget(now)
+		b.held = now.Add(c.Window)
+	}
 }
 
 // First counts the first send of a request.
 func (b *Budget) First(now time.Time) {
 	b.m.Lock()
 	defer b.m.Unlock()
-	b.advance(now)
-	b.first.add(steps)
+	b.first.Add(now)
+}
+
+// Used returns the first and the extra sends within the window.
+func (b *Budget) Used(now time.Time) (first, extra int) {
+	b.m.Lock()
+	defer b.m.Unlock()
+	return b.first.Total(now), b.extra.Total(now)
+}
+
+// Pool tells whether the group of VMs has spent its part of the bound, which
+// holds for poolFresh.
+func (b *Budget) Pool(now time.Time, spent bool) {
+	b.m.Lock()
+	defer b.m.Unlock()
+	b.pooledUntil, b.spent = now.Add(poolFresh), spent
 }
 
 // Extra counts a further send, or reports false if it is not allowed.
 func (b *Budget) Extra(now time.Time, p Purpose) bool {
 	b.m.Lock()
 	defer b.m.Unlock()
-	b.advance(now)
-	bound := b.c.Ratio * margin * float64(b.first.total)
-	if !now.Before(b.held) {
-		bound += b.c.Allowance
+	if b.left(now, p) < 1 {
+		return false
+	}
+	b.extra.Add(now)
+	return true
+}
+
+// left is how many sends are allowed. The lock is held.
+func (b *Budget) left(now time.Time, p Purpose) float64 {
+	ratio, allowance, used := b.c.Ratio*margin*float64(b.first.Total(now)), b.c.Allowance, float64(b.extra.Total(now))
+	if now.Before(b.held) {
+		allowance = 0
+	}
+	switch {
+	case now.Before(b.alone) || !now.Before(b.pooledUntil):
+	case !b.spent:
+		return ratio + poolFactor*allowance - used
+	case p != Retry:
+		return 0
 	}
-	left := bound - float64(b.extra.total)
+	return b.own(ratio, allowance, used, p)
+}
+
+// own is how many sends are left of this VM's own part.
+func (b *Budget) own(ratio, allowance, used float64, p Purpose) float64 {
+	left := ratio + allowance - used
 	if p != Retry {
 		left -= min(hedgeReserve, reserveShare*b.c.Allowance)
 	}
 	if p == EarlyHedge {
-		left = min(left, earlyShare*bound-float64(b.extra.total))
-	}
-	if left < 1 {
-		return false
+		left = min(left, earlyShare*(ratio+allowance)-used)
 	}
-	b.extra.add(steps + 1)
-	return true
-}
-
-// advance moves both windows to now. Extra sends are remembered for one step
-// more, so that the count over any span errs on the safe side.
-func (b *Budget) advance(now time.Time) {
-	step := int64(now.Sub(b.start) / (b.c.Window / steps))
-	b.first.advance(step, steps)
-	b.extra.advance(step, steps+1)
+	return left
 }
