Let new connections prove themselves after a start

Ruled out: closing connections that were opened on demand after 0.3 s in place of 2 s, so that fewer are left behind.

Change: within ten seconds of its start a gateway leaves each new connection alone for 8 ms, in which a reset would have come.

Test: TestCrowded; without the mechanism the request is sent and lost.

--- a/internal/back/instance/connections.go
+++ b/internal/back/instance/connections.go
@@ -86,7 +86,7 @@
 	i.wg.Go(k.Wait)
 	i.mu.Lock()
 	i.open++
-	doubt := i.redial > 0
+	doubt := i.redial > 0 || i.c.Crowded(time.Now())
 	i.mu.Unlock()
 	if doubt {
 		pause.Sleep(i.ctx, proveTime)
--- a/internal/back/instance/instance.go
+++ b/internal/back/instance/instance.go
@@ -73,8 +73,9 @@
 	// surplusIdle is how long a connection beyond the kept ones may be idle.
 	surplusIdle = 2 * time.Second
 	// proveTime is how long a new connection is left alone when the last one
-	// was turned away: a searcher that has too many resets it within a round
-	// trip, and a request on it would be lost.
+	// was turned away, or while the connections of a process before this one may
+	// still be open: a searcher that has too many resets it within a round trip,
+	// and a request on it would be lost.
 	proveTime = 8 * time.Millisecond
 	// refusedWithin is the age up to which the end of a connection that had no
 	// request counts as a refusal; later it was closed for being idle.
@@ -115,6 +116,9 @@
 type Config struct {
 	Searcher registry.Searcher
 	Conns    Conns
+	// Crowded tells whether searchers may have too many connections, so that new
+	// ones may be reset; nil for never.
+	Crowded func(now time.Time) bool
 	// Observe is told how many times as long as usual each request took, and
 	// whether it failed; nil for none.
 	Observe func(ratio float64, failed bool)
@@ -196,6 +200,9 @@
 	if c.Events == nil {
 		c.Events = event.Discard{}
 	}
+	if c.Crowded == nil {
+		c.Crowded = func(time.Time) bool { return false }
+	}
 	if c.Observe == nil {
 		c.Observe = func(float64, bool) {}
 	}
--- a/internal/back/instance/shared_test.go
+++ b/internal/back/instance/shared_test.go
@@ -1,10 +1,15 @@
 package instance_test
 
 import (
+	"context"
+	"io"
+	"net"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"egrethaven/internal/back/conn"
 	"egrethaven/internal/back/instance"
 	"egrethaven/internal/back/scoreboard"
 	"egrethaven/internal/state/registry"
@@ -66,3 +71,31 @@
 		}
 	})
 }
+
+// TestCrowded asks a searcher that accepts a connection and resets it a moment
+// later, as one does that still has those of a process before. While searchers
+// may be crowded, nothing is sent on such a connection, so nothing is lost.
+func TestCrowded(t *testing.T) {
+	for crowded, sent := range map[bool]bool{true: false, false: true} {
+		synctest.Test(t, func(t *testing.T) {
+			i := instance.New(instance.Config{Searcher: registry.Searcher{ID: "i", Slots: 4}, Conns: instance.Conns{Most: 1},
+				Crowded: func(time.Time) bool { return crowded },
+				Dial: func(context.Context, string) (net.Conn, error) {
+					near, far := net.Pipe()
+					go func() {
+						_, _ = io.CopyN(io.Discard, far, 1)
+						_ = far.Close()
+					}()
+					time.AfterFunc(3*time.Millisecond, func() { _ = far.Close() })
+					return near, nil
+				}})
+			defer i.Close()
+			done := make(chan conn.Result, 1)
+			i.Send(instance.Request{Method: "GET", Build: func() []byte { return []byte("GET / HTTP/1.1\r\n\r\n") },
+				Owns: func(http.Header) bool { return true }, Done: func(r conn.Result) { done <- r }})
+			if r := <-done; r.Err == nil || r.Sent != sent {
+				t.Errorf("crowded %v: sent %v, error %v", crowded, r.Sent, r.Err)
+			}
+		})
+	}
+}
--- a/internal/node/gateway/view.go
+++ b/internal/node/gateway/view.go
@@ -43,6 +43,10 @@
 	lapsedShare = 1.0 / 3
 	// retireAfter is how long requests at a searcher that left may take.
 	retireAfter = 10 * time.Second
+	// crowdedTime is how long after the start of this process searchers may still
+	// have the connections of the one before. They close idle ones after some
+	// seconds.
+	crowdedTime = 10 * time.Second
 	// retireInterval is the time between two looks at them.
 	retireInterval = 200 * time.Millisecond
 )
@@ -109,6 +113,8 @@
 	expiry    *time.Timer
 	closed    bool
 	stop      chan struct{}
+	// began is when this process began to follow the store.
+	began time.Time
 }
 
 // process is one process of a searcher.
@@ -125,7 +131,7 @@
 	return &view{
 		c: c, registry: registry.New(registry.Config{Grace: c.Grace}), vms: map[string]roster.VM{},
 		instances: map[process]*instance.Instance{}, stop: make(chan struct{}), firstRead: make(chan struct{}),
-		observe: func(scoreboard.Searcher, float64, bool) {},
+		began: time.Now(), observe: func(scoreboard.Searcher, float64, bool) {},
 	}
 }
 
@@ -333,7 +339,7 @@
 		if i == nil {
 			v.c.Events.Emit(event.SearcherFound, e.ID, e.Service+" at "+e.Addr)
 			name := scoreboard.Searcher{ID: e.ID, Born: e.Born}
-			i = instance.New(instance.Config{Searcher: e, Conns: conns[e.ID], Events: v.c.Events,
+			i = instance.New(instance.Config{Searcher: e, Conns: conns[e.ID], Events: v.c.Events, Crowded: v.crowded,
 				Observe: func(ratio float64, failed bool) { v.observe(name, ratio, failed) }})
 			v.instances[p] = i
 		} else {
@@ -389,6 +395,10 @@
 	return out
 }
 
+// crowded tells whether the connections of processes that ended when this VM lost
+// power may still be open at the searchers. The lock need not be held.
+func (v *view) crowded(now time.Time) bool { return now.Sub(v.began) < crowdedTime }
+
 // retire lets the requests at a searcher that left end. The lock is held.
 func (v *view) retire(p process, i *instance.Instance) {
 	v.c.Events.Emit(event.SearcherGone, p.id, "at "+p.addr)
