Tell VMs of a quarantine that have not joined yet

Change: before a node tells the others what every VM has to know, it fetches the list anew, and tells listed VMs that are no members yet as well.

Test: TestTellBeforeJoining, without the change 0 of 3 nodes are told.

--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -36,6 +36,7 @@
 	n.members = member.New(member.Config{
 		Self:     n.self,
 		VMs:      n.vms.List,
+		Refresh:  n.vms.Refresh,
 		Dialer:   n.dialer,
 		Rumors:   n.rumors,
 		Events:   n.log,
--- a/internal/peer/member/member_test.go
+++ b/internal/peer/member/member_test.go
@@ -1,6 +1,7 @@
 package member_test
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -264,6 +265,36 @@
 	})
 }
 
+// TestTellBeforeJoining has a node tell the others at a moment at which it has not
+// joined them, and its list of VMs is from before they were there: they are told
+// all the same, as the list is fetched anew.
+func TestTellBeforeJoining(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, 1)
+		defer f.close()
+		time.Sleep(30 * time.Second)
+		v := vm.VM{ID: "e-new", Role: vm.Entry, State: vm.Live, Domain: "d-0", Addr: "10.0.9.9:1"}
+		set := rumor.New(rumor.Config{Node: v.ID})
+		m := member.New(member.Config{
+			Self: v, Dialer: f.net.Endpoint(v.Addr), Rumors: set, Rand: rand.New(rand.NewPCG(7, 7)),
+			VMs:     func() ([]vm.VM, time.Duration) { return []vm.VM{v}, 2 * time.Second },
+			Refresh: func(context.Context) []vm.VM { return append(slices.Clone(*f.list.Load()), v) },
+		})
+		defer func() { _ = m.Close() }()
+		var heard atomic.Int64
+		for _, n := range f.nodes {
+			n.set.Subscribe(rumor.Quarantine, func(rumor.Rumor) { heard.Add(1) })
+		}
+		if err := set.Publish(rumor.Quarantine, "7/", []byte("{}"), time.Minute); err != nil {
+			t.Fatal(err)
+		}
+		m.Tell(t.Context())
+		if n := heard.Load(); n != 3 {
+			t.Errorf("%d of 3 nodes were told", n)
+		}
+	})
+}
+
 // TestDrainReachesAll publishes a drain while a tenth of the nodes is dead; no
 // node may be without it after 3 s.
 func TestDrainReachesAll(t *testing.T) {
--- a/internal/peer/member/service.go
+++ b/internal/peer/member/service.go
@@ -42,6 +42,9 @@
 	Self vm.VM
 	// VMs returns the platform's list and its age; nil when there is none.
 	VMs func() ([]vm.VM, time.Duration)
+	// Refresh fetches that list anew, for news that every VM has to have; nil
+	// uses VMs.
+	Refresh func(ctx context.Context) []vm.VM
 	// Seeds are addresses to try when the list is of no help.
 	Seeds  []string
 	Dialer Dialer
--- a/internal/platform/vmlist/poller.go
+++ b/internal/platform/vmlist/poller.go
@@ -107,6 +107,18 @@
 	return p.vms, time.Since(p.fetched)
 }
 
+// Refresh fetches the list now and returns it; the last one if that fails.
+func (p *Poller) Refresh(ctx context.Context) []vm.VM {
+	vms, err := p.fetch(ctx)
+	if err != nil {
+		p.miss(err)
+		vms, _ = p.List()
+		return vms
+	}
+	p.keep(vms)
+	return vms
+}
+
 // Revision grows by one whenever the list differs from the one before; 0
 // means that none was fetched yet.
 func (p *Poller) Revision() uint64 {
