Leave the last extra sends of a group to failed requests

Change: three levels in place of two. From 0.6 of the group's bound on nobody hedges, from 0.9 on VMs keep to their own part for failed requests as well. A VM may use eight times its own allowance in place of four: clients are spread unevenly, and the group's count is what holds the bound.

--- a/internal/node/gateway/peers.go
+++ b/internal/node/gateway/peers.go
@@ -68,7 +68,7 @@
 		Used: c.Engine.Used, Relay: func() (string, bool) { return p.gatherer(v) },
 		Heard: func(now time.Time, n sharing.News) {
 			v.hear(now, n.Scores)
-			c.Engine.Pool(now, n.Spent)
+			c.Engine.Pool(now, n.Levels)
 		}})
 	v.observe = p.sharing.Observe
 	if c.Listen == "" {
--- a/internal/peer/relay/relay.go
+++ b/internal/peer/relay/relay.go
@@ -71,7 +71,14 @@
 		usage = append(usage, retrypool.Usage{Service: u.GetService(), First: int(u.GetFirst()), Extra: int(u.GetExtra())})
 	}
 	r.c.Pool.Report(now, in.GetVm(), usage)
-	out := &relayrpc.ShareReply{Spent: r.c.Pool.Spent(now)}
+	out := &relayrpc.ShareReply{}
+	for service, l := range r.c.Pool.Levels(now) {
+		if l == retrypool.Spent {
+			out.Spent = append(out.Spent, service)
+		} else {
+			out.Scarce = append(out.Scarce, service)
+		}
+	}
 	for _, s := range r.c.Board.Scores(now) {
 		out.Scores = append(out.Scores, &relayrpc.Score{Searcher: s.Searcher.ID, Born: s.Searcher.Born,
 			Factor: s.Factor, Failures: s.Failures, AgeMs: s.Age.Milliseconds()})
--- a/internal/peer/sharing/sharing.go
+++ b/internal/peer/sharing/sharing.go
@@ -43,8 +43,9 @@
 type News struct {
 	// Scores tells how searchers do; those that are not named do as usual.
 	Scores []scoreboard.Score
-	// Spent are the services for which the VMs have spent their extra sends.
-	Spent []string
+	// Levels tells how much the VMs have left of their extra sends to services;
+	// of those that are not named they have plenty.
+	Levels map[string]retrypool.Level
 }
 
 // Config sets up a Sharing.
@@ -123,7 +124,7 @@
 			s.c.Board.Add(now, *o)
 		}
 		s.c.Pool.Report(now, s.c.VM, s.c.Used(now))
-		s.c.Heard(now, News{Scores: s.c.Board.Scores(now), Spent: s.c.Pool.Spent(now)})
+		s.c.Heard(now, News{Scores: s.c.Board.Scores(now), Levels: s.c.Pool.Levels(now)})
 		return nil
 	}
 	n, err := s.call(ctx, addr, seen)
@@ -169,5 +170,12 @@
 		scores = append(scores, scoreboard.Score{Searcher: scoreboard.Searcher{ID: x.GetSearcher(), Born: x.GetBorn()},
 			Factor: x.GetFactor(), Failures: x.GetFailures(), Age: time.Duration(x.GetAgeMs()) * time.Millisecond})
 	}
-	return News{Scores: scores, Spent: out.GetSpent()}, nil
+	levels := map[string]retrypool.Level{}
+	for _, name := range out.GetScarce() {
+		levels[name] = retrypool.Scarce
+	}
+	for _, name := range out.GetSpent() {
+		levels[name] = retrypool.Spent
+	}
+	return News{Scores: scores, Levels: levels}, nil
 }
--- a/internal/peer/sharing/sharing_test.go
+++ b/internal/peer/sharing/sharing_test.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
-	"slices"
 	"testing"
 	"time"
 
@@ -25,7 +25,7 @@
 		t.Fatal(err)
 	}
 	board := scoreboard.New()
-	pool := retrypool.New(retrypool.Config{Bound: func(vms, first int) float64 { return float64(2*vms) + 0.2*float64(first) }})
+	pool := retrypool.New(retrypool.Config{Bound: func(vms, first int) float64 { return float64(vms) + 0.2*float64(first) }})
 	r := relay.New(relay.Config{Log: changelog.New(changelog.Config{}), Board: board, Pool: pool})
 	if err := relayrpc.DRPCRegisterRelay(server.Mux(), r); err != nil {
 		t.Fatal(err)
@@ -42,7 +42,7 @@
 		var heard sharing.News
 		s := sharing.New(sharing.Config{Dialer: d, Board: board, Pool: pool, VM: "a" + addr,
 			Used: func(time.Time) []retrypool.Usage {
-				return []retrypool.Usage{{Service: "s", First: 2, Extra: 2}, {Service: "calm", First: 9}}
+				return []retrypool.Usage{{Service: "s", First: 2, Extra: 2}, {Service: "t", First: 2, Extra: 1}, {Service: "calm", First: 9}}
 			},
 			Relay: func() (string, bool) { return addr, ok },
 			Heard: func(_ time.Time, n sharing.News) {
@@ -57,12 +57,12 @@
 		s.Run(ctx)
 		return heard
 	}
-	if got := hear(server.Addr(), false, true); got.Scores != nil || got.Spent != nil {
+	if got := hear(server.Addr(), false, true); got.Scores != nil || got.Levels != nil {
 		t.Errorf("nothing is shared, heard %+v", got)
 	}
 	for _, addr := range []string{server.Addr(), ""} {
 		got := hear(addr, true, addr != "")
-		if s := got.Scores; len(s) != 1 || s[0].Searcher != slow || s[0].Factor < 8 || s[0].Failures < 0.7 || !slices.Equal(got.Spent, []string{"s"}) {
+		if s := got.Scores; len(s) != 1 || s[0].Searcher != slow || s[0].Factor < 8 || s[0].Failures < 0.7 || !maps.Equal(got.Levels, map[string]retrypool.Level{"s": retrypool.Spent, "t": retrypool.Scarce}) {
 			t.Errorf("through %q: heard %+v", addr, got)
 		}
 	}
--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -20,7 +20,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -248,13 +247,13 @@
 	return out
 }
 
-// Pool takes the services for which the group of VMs has spent its extra sends;
-// for all others it has not.
-func (e *Engine) Pool(now time.Time, spent []string) {
+// Pool takes how much the group of VMs has left of its extra sends to each
+// service; of those that are not named it has plenty.
+func (e *Engine) Pool(now time.Time, levels map[string]retrypool.Level) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for name, b := range e.budgets {
-		b.Pool(now, slices.Contains(spent, name))
+		b.Pool(now, levels[name])
 	}
 }
 
--- a/internal/query/retrybudget/budget.go
+++ b/internal/query/retrybudget/budget.go
@@ -19,6 +19,7 @@
 	"sync"
 	"time"
 
+	"egrethaven/internal/query/retrypool"
 	"egrethaven/internal/query/sliding"
 )
 
@@ -39,7 +40,7 @@
 	// poolFactor is how many times its own allowance a VM may use while the
 	// group of VMs is well within its bound, and poolFresh how long that is
 	// known: four reports.
-	poolFactor = 4
+	poolFactor = 8
 	poolFresh  = time.Second
 )
 
@@ -78,10 +79,9 @@
 	alone time.Time
 	first *sliding.Count
 	extra *sliding.Count
-	// pooled tells whether the group's bound is known, until when, and whether
-	// it is spent.
+	// level is how much the group has left, which is known until pooledUntil.
+	level       retrypool.Level
 	pooledUntil time.Time
-	spent       bool
 }
 
 // New returns a budget that has seen no sends.
@@ -127,12 +127,11 @@
 	return b.first.Total(now), b.extra.Total(now)
 }
 
-// Pool tells whether the group of VMs has spent its part of the bound, which
-// holds for poolFresh.
-func (b *Budget) Pool(now time.Time, spent bool) {
+// Pool tells how much the group of VMs has left, which holds for poolFresh.
+func (b *Budget) Pool(now time.Time, l retrypool.Level) {
 	b.m.Lock()
 	defer b.m.Unlock()
-	b.pooledUntil, b.spent = now.Add(poolFresh), spent
+	b.pooledUntil, b.level = now.Add(poolFresh), l
 }
 
 // Extra counts a further send, or reports false if it is not allowed.
@@ -154,7 +153,7 @@
 	}
 	switch {
 	case now.Before(b.alone) || !now.Before(b.pooledUntil):
-	case !b.spent:
+	case b.level == retrypool.Plenty, b.level == retrypool.Scarce && p == Retry:
 		return ratio + poolFactor*allowance - used
 	case p != Retry:
 		return 0
--- a/internal/query/retrypool/retrypool.go
+++ b/internal/query/retrypool/retrypool.go
@@ -4,13 +4,14 @@
 // three sends to a service in ten seconds, so that one VM runs out of them by
 // chance while others use none. The VMs of a group tell each other several times
 // a second how many they have made. While the group is well within its part of
-// the bound, a VM may make more than its own; once it is not, nobody hedges.
+// the bound, a VM may make more than its own; once it is not, nobody hedges, and
+// what is left goes to requests that failed.
 //
 // # Usage
 //
 //	p := retrypool.New(retrypool.Config{Bound: bound})
 //	p.Report(now, "front-1", usage)
-//	for _, service := range p.Spent(now) { ... }
+//	for service, level := range p.Levels(now) { ... }
 package retrypool
 
 import (
@@ -19,14 +20,29 @@
 )
 
 const (
-	// openShare is the part of the group's bound below which its VMs may exceed
-	// their own. The rest is for what they send before they hear that it is
-	// reached, and for requests that failed.
-	openShare = 0.6
+	// scarceShare is the part of the group's bound from which on nobody hedges,
+	// and spentShare the one from which on VMs keep to their own part for
+	// requests that failed too. What they send before they hear of it is within
+	// the part of the allowance that groups do not divide.
+	scarceShare = 0.6
+	spentShare  = 0.9
 	// memberTime is how long after its last report a VM counts.
 	memberTime = 2 * time.Second
 )
 
+// Level tells how much of the group's bound is left for a service.
+type Level int
+
+// The levels.
+const (
+	// Plenty: VMs may exceed their own part.
+	Plenty Level = iota
+	// Scarce: they may for requests that failed, and hedge none.
+	Scarce
+	// Spent: they keep to their own part, and hedge none.
+	Spent
+)
+
 // Usage is what one VM has sent to a service within the window.
 type Usage struct {
 	Service string
@@ -64,8 +80,8 @@
 	p.by[vm] = report{usage: usage, at: now}
 }
 
-// Spent returns the services for which no VM may exceed its own part.
-func (p *Pool) Spent(now time.Time) []string {
+// Levels returns the level of each service that is not Plenty.
+func (p *Pool) Levels(now time.Time) map[string]Level {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	sums := map[string]Usage{}
@@ -79,10 +95,14 @@
 			sums[u.Service] = Usage{First: s.First + u.First, Extra: s.Extra + u.Extra}
 		}
 	}
-	var out []string
+	out := map[string]Level{}
 	for service, s := range sums {
-		if float64(s.Extra) >= openShare*p.c.Bound(len(p.by), s.First) {
-			out = append(out, service)
+		bound := p.c.Bound(len(p.by), s.First)
+		switch extra := float64(s.Extra); {
+		case extra >= spentShare*bound:
+			out[service] = Spent
+		case extra >= scarceShare*bound:
+			out[service] = Scarce
 		}
 	}
 	return out
--- a/internal/query/retrypool/retrypool_test.go
+++ b/internal/query/retrypool/retrypool_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -58,14 +57,14 @@
 }
 
 // play sends requests for a time; each wants an extra send with a probability.
-func (x *tier) play(d time.Duration, perSecond, wants float64) {
+func (x *tier) play(d time.Duration, perSecond, wants float64, what retrybudget.Purpose) {
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(tick) {
 		now := time.Now()
 		for i, b := range x.budgets {
 			first, extra := b.Used(now)
 			p := x.pools[i%groups]
 			p.Report(now, fmt.Sprint(i), []retrypool.Usage{{Service: "s", First: first, Extra: extra}})
-			b.Pool(now, slices.Contains(p.Spent(now), "s"))
+			b.Pool(now, p.Levels(now)["s"])
 		}
 		for range int(perSecond * tick.Seconds()) {
 			b := x.budgets[x.weights[x.r.IntN(len(x.weights))]]
@@ -73,7 +72,7 @@
 			x.first = append(x.first, now)
 			switch {
 			case x.r.Float64() >= wants:
-			case b.Extra(now, retrybudget.LastHedge):
+			case b.Extra(now, what):
 				x.extra = append(x.extra, now)
 			default:
 				x.refused++
@@ -104,23 +103,25 @@
 	return n
 }
 
-// TestWideSlowDown plays a tier in which every request comes to be late, with a
-// burst, and a loss of power of all VMs in the midst of it. The extra sends of
+// TestWideSlowDown plays a tier in which every request comes to be late, or to
+// fail, with a burst, and a loss of power of all VMs in the midst of it. The extra sends of
 // all VMs together stay within what the users allow.
 func TestWideSlowDown(t *testing.T) {
-	synctest.Test(t, func(*testing.T) {
-		x := newTier()
-		x.play(12*time.Second, 80, 0.1)
-		x.play(8*time.Second, 80, 1)
-		x.play(4*time.Second, 150, 1)
-		for i := range vms {
-			x.start(i)
-		}
-		x.play(12*time.Second, 80, 1)
-		if w := x.worst(); w > 0 {
-			t.Errorf("%g extra sends too many in a window", w)
-		}
-	})
+	for _, what := range []retrybudget.Purpose{retrybudget.LastHedge, retrybudget.Retry} {
+		synctest.Test(t, func(*testing.T) {
+			x := newTier()
+			x.play(12*time.Second, 80, 0.1, what)
+			x.play(8*time.Second, 80, 1, what)
+			x.play(4*time.Second, 150, 1, what)
+			for i := range vms {
+				x.start(i)
+			}
+			x.play(12*time.Second, 80, 1, what)
+			if w := x.worst(); w > 0 {
+				t.Errorf("purpose %d: %g extra sends too many in a window", what, w)
+			}
+		})
+	}
 }
 
 // TestUnevenTraffic plays a calm tier, whose clients are spread unevenly, in
@@ -129,26 +130,39 @@
 func TestUnevenTraffic(t *testing.T) {
 	synctest.Test(t, func(*testing.T) {
 		x := newTier()
-		x.play(window, 80, 0)
-		x.play(20*time.Second, 80, 0.125)
+		x.play(window, 80, 0, retrybudget.LastHedge)
+		x.play(20*time.Second, 80, 0.125, retrybudget.LastHedge)
 		if share := float64(x.refused) / float64(x.refused+len(x.extra)); share > 0.02 {
 			t.Errorf("%.3f of the late requests were refused an extra send", share)
 		}
 	})
 }
 
+// TestSheddingSearchers plays a tier whose searchers decline three of ten
+// requests, which the users' bound allows to send again: nearly all are.
+func TestSheddingSearchers(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
+		x := newTier()
+		x.play(window, 80, 0, retrybudget.Retry)
+		x.play(20*time.Second, 80, 0.3, retrybudget.Retry)
+		if share := float64(x.refused) / float64(x.refused+len(x.extra)); share > 0.05 {
+			t.Errorf("%.3f of the failed requests were not sent again", share)
+		}
+	})
+}
+
 // TestVMsThatFallSilent counts only VMs that report.
 func TestVMsThatFallSilent(t *testing.T) {
 	p := retrypool.New(retrypool.Config{Bound: func(n, _ int) float64 { return float64(10 * n) }})
 	now := time.Now()
 	p.Report(now, "a", []retrypool.Usage{{Service: "s", Extra: 9}})
 	p.Report(now, "b", []retrypool.Usage{{Service: "s", Extra: 1}})
-	if s := p.Spent(now); len(s) != 0 {
+	if s := p.Levels(now); len(s) != 0 {
 		t.Errorf("10 of 20: %v", s)
 	}
 	later := now.Add(3 * time.Second)
 	p.Report(later, "a", []retrypool.Usage{{Service: "s", Extra: 9}})
-	if s := p.Spent(later); len(s) != 1 {
+	if s := p.Levels(later); s["s"] != retrypool.Spent {
 		t.Errorf("9 of 10: %v", s)
 	}
 }
