Reach the platform's store through one client, and play it by one stand-in

Ruled out: dropping internal/platform/kv altogether; what a lost answer means for a claim, the budget of calls and reading again belong to the product, not to a folder that decides nothing.

Change: platform/store learns to read one entry and to change one under a condition, and its errors tell whether anything can have been done. kv.Client works over that and loses its own HTTP. internal/standin/platform serves the published protocol; the stand-in of platform/standin is a thin name for it. /vms and /control stay.

Two engines and two kinds of connection remain.

--- a/internal/node/entry/platform.go
+++ b/internal/node/entry/platform.go
@@ -6,6 +6,7 @@
 	"egrethaven/internal/state/config"
 	"egrethaven/internal/state/problem"
 	"egrethaven/internal/state/search"
+	"egrethaven/platform/store"
 )
 
 // readPart is the part of the platform budget that reads may use, and
@@ -20,11 +21,11 @@
 	p := n.c.Settings.Platform
 	calls := float64(p.CallsPerSecond)
 	n.store = kv.New(kv.Config{
-		Addr:    p.Addr,
-		Timeout: p.Timeout,
-		Events:  n.log,
-		Budget:  kv.Budget{ReadsPerSecond: calls * readPart, WritesPerSecond: calls * writePart},
-		Seed:    n.c.Seed,
+		Wire:   store.New(store.Config{Addr: p.Addr, Timeout: p.Timeout}),
+		Addr:   p.Addr,
+		Events: n.log,
+		Budget: kv.Budget{ReadsPerSecond: calls * readPart, WritesPerSecond: calls * writePart},
+		Seed:   n.c.Seed,
 	})
 	n.vms = vmlist.New(vmlist.Config{Addr: p.Addr, Timeout: p.Timeout, Events: n.log, Seed: n.c.Seed})
 	n.searches = config.New(config.Config{
--- a/internal/node/gateway/membership.go
+++ b/internal/node/gateway/membership.go
@@ -58,7 +58,7 @@
 func (m *membership) step(ctx context.Context) error {
 	if m.lease != 0 {
 		err := m.c.Store.Keep(ctx, m.lease)
-		if !errors.Is(err, follow.ErrNoLease) {
+		if !errors.Is(err, follow.ErrAbsent) {
 			return errors.Annotate(err, "renewing the lease")
 		}
 		m.lease = 0
--- a/internal/platform/kv/client_test.go
+++ b/internal/platform/kv/client_test.go
@@ -10,6 +10,7 @@
 
 	"egrethaven/internal/platform/kv"
 	"egrethaven/internal/standin/platform"
+	"egrethaven/platform/store"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -20,7 +21,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c.Addr = p.Addr()
+	c.Wire = store.New(store.Config{Addr: p.Addr()})
 	k := kv.New(c)
 	t.Cleanup(func() { _ = k.Close(); _ = p.Close() })
 	return p, k
@@ -117,7 +118,7 @@
 		t.Fatal(err)
 	}
 	_ = l.Close()
-	k := kv.New(kv.Config{Addr: l.Addr().String()})
+	k := kv.New(kv.Config{Wire: store.New(store.Config{Addr: l.Addr().String()})})
 	_, s := k.Swap(t.Context(), "a", 0, nil)
 	want(t, "swap", s, kv.Down)
 }
--- a/internal/platform/kv/outage.go
+++ b/internal/platform/kv/outage.go
@@ -31,13 +31,12 @@
 
 // note tells the outage state how a call ended. A throttled call shows that
 // the service is up.
-func (c *Client) note(a answer) {
+func (c *Client) note(s Status, throttled bool) {
 	o := &c.outage
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	s := a.status
 	switch {
-	case a.throttled:
+	case throttled:
 		c.counts.down.Add(1)
 		c.counts.throttled.Add(1)
 		if due(&o.throttled, time.Now()) {
--- a/internal/platform/kv/retry.go
+++ b/internal/platform/kv/retry.go
@@ -17,7 +17,7 @@
 
 // read sends a request up to readAttempts times. A read has no effect, so a
 // lost answer is as good as a refusal.
-func (c *Client) read(ctx context.Context, r request) answer {
+func (c *Client) read(ctx context.Context, call func(context.Context) error) Status {
 	for i := range readAttempts {
 		if i > 0 && !pause.Sleep(ctx, c.backoff(i)) {
 			break
@@ -27,49 +27,49 @@
 			break
 		}
 		c.counts.reads.Add(1)
-		a := c.once(ctx, r, c.config.Timeout)
-		c.note(a)
-		if a.status != Unknown && a.status != Down {
-			return a
+		s, throttled := status(call(ctx))
+		c.note(s, throttled)
+		if s != Unknown && s != Down {
+			return s
 		}
 	}
-	return answer{status: Down}
+	return Down
 }
 
 // write sends a request once.
-func (c *Client) write(ctx context.Context, r request) answer {
+func (c *Client) write(ctx context.Context, call func(context.Context) error) Status {
 	if !c.budget.writes.wait(ctx) {
 		c.counts.overBudget.Add(1)
-		return answer{status: Down}
+		return Down
 	}
 	c.counts.writes.Add(1)
-	a := c.once(ctx, r, c.config.Timeout)
-	c.note(a)
-	return a
+	s, throttled := status(call(ctx))
+	c.note(s, throttled)
+	return s
 }
 
 // watch sends a request once and gives it the time to wait. A watch that the
 // caller ended is Absent.
-func (c *Client) watch(ctx context.Context, r request) answer {
+func (c *Client) watch(ctx context.Context, call func(context.Context) error) Status {
 	if !c.budget.watches.enter() {
 		c.counts.overBudget.Add(1)
-		return answer{status: Down}
+		return Down
 	}
 	defer c.budget.watches.leave()
 	if !c.budget.reads.wait(ctx) {
 		c.counts.overBudget.Add(1)
-		return answer{status: Down}
+		return Down
 	}
 	c.counts.watches.Add(1)
-	a := c.once(ctx, r, c.config.Wait+c.config.Timeout)
+	s, throttled := status(call(ctx))
 	if ctx.Err() != nil {
-		return answer{status: Absent}
+		return Absent
 	}
-	if a.status == Unknown {
-		a.status = Down
+	if s == Unknown {
+		s = Down
 	}
-	c.note(a)
-	return a
+	c.note(s, throttled)
+	return s
 }
 
 // backoff draws the wait before attempt i: full jitter under a doubling bound.
--- a/internal/platform/kv/store.go
+++ b/internal/platform/kv/store.go
@@ -1,6 +1,13 @@
 package kv
 
-import "context"
+import (
+	"context"
+	"strconv"
+
+	"github.com/juju/errors"
+
+	"egrethaven/internal/state/follow"
+)
 
 // Status is how a call to the key-value service ended.
 type Status int
@@ -41,6 +48,15 @@
 	TTLMS int64 `json:"ttl_ms"`
 }
 
+// number returns the lease as the store names it; 0 for none.
+func (l Lease) number() (follow.Lease, error) {
+	if l.ID == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseInt(l.ID, 10, 64)
+	return follow.Lease(n), errors.Annotatef(err, "lease %q", l.ID)
+}
+
 // Store is the platform's key-value service. Client implements it over HTTP;
 // tests may put a small fake in its place.
 type Store interface {
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -3,14 +3,8 @@
 // VMs, over HTTP. It can be made slow, down, throttled or forgetful of its
 // answers, in process or by POST /control.
 //
-// The dialect: GET /kv?key=K answers 200 with the raw value, or 404.
-// PUT /kv?key=K&expect=R[&lease=L] answers 200, or 409 with the current value.
-// DELETE /kv?key=K&expect=R answers 200, 404 or 409. GET /watch?key=K&after=R
-// &wait_ms=W answers 200 with the value, or 204. GET /list?prefix=P answers
-// with a JSON array of keys and revisions. POST /leases?ttl_ms=T answers with
-// a lease; POST /leases/ID renews it, or answers 404. GET /vms answers with
-// the list of VMs. The header Revision carries revisions. A call that is
-// refused with 429 or 503 had no effect.
+// The store speaks the platform's published protocol; GET /vms answers with the
+// list of VMs. A call that is refused with 429 or 503 had no effect.
 //
 // # Usage
 //
@@ -33,6 +27,7 @@
 	"egrethaven/internal/platform/kv"
 	"egrethaven/internal/platform/tokens"
 	"egrethaven/internal/world/vm"
+	"egrethaven/platform/store"
 )
 
 // closeTimeout bounds how long Close waits for calls to end by themselves.
@@ -58,22 +53,17 @@
 	mu       sync.Mutex
 	random   *rand.Rand
 	faults   Faults
-	revision uint64
-	keys     map[string]value
-	leases   map[string]lease
-	lastID   int
-	changed  chan struct{}
-	lists    []dated
-	meter    meter
-	writes   tokens.Bucket
-	reads    tokens.Bucket
-}
-
-// value is one key's content; a leased one vanishes with its lease.
-type value struct {
-	bytes    []byte
-	revision uint64
-	lease    string
+	revision int64
+	items    map[string]store.Item
+	leases   map[int64]lease
+	// history holds the changes after the revision dropped.
+	history []store.Item
+	dropped int64
+	changed chan struct{}
+	lists   []dated
+	meter   meter
+	writes  tokens.Bucket
+	reads   tokens.Bucket
 }
 
 // lease is a grant and when it lapses.
@@ -99,8 +89,8 @@
 		done:     make(chan struct{}),
 		random:   rand.New(rand.NewPCG(c.Seed, 1)),
 		faults:   c.Faults,
-		keys:     map[string]value{},
-		leases:   map[string]lease{},
+		items:    map[string]store.Item{},
+		leases:   map[int64]lease{},
 		changed:  make(chan struct{}),
 	}
 	p.server.Handler = p.routes()
@@ -135,7 +125,14 @@
 func (p *Platform) Put(key string, b []byte) uint64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.set(key, b, "").Revision
+	return uint64(p.set(store.Item{Key: key, Value: b}).Rev)
+}
+
+// Delete removes a key whatever its revision, without faults.
+func (p *Platform) Delete(key string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unset(key)
 }
 
 // Get reads a key without faults.
@@ -143,8 +140,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.lapse()
-	v, ok := p.keys[key]
-	return kv.Entry{Key: key, Value: v.bytes, Revision: v.revision}, ok
+	v, ok := p.items[key]
+	return kv.Entry{Key: key, Value: v.Value, Revision: uint64(v.Rev)}, ok
 }
 
 // pause waits for d, or until the caller or the stand-in goes.
--- a/internal/standin/platform/platform_test.go
+++ b/internal/standin/platform/platform_test.go
@@ -10,6 +10,7 @@
 
 	"egrethaven/internal/platform/kv"
 	"egrethaven/internal/standin/platform"
+	"egrethaven/platform/store"
 )
 
 func TestMain(m *testing.M) {
@@ -78,7 +79,7 @@
 // down, and the delay of a call ends with the stand-in.
 func TestOutageEndsWatches(t *testing.T) {
 	p := start(t)
-	c := kv.New(kv.Config{Addr: p.Addr(), Wait: time.Hour})
+	c := kv.New(kv.Config{Wire: store.New(store.Config{Addr: p.Addr()}), Wait: time.Hour})
 	defer func() { _ = c.Close() }()
 	got := make(chan kv.Status)
 	go func() {
--- a/internal/standin/platform/serve.go
+++ b/internal/standin/platform/serve.go
@@ -9,7 +9,7 @@
 
 	"github.com/gorilla/mux"
 
-	"egrethaven/internal/platform/kv"
+	"egrethaven/platform/store"
 )
 
 const (
@@ -17,17 +17,18 @@
 	statusThrottled = http.StatusTooManyRequests
 	// maxWait is the longest that a watch waits.
 	maxWait = 60 * time.Second
+	// maxCall bounds the body of a call, in bytes: a value of 1 MB, encoded.
+	maxCall = 4 << 20
 )
 
 func (p *Platform) routes() http.Handler {
 	r := mux.NewRouter()
-	r.HandleFunc("/kv", p.call(readCall, p.getKey)).Methods(http.MethodGet)
-	r.HandleFunc("/kv", p.call(writeCall, p.putKey)).Methods(http.MethodPut)
-	r.HandleFunc("/kv", p.call(writeCall, p.deleteKey)).Methods(http.MethodDelete)
-	r.HandleFunc("/watch", p.call(watchCall, p.watch)).Methods(http.MethodGet)
-	r.HandleFunc("/list", p.call(readCall, p.listKeys)).Methods(http.MethodGet)
-	r.HandleFunc("/leases", p.call(writeCall, p.postLease)).Methods(http.MethodPost)
-	r.HandleFunc("/leases/{id}", p.call(writeCall, p.keepLease)).Methods(http.MethodPost)
+	r.HandleFunc(store.KeyPath, p.call(readCall, p.getKey)).Methods(http.MethodGet)
+	r.HandleFunc(store.RangePath, p.call(readCall, p.getRange)).Methods(http.MethodGet)
+	r.HandleFunc(store.WatchPath, p.call(watchCall, p.watch)).Methods(http.MethodGet)
+	r.HandleFunc(store.TxnPath, p.call(writeCall, p.postTxn)).Methods(http.MethodPost)
+	r.HandleFunc(store.LeasePath, p.call(writeCall, p.postLease)).Methods(http.MethodPost)
+	r.HandleFunc(store.KeepPath+"{id}", p.call(writeCall, p.keepLease)).Methods(http.MethodPost)
 	r.HandleFunc("/vms", p.call(listCall, p.getVMs)).Methods(http.MethodGet)
 	r.HandleFunc("/control", p.getControl).Methods(http.MethodGet)
 	r.HandleFunc("/control", p.postControl).Methods(http.MethodPost)
@@ -36,16 +37,15 @@
 
 // reply is the answer to a call.
 type reply struct {
-	status   int
-	revision uint64
-	body     []byte
+	status int
+	body   any
 }
 
 // call wraps a handler with the faults. The effect comes before the answer
 // is lost.
 func (p *Platform) call(k kind, f func(*http.Request, []byte) reply) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		b, err := io.ReadAll(io.LimitReader(r.Body, kv.MaxValue+1))
+		b, err := io.ReadAll(io.LimitReader(r.Body, maxCall))
 		if err != nil {
 			return
 		}
@@ -58,72 +58,71 @@
 		if p.lose() {
 			panic(http.ErrAbortHandler)
 		}
-		w.Header().Set(kv.RevisionHeader, strconv.FormatUint(a.revision, 10))
+		w.Header().Set("Content-Type", "application/json")
 		w.WriteHeader(a.status)
-		_, _ = w.Write(a.body)
+		if a.body != nil {
+			_ = json.NewEncoder(w).Encode(a.body)
+		}
 	}
 }
 
-func number(r *http.Request, name string) uint64 {
-	n, _ := strconv.ParseUint(r.URL.Query().Get(name), 10, 64)
+func number(r *http.Request, name string) int64 {
+	n, _ := strconv.ParseInt(r.URL.Query().Get(name), 10, 64)
 	return n
 }
 
 func (p *Platform) getKey(r *http.Request, _ []byte) reply {
-	e, ok, _ := p.look(r.URL.Query().Get("key"))
+	i, ok := p.look(r.URL.Query().Get("key"))
 	if !ok {
 		return reply{status: http.StatusNotFound}
 	}
-	return reply{http.StatusOK, e.Revision, e.Value}
+	return reply{http.StatusOK, i}
 }
 
-func (p *Platform) putKey(r *http.Request, b []byte) reply {
-	q := r.URL.Query()
-	e, s := p.swap(q.Get("key"), number(r, "expect"), b, q.Get("lease"))
-	switch s {
-	case kv.Done:
-		return reply{status: http.StatusOK, revision: e.Revision}
-	case kv.Conflict:
-		return reply{http.StatusConflict, e.Revision, e.Value}
-	case kv.TooLarge:
-		return reply{status: http.StatusRequestEntityTooLarge}
-	default:
-		return reply{status: http.StatusNotFound}
-	}
+// getRange answers in one page.
+func (p *Platform) getRange(r *http.Request, _ []byte) reply {
+	is, rev := p.list(r.URL.Query().Get("prefix"))
+	return reply{http.StatusOK, store.Page{Items: is, Rev: rev}}
 }
 
-func (p *Platform) deleteKey(r *http.Request, _ []byte) reply {
-	switch p.remove(r.URL.Query().Get("key"), number(r, "expect")) {
-	case kv.Done:
-		return reply{status: http.StatusOK}
-	case kv.Absent:
+func (p *Platform) postTxn(_ *http.Request, b []byte) reply {
+	var t store.Txn
+	if json.Unmarshal(b, &t) != nil {
+		return reply{status: http.StatusBadRequest}
+	}
+	rev, conflict, ended := p.txn(t)
+	switch {
+	case ended:
 		return reply{status: http.StatusNotFound}
-	default:
-		return reply{status: http.StatusConflict}
+	case conflict != nil:
+		return reply{http.StatusPreconditionFailed, store.TxnAnswer{Items: conflict}}
 	}
+	return reply{http.StatusOK, store.TxnAnswer{Rev: rev}}
 }
 
 func (p *Platform) watch(r *http.Request, _ []byte) reply {
-	key, after := r.URL.Query().Get("key"), number(r, "after")
+	prefix, after := r.URL.Query().Get("prefix"), number(r, "after")
 	wait := min(time.Duration(number(r, "wait_ms"))*time.Millisecond, maxWait)
 	t := time.NewTimer(wait)
 	defer t.Stop()
 	p.waiting(1)
 	defer p.waiting(-1)
-	for {
-		e, ok, changed := p.look(key)
-		if ok && e.Revision > after {
-			return reply{http.StatusOK, e.Revision, e.Value}
-		}
-		if p.Faults().Down {
+	for over := false; ; {
+		es, rev, changed, ok := p.since(prefix, after)
+		switch {
+		case p.Faults().Down:
 			return reply{status: statusDown}
+		case !ok:
+			return reply{status: http.StatusGone}
+		case len(es) > 0 || over:
+			return reply{http.StatusOK, store.Page{Events: es, Rev: rev}}
 		}
 		select {
 		case <-changed:
 		case <-t.C:
-			return reply{status: http.StatusNoContent}
+			over = true
 		case <-r.Context().Done():
-			return reply{status: http.StatusNoContent}
+			over = true
 		case <-p.done:
 			return reply{status: statusDown}
 		}
@@ -136,31 +135,26 @@
 	p.meter.total.Waiting += n
 }
 
-func (p *Platform) listKeys(r *http.Request, _ []byte) reply {
-	return encode(p.list(r.URL.Query().Get("prefix")))
-}
-
-func (p *Platform) postLease(r *http.Request, _ []byte) reply {
-	return encode(p.grant(time.Duration(number(r, "ttl_ms")) * time.Millisecond))
+func (p *Platform) postLease(_ *http.Request, b []byte) reply {
+	var l store.Lease
+	if json.Unmarshal(b, &l) != nil {
+		return reply{status: http.StatusBadRequest}
+	}
+	l.ID = p.grant(time.Duration(l.TTL) * time.Millisecond)
+	return reply{http.StatusOK, l}
 }
 
 func (p *Platform) keepLease(r *http.Request, _ []byte) reply {
-	if !p.renew(mux.Vars(r)["id"]) {
+	id, _ := strconv.ParseInt(mux.Vars(r)["id"], 10, 64)
+	ttl, ok := p.renew(id)
+	if !ok {
 		return reply{status: http.StatusNotFound}
 	}
-	return reply{status: http.StatusOK}
+	return reply{http.StatusOK, store.Lease{ID: id, TTL: ttl.Milliseconds()}}
 }
 
 func (p *Platform) getVMs(*http.Request, []byte) reply {
-	return encode(p.visible())
-}
-
-func encode(v any) reply {
-	b, err := json.Marshal(v)
-	if err != nil {
-		return reply{status: http.StatusInternalServerError}
-	}
-	return reply{status: http.StatusOK, body: b}
+	return reply{http.StatusOK, p.visible()}
 }
 
 func (p *Platform) getControl(w http.ResponseWriter, _ *http.Request) {
--- a/internal/state/follow/follow.go
+++ b/internal/state/follow/follow.go
@@ -33,10 +33,17 @@
 const (
 	// ErrCompacted: the changes since the revision are no longer known.
 	ErrCompacted = errors.ConstError("the store has dropped its history")
-	// ErrNoLease: the lease, or key, does not exist.
-	ErrNoLease = errors.ConstError("the store knows no such lease")
-	// ErrThrottled: too many calls are made.
+	// ErrAbsent: the key or lease does not exist.
+	ErrAbsent = errors.ConstError("the store knows no such key or lease")
+	// ErrConflict: an entry has another revision than was expected; nothing was
+	// done.
+	ErrConflict = errors.ConstError("the entry has another revision")
+	// ErrThrottled: too many calls are made; nothing was done.
 	ErrThrottled = errors.ConstError("the store refused the call for its rate")
+	// ErrRefused: the store refused the call; nothing was done.
+	ErrRefused = errors.ConstError("the store refused the call")
+	// ErrUnsent: the store was not reached; nothing was done.
+	ErrUnsent = errors.ConstError("the store was not reached")
 )
 
 // Change is an entry as it was written, or its removal.
@@ -44,8 +51,8 @@
 	Key      string
 	Value    []byte
 	Revision Revision
-	// Lease is the lease with which the entry vanishes; 0 for none. It is known
-	// from full reads only.
+	// Lease is the lease with which the entry vanishes; 0 for none. Changes that
+	// another VM passed on do not tell it.
 	Lease   Lease
 	Deleted bool
 }
