Start without the store from what another VM knows

Cause: a gateway that starts while the store is away has no routes and no searchers, so it refuses everything.

Change: a gateway's first read asks the seeds of its settings if the store has not answered within 0.7 s, and takes all entries that one of them knows. It never does so again, and does not pass on what it did not read from the store.

--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -138,7 +138,7 @@
 	}); err != nil {
 		return errors.Trace(err)
 	}
-	if g.peers, err = newPeers(peersConfig{Listen: s.Peers, Store: g.c.Store, WatchWait: watchWait(s), View: g.view,
+	if g.peers, err = newPeers(peersConfig{Listen: s.Peers, Seeds: s.Seeds, Store: g.c.Store, WatchWait: watchWait(s), View: g.view,
 		Engine: g.engine, Bound: g.groupBound, Events: g.log}); err != nil {
 		return errors.Trace(err)
 	}
--- a/internal/node/gateway/peers.go
+++ b/internal/node/gateway/peers.go
@@ -47,7 +47,9 @@
 type peersConfig struct {
 	// Listen is the address for other VMs; empty for none.
 	Listen string
-	Store  follow.Source
+	// Seeds are addresses of other VMs, for a start without the store.
+	Seeds []string
+	Store follow.Source
 	// WatchWait is how long one watch waits at the store.
 	WatchWait time.Duration
 	View      *view
@@ -62,7 +64,7 @@
 	v := c.View
 	p := &peers{dialer: rpc.NewDialer(rpc.DialerConfig{Timeout: peerDialTimeout})}
 	log := changelog.New(changelog.Config{Fresh: c.WatchWait + freshSlack})
-	p.upstream = upstream.New(upstream.Config{Store: c.Store, Log: log, Dialer: p.dialer, Relays: v.relays, Events: c.Events})
+	p.upstream = upstream.New(upstream.Config{Store: c.Store, Log: log, Dialer: p.dialer, Relays: v.relays, Seeds: c.Seeds, Events: c.Events})
 	board, pool := scoreboard.New(), retrypool.New(retrypool.Config{Bound: c.Bound})
 	p.sharing = sharing.New(sharing.Config{Dialer: p.dialer, Board: board, Pool: pool, VM: v.c.Self.ID, Events: c.Events,
 		Used: c.Engine.Used, Relay: func() (string, bool) { return p.gatherer(v) },
--- a/internal/observe/event/number.go
+++ b/internal/observe/event/number.go
@@ -47,6 +47,7 @@
 	RelayChanged      Number = 409
 	RelayLost         Number = 410
 	SharingFailed     Number = 411
+	SnapshotTaken     Number = 412
 
 	ConfigAdopted  Number = 500
 	ConfigRefused  Number = 501
@@ -97,7 +98,7 @@
 	PlatformDown: "platform_down", PlatformBack: "platform_back", PlatformThrottled: "platform_throttled",
 	PlatformUnsure: "platform_unsure", VMListStale: "vm_list_stale", HistoryLost: "history_lost",
 	EntryUnreadable: "entry_unreadable", LeaseLost: "lease_lost", VMsCounted: "vms_counted",
-	RelayChanged: "relay_changed", RelayLost: "relay_lost", SharingFailed: "sharing_failed",
+	RelayChanged: "relay_changed", RelayLost: "relay_lost", SharingFailed: "sharing_failed", SnapshotTaken: "snapshot_taken",
 
 	ConfigAdopted: "config_adopted", ConfigRefused: "config_refused", ConfigAccepted: "config_accepted",
 	ConfigConflict: "config_conflict", ConfigUnsure: "config_unsure", ConfigFromPeer: "config_from_peer",
--- a/internal/peer/relay/relay.go
+++ b/internal/peer/relay/relay.go
@@ -51,11 +51,26 @@
 	case err != nil:
 		return nil, errors.Trace(err)
 	}
-	out := &relayrpc.FollowReply{Revision: int64(at), Changes: make([]*relayrpc.Change, len(cs))}
+	return &relayrpc.FollowReply{Revision: int64(at), Changes: encode(cs)}, nil
+}
+
+// Snapshot answers with all entries that this VM knows, also while the store is
+// away. It is called by drpc.
+func (r *Relay) Snapshot(context.Context, *relayrpc.SnapshotRequest) (*relayrpc.SnapshotReply, error) {
+	all, at, ok := r.c.Log.Entries()
+	if !ok {
+		return &relayrpc.SnapshotReply{Outcome: relayrpc.FollowReply_UNAVAILABLE}, nil
+	}
+	return &relayrpc.SnapshotReply{Revision: int64(at), Entries: encode(all)}, nil
+}
+
+// encode returns changes as messages.
+func encode(cs []follow.Change) []*relayrpc.Change {
+	out := make([]*relayrpc.Change, len(cs))
 	for i, c := range cs {
-		out.Changes[i] = &relayrpc.Change{Key: c.Key, Value: c.Value, Revision: int64(c.Revision), Deleted: c.Deleted}
+		out[i] = &relayrpc.Change{Key: c.Key, Value: c.Value, Revision: int64(c.Revision), Deleted: c.Deleted}
 	}
-	return out, nil
+	return out
 }
 
 // Share takes what a VM has seen of searchers and sent to them, and answers with
--- a/internal/peer/upstream/upstream.go
+++ b/internal/peer/upstream/upstream.go
@@ -15,6 +15,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -36,6 +37,9 @@
 	// relayTimeout bounds a call beside its wait: opening a connection to a VM
 	// that has a tenth of a core takes some tens of milliseconds.
 	relayTimeout = 400 * time.Millisecond
+	// seedAfter is how long the first read waits for the store before another VM
+	// is asked: a slow store answers within a quarter of a second.
+	seedAfter = 700 * time.Millisecond
 	// avoidSilent is how long a relay is left alone that did not answer, and
 	// avoidDeclined one that cannot reach the store or does not follow it.
 	avoidSilent   = 5 * time.Second
@@ -58,12 +62,17 @@
 	// Relays returns the addresses of the VMs to follow through, the first
 	// choice first; none if this VM watches the store itself.
 	Relays func() []string
+	// Seeds are VMs that may know the store's entries when this one starts and
+	// does not reach the store.
+	Seeds  []string
 	Events event.Sink
 }
 
 // Upstream is a follow.Source. It is used by one goroutine.
 type Upstream struct {
 	c Config
+	// read is set once everything was read.
+	read bool
 
 	mu sync.Mutex
 	// avoided tells until when relays are left alone.
@@ -90,16 +99,83 @@
 	return u.through
 }
 
-// Range reads everything from the store itself.
+// Range reads everything from the store itself. A VM that has just started and
+// does not reach the store takes what another one knows, and goes on from there.
 func (u *Upstream) Range(ctx context.Context, prefix string) ([]follow.Change, follow.Revision, error) {
 	u.use("")
-	all, at, err := u.c.Store.Range(ctx, prefix)
-	if err != nil {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answer := make(chan reading, 1)
+	go func() {
+		var r reading
+		r.all, r.at, r.err = u.c.Store.Range(ctx, prefix)
+		answer <- r
+	}()
+	r := reading{err: errNoAnswer}
+	t := time.NewTimer(seedAfter)
+	defer t.Stop()
+	select {
+	case r = <-answer:
+	case <-t.C:
+	}
+	if r.err != nil && !u.read {
+		if s, ok := u.fromSeeds(ctx); ok {
+			u.read = true
+			u.c.Log.Restore(s.all, s.at)
+			return s.all, s.at, nil
+		}
+	}
+	if errors.Is(r.err, errNoAnswer) {
+		r = <-answer
+	}
+	if r.err != nil {
 		u.c.Log.Unreachable()
-		return nil, 0, errors.Trace(err)
+		return nil, 0, errors.Trace(r.err)
+	}
+	u.read = true
+	u.c.Log.Reset(r.all, r.at)
+	return r.all, r.at, nil
+}
+
+// reading is what a full read of the store gave.
+type reading struct {
+	all []follow.Change
+	at  follow.Revision
+	err error
+}
+
+// errNoAnswer tells that the store has not answered yet.
+const errNoAnswer = errors.ConstError("no answer yet")
+
+// fromSeeds takes what one of the seeds knows of the store.
+func (u *Upstream) fromSeeds(ctx context.Context) (reading, bool) {
+	for _, addr := range u.c.Seeds {
+		r := u.snapshot(ctx, addr)
+		if r.err == nil {
+			u.c.Events.Emit(event.SnapshotTaken, addr, fmt.Sprintf("%d entries at revision %d, as the store does not answer", len(r.all), r.at))
+			return r, true
+		}
 	}
-	u.c.Log.Reset(all, at)
-	return all, at, nil
+	return reading{}, false
+}
+
+// snapshot asks a VM for all entries.
+func (u *Upstream) snapshot(ctx context.Context, addr string) reading {
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	c, err := u.c.Dialer.Conn(ctx, addr)
+	if err != nil {
+		return reading{err: errors.Trace(err)}
+	}
+	defer func() { _ = c.Close() }()
+	out, err := relayrpc.NewDRPCRelayClient(c).Snapshot(ctx, &relayrpc.SnapshotRequest{})
+	switch {
+	case err != nil:
+		return reading{err: errors.Trace(err)}
+	case out.GetOutcome() != relayrpc.FollowReply_FOLLOWED:
+		return reading{err: errDeclined}
+	}
+	return reading{all: decode(out.GetEntries()), at: follow.Revision(out.GetRevision())}
 }
 
 // Watch returns the changes after a revision, from a relay or from the store.
@@ -148,13 +224,19 @@
 	case out.GetOutcome() != relayrpc.FollowReply_FOLLOWED:
 		return nil, 0, errors.WithType(errors.New(out.GetOutcome().String()), errDeclined)
 	}
-	cs := make([]follow.Change, 0, len(out.GetChanges()))
-	for _, c := range out.GetChanges() {
+	return decode(out.GetChanges()), max(after, follow.Revision(out.GetRevision())), nil
+}
+
+// decode returns messages as changes. One without a key names nothing and is
+// left out.
+func decode(in []*relayrpc.Change) []follow.Change {
+	cs := make([]follow.Change, 0, len(in))
+	for _, c := range in {
 		if c.GetKey() != "" {
 			cs = append(cs, follow.Change{Key: c.GetKey(), Value: c.GetValue(), Revision: follow.Revision(c.GetRevision()), Deleted: c.GetDeleted()})
 		}
 	}
-	return cs, max(after, follow.Revision(out.GetRevision())), nil
+	return cs
 }
 
 // avoids tells whether a relay is left alone.
--- a/internal/peer/upstream/upstream_test.go
+++ b/internal/peer/upstream/upstream_test.go
@@ -183,3 +183,27 @@
 		t.Errorf("%+v up to %d", cs, at)
 	}
 }
+
+// TestStartWithoutStore starts a VM while the store refuses all calls: it takes
+// what a seed knows. Later it does not: what the seed knows may be older than
+// what the VM has.
+func TestStartWithoutStore(t *testing.T) {
+	r, dark := newVM(t), newVM(t)
+	r.read(t)
+	down := &store{down: true}
+	d := rpc.NewDialer(rpc.DialerConfig{})
+	defer func() { _ = d.Close() }()
+	log := changelog.New(changelog.Config{Fresh: time.Minute})
+	u := upstream.New(upstream.Config{Store: down, Log: log, Dialer: d, Relays: func() []string { return nil },
+		Seeds: []string{"127.0.0.1:1", dark.server.Addr(), r.server.Addr()}})
+	all, at, err := u.Range(t.Context(), "")
+	if err != nil || at != 1 || len(all) != 1 || all[0].Key != "k" {
+		t.Errorf("%+v up to %d, %v", all, at, err)
+	}
+	if _, _, err := log.Wait(t.Context(), 1, 0); !errors.Is(err, changelog.ErrUnavailable) {
+		t.Error("others are told what was not read from the store:", err)
+	}
+	if _, _, err := u.Range(t.Context(), ""); !errors.Is(err, errDown) {
+		t.Error("a later read:", err)
+	}
+}
--- a/internal/state/changelog/changelog.go
+++ b/internal/state/changelog/changelog.go
@@ -18,6 +18,7 @@
 	"bytes"
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -138,6 +139,20 @@
 	}
 }
 
+// Restore takes all entries as another VM knows them.
+func (l *Log) Restore(all []follow.Change, at follow.Revision) {
+	l.Reset(all, at)
+	l.Unreachable()
+}
+
+// Entries returns all entries of the store as they were at a revision. It
+// reports false if they are not all known.
+func (l *Log) Entries() ([]follow.Change, follow.Revision, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Collect(maps.Values(l.entries)), l.at, l.entries != nil
+}
+
 // keep adds changes and drops the oldest. The lock is held.
 func (l *Log) keep(cs []follow.Change) {
 	l.changes = append(l.changes, cs...)
--- a/internal/state/gatewaysettings/fields.go
+++ b/internal/state/gatewaysettings/fields.go
@@ -3,7 +3,10 @@
 import (
 	"fmt"
 	"math"
+	"net/netip"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"egrethaven/internal/state/field"
@@ -32,6 +35,10 @@
 		Help: "address for other VMs; none if not given, and the store is watched by every VM itself"},
 		func(s *Settings) *string { return &s.Peers }),
 
+	addrs(field.About{Section: "peers", Key: "seeds",
+		Help: "addresses of VMs that are asked for routes and searchers if the store does not answer at the start"},
+		func(s *Settings) *[]string { return &s.Seeds }),
+
 	field.Addr(field.About{Section: "store", Key: "address", Required: true,
 		Help: "address of the platform's store"},
 		func(s *Settings) *string { return &s.Store }),
@@ -70,6 +77,25 @@
 		func(s *Settings) *settings.LogLevel { return &s.LogLevel }),
 }
 
+// addrs is a list of addresses, separated by commas.
+func addrs(a field.About, at func(*Settings) *[]string) field.Field[Settings] {
+	parse := func(s *Settings, text string) bool {
+		for v := range strings.SplitSeq(text, ",") {
+			if v = strings.TrimSpace(v); v != "" {
+				*at(s) = append(*at(s), v)
+			}
+		}
+		return true
+	}
+	valid := func(s *Settings) bool {
+		return !slices.ContainsFunc(*at(s), func(v string) bool {
+			ap, err := netip.ParseAddrPort(v)
+			return err != nil || ap.Port() == 0
+		})
+	}
+	return field.Custom(a, "IP:port, separated by commas, or not given", parse, valid)
+}
+
 // seconds is a time given as a plain number of seconds.
 func seconds(a field.About, least, most float64, at func(*Settings) *time.Duration) field.Field[Settings] {
 	a.Unit = "s"
--- a/internal/state/gatewaysettings/settings.go
+++ b/internal/state/gatewaysettings/settings.go
@@ -32,6 +32,9 @@
 	Metrics string
 	// Peers is the address for other VMs; empty if there is none.
 	Peers string
+	// Seeds are addresses of VMs that may know routes and searchers when this one
+	// starts and the store does not answer.
+	Seeds []string
 	// Store is the address of the platform's store.
 	Store string
 	// EntryGrace is how long searchers stay that are missing in the store
