Keep what the view knows of other VMs in a file of its own

Reading the change as a newcomer: peers.go mixed the calls to other VMs with the registrations that the view holds. No change in behaviour, but for one: closing the peers logged listener_failed without a failure, as juju's Wrap makes an error of two that are none.

--- a/internal/node/gateway/peers.go
+++ b/internal/node/gateway/peers.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"net/netip"
-	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -18,7 +16,6 @@
 	"egrethaven/internal/query/retrypool"
 	"egrethaven/internal/state/changelog"
 	"egrethaven/internal/state/follow"
-	"egrethaven/internal/state/roster"
 )
 
 const (
@@ -106,76 +103,11 @@
 // close ends all calls and waits.
 func (p *peers) close() error {
 	err := p.dialer.Close()
-	if p.server != nil {
-		err = errors.Wrap(err, p.server.Close())
-	}
-	return errors.Trace(err)
-}
-
-// vm takes the registration of a VM. The lock is held.
-func (v *view) vm(c follow.Change) {
-	id := strings.TrimPrefix(c.Key, v.c.Decode.VMPrefix)
-	if c.Deleted {
-		delete(v.vms, id)
-		return
+	if p.server == nil {
+		return errors.Trace(err)
 	}
-	r, err := roster.Decode(id, c.Value)
-	if err != nil {
-		v.c.Events.Emit(event.EntryUnreadable, c.Key, err.Error())
-		r = roster.VM{ID: id}
+	if e := p.server.Close(); err == nil {
+		err = e
 	}
-	v.vms[id] = r
-}
-
-// choose works out through which VMs this one follows the store. The lock is
-// held.
-func (v *view) choose() {
-	vms := make([]roster.VM, 0, len(v.vms))
-	known := make(map[netip.Addr]bool, len(v.vms))
-	for _, r := range v.vms {
-		vms = append(vms, r)
-		if a, err := netip.ParseAddrPort(r.Peers); err == nil {
-			known[a.Addr()] = true
-		}
-	}
-	var addrs []string
-	for _, r := range roster.Relays(vms, v.c.Self) {
-		addrs = append(addrs, r.Peers)
-	}
-	v.shares.Store(v.c.Self.Peers != "" && roster.Peers(vms, v.c.Self.Domain) >= shareLeast)
-	v.relayAddrs.Store(&addrs)
-	v.known.Store(&known)
-}
-
-// hear takes what the VMs of the domain have seen of searchers.
-func (v *view) hear(now time.Time, scores []scoreboard.Score) {
-	by := make(map[scoreboard.Searcher]scoreboard.Score, len(scores))
-	for _, s := range scores {
-		by[s.Searcher] = s
-	}
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	for p, i := range v.instances {
-		name := scoreboard.Searcher{ID: p.id, Born: p.born}
-		s, ok := by[name]
-		if !ok {
-			s = scoreboard.Score{Searcher: name, Factor: 1}
-		}
-		i.Hear(now, s)
-	}
-}
-
-// relays returns the addresses of the VMs through which this one follows the
-// store; none if it watches the store itself.
-func (v *view) relays() []string {
-	if a := v.relayAddrs.Load(); a != nil && v.c.Self.Peers != "" {
-		return *a
-	}
-	return nil
-}
-
-// knows tells whether a registered VM has an address.
-func (v *view) knows(a netip.Addr) bool {
-	m := v.known.Load()
-	return m != nil && (*m)[a]
+	return errors.Trace(err)
 }
--- a/internal/node/gateway/view.go
+++ b/internal/node/gateway/view.go
@@ -183,22 +183,6 @@
 	}
 }
 
-// recall notes the lease of this VM's own registration, if the first read finds
-// it as it would be written now: it can be renewed. The lock is held.
-func (v *view) recall(c follow.Change) {
-	if !v.loaded && v.vms[strings.TrimPrefix(c.Key, v.c.Decode.VMPrefix)] == v.c.Self {
-		v.lease = c.Lease
-	}
-}
-
-// Lease returns the lease of this VM's registration from before a restart; 0 if
-// there is none.
-func (v *view) Lease() follow.Lease {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.lease
-}
-
 // FirstRead is closed once the store has been read.
 func (v *view) FirstRead() <-chan struct{} { return v.firstRead }
 
@@ -395,6 +379,24 @@
 	return out
 }
 
+// hear takes what the VMs of the domain have seen of searchers.
+func (v *view) hear(now time.Time, scores []scoreboard.Score) {
+	by := make(map[scoreboard.Searcher]scoreboard.Score, len(scores))
+	for _, s := range scores {
+		by[s.Searcher] = s
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for p, i := range v.instances {
+		name := scoreboard.Searcher{ID: p.id, Born: p.born}
+		s, ok := by[name]
+		if !ok {
+			s = scoreboard.Score{Searcher: name, Factor: 1}
+		}
+		i.Hear(now, s)
+	}
+}
+
 // crowded tells whether the connections of processes that ended when this VM lost
 // power may still be open at the searchers. The lock need not be held.
 func (v *view) crowded(now time.Time) bool { return now.Sub(v.began) < crowdedTime }
