Confirm the store at once after a relay was followed

Cause: a new test on real processes found that gateways of one failure domain that start one after the other took up to ten seconds until one watched the store for the others. A VM that becomes the one to ask had followed another one until then; its log answers only once its first own watch has ended, up to 3.2 s later, and those that ask meanwhile wait as long at the store.

Change: the first watch after a relay was followed waits 100 ms at most.

Conclusion: kept; costs one call for each change from a relay to the store.

--- a/internal/peer/upstream/upstream.go
+++ b/internal/peer/upstream/upstream.go
@@ -40,6 +40,9 @@
 	// seedAfter is how long the first read waits for the store before another VM
 	// is asked: a slow store answers within a quarter of a second.
 	seedAfter = 700 * time.Millisecond
+	// firstWait is how long the first watch waits after a relay was followed: it
+	// tells whether the store can be reached.
+	firstWait = 100 * time.Millisecond
 	// avoidSilent is how long a relay is left alone that did not answer, and
 	// avoidDeclined one that cannot reach the store or does not follow it.
 	avoidSilent   = 5 * time.Second
@@ -195,7 +198,11 @@
 		}
 		u.avoid(addr, err)
 	}
-	u.use("")
+	if u.use("") {
+		// Others may follow through this VM from now on, but not before the store
+		// has answered.
+		wait = min(wait, firstWait)
+	}
 	cs, at, err := u.c.Store.Watch(ctx, prefix, after, wait)
 	if err != nil {
 		u.c.Log.Unreachable()
@@ -259,15 +266,17 @@
 	u.avoided[addr] = time.Now().Add(d)
 }
 
-// use notes whom the VM follows.
-func (u *Upstream) use(addr string) {
+// use notes whom the VM follows, and tells whether that has changed.
+func (u *Upstream) use(addr string) bool {
 	u.mu.Lock()
 	old := u.through
 	u.through = addr
 	u.mu.Unlock()
-	if old != addr {
-		u.c.Events.Emit(event.RelayChanged, addr, "followed before: "+orStore(old))
+	if old == addr {
+		return false
 	}
+	u.c.Events.Emit(event.RelayChanged, addr, "followed before: "+orStore(old))
+	return true
 }
 
 // orStore names what is followed.
