Report how old a gateway's copy of the store is

The logs could not tell a copy that a relay passed on late from a call that hung: egrethaven_store_age counted an answer of a relay as fresh whatever the relay knew, and a hanging call left no line until it ended.

Relays now say up to when they know all changes (known_ms, counted from the request's arrival, so that neither the way nor the clocks matter); a follower adds it to the start of its call. The age is logged when it passes the time by which changes have to be in force (copy_outdated, with the source; copy_current with the age reached) and shown as egrethaven_store_age. It counts the time for which a VM was suspended. No decision uses it yet.

--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -143,7 +143,7 @@
 	}); err != nil {
 		return errors.Trace(err)
 	}
-	if g.peerComponents, err = newPeerComponents(peerConfig{ListenAddr: s.PeerAddr, Seeds: s.SeedAddrs, Store: g.c.Store, WatchWait: watchWait(s), StoreView: g.storeView,
+	if g.peerComponents, err = newPeerComponents(peerConfig{ListenAddr: s.PeerAddr, Seeds: s.SeedAddrs, Store: g.c.Store, ChangeTime: s.ChangeTime(), WatchWait: watchWait(s), StoreView: g.storeView,
 		Engine: g.engine, GroupLimit: g.groupLimit, Events: g.log}); err != nil {
 		return errors.Trace(err)
 	}
@@ -168,7 +168,7 @@
 		read             func() float64
 	}{
 		{"egrethaven_config_version", "{version}", "version of the configuration in force", g.storeView.configVersion},
-		{"egrethaven_store_age", "s", "time since the store last confirmed the view", g.storeView.confirmedAge},
+		{"egrethaven_store_age", "s", "age of the copy of the store: the time since it was known to have all changes", g.copyAge},
 		{"egrethaven_searchers", "{searcher}", "searchers in use", g.storeView.searcherCount},
 		{"egrethaven_vms", "{vm}", "VMs of the tier that are counted", g.storeView.registeredVMs},
 		{"egrethaven_log_lines_dropped", "{line}", "log lines that found no room", g.droppedLogLines},
@@ -180,6 +180,15 @@
 	return nil
 }
 
+// copyAge returns the age of this VM's copy of the store in seconds; -1 if the store
+// was never read.
+func (g *Gateway) copyAge() float64 {
+	if age, ok := g.peerComponents.storeSource.CopyAge(); ok {
+		return age.Seconds()
+	}
+	return -1
+}
+
 // droppedLogLines returns the number of log lines dropped from a full buffer.
 func (g *Gateway) droppedLogLines() float64 {
 	if g.pipe == nil {
--- a/internal/node/gateway/peers.go
+++ b/internal/node/gateway/peers.go
@@ -48,6 +48,8 @@
 	// Seeds holds addresses of other VMs, to start while the store is down.
 	Seeds []string
 	Store follow.Source
+	// ChangeTime is the time by which a change of the store has to be in force.
+	ChangeTime time.Duration
 	// WatchWait is how long one watch of the store waits for changes.
 	WatchWait time.Duration
 	StoreView *storeView
@@ -63,7 +65,8 @@
 	v := c.StoreView
 	p := &peerComponents{dialer: rpc.NewDialer(rpc.DialerConfig{DialTimeout: peerDialTimeout})}
 	log := changelog.New(changelog.Config{MaxAge: c.WatchWait + watchSlack})
-	p.storeSource = upstream.New(upstream.Config{Store: c.Store, Log: log, Dialer: p.dialer, Relays: v.relays, Seeds: c.Seeds, Events: c.Events})
+	p.storeSource = upstream.New(upstream.Config{Store: c.Store, Log: log, Dialer: p.dialer, Relays: v.relays, Seeds: c.Seeds,
+		ChangeTime: c.ChangeTime, Events: c.Events})
 	board, pool := healthscore.New(), retrypool.New(retrypool.Config{Limit: c.GroupLimit})
 	p.sharing = loadreport.New(loadreport.Config{Dialer: p.dialer, HealthScores: board, RetryPool: pool, VM: v.c.Self.ID, Events: c.Events,
 		Usage: c.Engine.Usage, RelayAddr: func() (string, bool) { return p.scoreRelay(v) },
@@ -105,6 +108,7 @@
 
 // close aborts all calls and waits for them to end.
 func (p *peerComponents) close() error {
+	p.storeSource.Close()
 	err := p.dialer.Close()
 	if p.server == nil {
 		return errors.Trace(err)
--- a/internal/node/gateway/storeview.go
+++ b/internal/node/gateway/storeview.go
@@ -94,7 +94,6 @@
 	// observeSearcher receives the measurements of this VM. It is set once,
 	// before the first searcher is added.
 	observeSearcher func(s healthscore.Process, ratio float64, failed bool)
-	confirmedAt     atomic.Pointer[time.Time]
 
 	mu        sync.Mutex
 	wg        sync.WaitGroup
@@ -260,7 +259,6 @@
 
 // Confirmed records that the store was reached.
 func (v *storeView) Confirmed(now time.Time) {
-	v.confirmedAt.Store(&now)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.storeDown {
@@ -458,15 +456,6 @@
 	return 0
 }
 
-// confirmedAge returns the time since the store was last reached, in seconds; -1
-// if it never was.
-func (v *storeView) confirmedAge() float64 {
-	if t := v.confirmedAt.Load(); t != nil {
-		return time.Since(*t).Seconds()
-	}
-	return -1
-}
-
 // searcherCount returns the number of searchers in use.
 func (v *storeView) searcherCount() float64 {
 	v.mu.Lock()
--- a/internal/observe/event/number.go
+++ b/internal/observe/event/number.go
@@ -48,6 +48,8 @@
 	RelayLost         Number = 410
 	SharingFailed     Number = 411
 	SnapshotTaken     Number = 412
+	CopyOutdated      Number = 413
+	CopyCurrent       Number = 414
 
 	ConfigAdopted  Number = 500
 	ConfigRefused  Number = 501
@@ -99,6 +101,7 @@
 	PlatformUnsure: "platform_unsure", VMListStale: "vm_list_stale", HistoryLost: "history_lost",
 	EntryUnreadable: "entry_unreadable", LeaseLost: "lease_lost", VMsCounted: "vms_counted",
 	RelayChanged: "relay_changed", RelayLost: "relay_lost", SharingFailed: "sharing_failed", SnapshotTaken: "snapshot_taken",
+	CopyOutdated: "copy_outdated", CopyCurrent: "copy_current",
 
 	ConfigAdopted: "config_adopted", ConfigRefused: "config_refused", ConfigAccepted: "config_accepted",
 	ConfigConflict: "config_conflict", ConfigUnsure: "config_unsure", ConfigFromPeer: "config_from_peer",
--- a/internal/peer/relay/relay.go
+++ b/internal/peer/relay/relay.go
@@ -14,6 +14,7 @@
 	"github.com/juju/errors"
 
 	"egrethaven/internal/back/healthscore"
+	"egrethaven/internal/infra/boottime"
 	"egrethaven/internal/peer/relayrpc"
 	"egrethaven/internal/query/retrypool"
 	"egrethaven/internal/state/changelog"
@@ -44,7 +45,8 @@
 // it, and COMPACTED if the changes are no longer known.
 func (r *Relay) Follow(ctx context.Context, in *relayrpc.FollowRequest) (*relayrpc.FollowReply, error) {
 	wait := min(max(time.Duration(in.GetWaitMs())*time.Millisecond, 0), maxWait)
-	cs, at, err := r.c.Log.Wait(ctx, follow.Revision(in.GetAfter()), wait)
+	arrivedAt := boottime.Now()
+	u, err := r.c.Log.Wait(ctx, follow.Revision(in.GetAfter()), wait)
 	switch {
 	case errors.Is(err, changelog.ErrUnavailable):
 		return &relayrpc.FollowReply{Outcome: relayrpc.FollowReply_UNAVAILABLE}, nil
@@ -53,7 +55,7 @@
 	case err != nil:
 		return nil, errors.Trace(err)
 	}
-	return &relayrpc.FollowReply{Revision: int64(at), Changes: encode(cs)}, nil
+	return &relayrpc.FollowReply{Revision: int64(u.Revision), Changes: encode(u.Changes), KnownMs: u.KnownAt.Sub(arrivedAt).Milliseconds()}, nil
 }
 
 // Snapshot returns all entries of the store, even if it cannot be reached. The outcome
--- a/internal/peer/upstream/upstream.go
+++ b/internal/peer/upstream/upstream.go
@@ -22,9 +22,11 @@
 	"github.com/juju/errors"
 	"storj.io/drpc"
 
+	"egrethaven/internal/infra/boottime"
 	"egrethaven/internal/observe/event"
 	"egrethaven/internal/peer/relayrpc"
 	"egrethaven/internal/state/changelog"
+	"egrethaven/internal/state/copyage"
 	"egrethaven/internal/state/follow"
 )
 
@@ -47,6 +49,9 @@
 	declinedCooldown     = time.Second
 )
 
+// storeName stands for the store in events.
+const storeName = "the store"
+
 // Dialer opens connections to other VMs. *rpc.Dialer implements it.
 type Dialer interface {
 	Conn(ctx context.Context, addr string) (drpc.Conn, error)
@@ -65,14 +70,18 @@
 	Relays func() []string
 	// Seeds are addresses of VMs to ask for the store's entries if the store cannot be
 	// reached at startup.
-	Seeds  []string
-	Events event.Sink
+	Seeds []string
+	// ChangeTime is the time by which a change of the store has to be in force on this
+	// VM. A copy that is older is reported.
+	ChangeTime time.Duration
+	Events     event.Sink
 }
 
 // Upstream is a follow.Source. Its methods are for one goroutine, except RelayAddr,
-// which is safe for concurrent use.
+// CopyAge and Close, which are safe for concurrent use.
 type Upstream struct {
-	c Config
+	c       Config
+	copyAge *copyage.Tracker
 	// loaded is set once all entries have been read, from the store or a seed.
 	loaded bool
 
@@ -90,9 +99,16 @@
 	if c.Events == nil {
 		c.Events = event.Discard{}
 	}
-	return &Upstream{c: c, cooldowns: map[string]time.Time{}}
+	return &Upstream{c: c, copyAge: copyage.New(copyage.Config{Limit: c.ChangeTime, Events: c.Events}), cooldowns: map[string]time.Time{}}
 }
 
+// Close stops the reports on the age of the copy.
+func (u *Upstream) Close() { u.copyAge.Close() }
+
+// CopyAge returns how long ago the copy was last known to have all changes of the
+// store. It reports false if it never was.
+func (u *Upstream) CopyAge() (time.Duration, bool) { return u.copyAge.Age(), u.copyAge.Known() }
+
 // RelayAddr returns the address of the relay that is followed, or an empty string if
 // the store was called directly.
 func (u *Upstream) RelayAddr() string {
@@ -108,6 +124,7 @@
 	u.setRelay("")
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	calledAt := boottime.Now()
 	fromStore := make(chan readResult, 1)
 	go func() {
 		var r readResult
@@ -136,7 +153,8 @@
 		return nil, 0, errors.Trace(r.err)
 	}
 	u.loaded = true
-	u.c.Log.ReplaceEntries(r.entries, r.at)
+	u.c.Log.ReplaceEntries(r.entries, r.at, calledAt)
+	u.copyAge.Confirm(storeName, calledAt)
 	return r.entries, r.at, nil
 }
 
@@ -189,11 +207,12 @@
 		if u.inCooldown(addr) {
 			continue
 		}
-		cs, at, err := u.watchRelay(ctx, addr, after)
+		r, err := u.watchRelay(ctx, addr, after)
 		if err == nil {
 			u.setRelay(addr)
-			u.c.Log.AppendRelayed(after, cs, at)
-			return cs, at, nil
+			u.c.Log.AppendRelayed(after, r.Changes, r.Revision)
+			u.copyAge.Confirm(addr, r.KnownAt)
+			return r.Changes, r.Revision, nil
 		}
 		if ctx.Err() != nil {
 			return nil, 0, errors.Trace(err)
@@ -205,12 +224,19 @@
 		// the store has responded.
 		wait = min(wait, firstWatchWait)
 	}
+	calledAt := boottime.Now()
 	cs, at, err := u.c.Store.Watch(ctx, prefix, after, wait)
 	if err != nil {
 		u.c.Log.MarkUnreachable()
 		return nil, 0, errors.Trace(err)
 	}
-	u.c.Log.Append(after, cs, at)
+	knownAt := calledAt
+	if len(cs) == 0 {
+		// The store had no change to report during the whole wait.
+		knownAt = calledAt.Add(wait)
+	}
+	u.c.Log.Append(after, cs, at, knownAt)
+	u.copyAge.Confirm(storeName, knownAt)
 	return cs, at, nil
 }
 
@@ -220,22 +246,24 @@
 
 // watchRelay returns the changes after a revision from the relay at addr, or none
 // after relayWait.
-func (u *Upstream) watchRelay(ctx context.Context, addr string, after follow.Revision) ([]follow.Change, follow.Revision, error) {
+func (u *Upstream) watchRelay(ctx context.Context, addr string, after follow.Revision) (changelog.Update, error) {
+	calledAt := boottime.Now()
 	ctx, cancel := context.WithTimeout(ctx, relayWait+relayTimeout)
 	defer cancel()
 	c, err := u.c.Dialer.Conn(ctx, addr)
 	if err != nil {
-		return nil, 0, errors.Trace(err)
+		return changelog.Update{}, errors.Trace(err)
 	}
 	defer func() { _ = c.Close() }()
 	out, err := relayrpc.NewDRPCRelayClient(c).Follow(ctx, &relayrpc.FollowRequest{After: int64(after), WaitMs: relayWait.Milliseconds()})
 	switch {
 	case err != nil:
-		return nil, 0, errors.Trace(err)
+		return changelog.Update{}, errors.Trace(err)
 	case out.GetOutcome() != relayrpc.FollowReply_FOLLOWED:
-		return nil, 0, errors.WithType(errors.New(out.GetOutcome().String()), errDeclined)
+		return changelog.Update{}, errors.WithType(errors.New(out.GetOutcome().String()), errDeclined)
 	}
-	return decode(out.GetChanges()), max(after, follow.Revision(out.GetRevision())), nil
+	return changelog.Update{Changes: decode(out.GetChanges()), Revision: max(after, follow.Revision(out.GetRevision())),
+		KnownAt: calledAt.Add(time.Duration(out.GetKnownMs()) * time.Millisecond)}, nil
 }
 
 // decode converts messages to changes, and omits messages without a key.
@@ -287,7 +315,7 @@
 // displayName returns the address of a relay, or "the store" if it is empty.
 func displayName(addr string) string {
 	if addr == "" {
-		return "the store"
+		return storeName
 	}
 	return addr
 }
--- a/internal/peer/upstream/upstream_test.go
+++ b/internal/peer/upstream/upstream_test.go
@@ -200,7 +200,7 @@
 	if err != nil || at != 1 || len(all) != 1 || all[0].Key != "k" {
 		t.Errorf("%+v up to %d, %v", all, at, err)
 	}
-	if _, _, err := log.Wait(t.Context(), 1, 0); !errors.Is(err, changelog.ErrUnavailable) {
+	if _, err := log.Wait(t.Context(), 1, 0); !errors.Is(err, changelog.ErrUnavailable) {
 		t.Error("the log serves entries that were not read from the store:", err)
 	}
 	if _, _, err := u.Range(t.Context(), ""); !errors.Is(err, errDown) {
--- a/internal/state/changelog/changelog.go
+++ b/internal/state/changelog/changelog.go
@@ -8,9 +8,9 @@
 // # Usage
 //
 //	l := changelog.New(changelog.Config{MaxAge: 6 * time.Second})
-//	l.ReplaceEntries(all, rev)     // after a full read
-//	l.Append(after, changes, rev)  // after a watch
-//	cs, rev, err := l.Wait(ctx, after, time.Second)
+//	l.ReplaceEntries(all, rev, knownAt)     // after a full read
+//	l.Append(after, changes, rev, knownAt)  // after a watch
+//	u, err := l.Wait(ctx, after, time.Second)
 package changelog
 
 import (
@@ -24,6 +24,7 @@
 
 	"github.com/juju/errors"
 
+	"egrethaven/internal/infra/boottime"
 	"egrethaven/internal/state/follow"
 )
 
@@ -55,15 +56,28 @@
 	// lastRead is when this VM last read the store; zero if the store is
 	// unreachable or this VM does not read it directly.
 	lastRead time.Time
+	// knownAt is the time up to which the log has all changes of the store.
+	knownAt boottime.Instant
 	// wake is closed and replaced whenever the state changes.
 	wake chan struct{}
 }
 
+// Update holds the changes after a revision.
+type Update struct {
+	// Changes holds the last change of each key.
+	Changes []follow.Change
+	// Revision is that up to which the changes are complete.
+	Revision follow.Revision
+	// KnownAt is the time up to which the changes are complete.
+	KnownAt boottime.Instant
+}
+
 // New returns an empty log.
 func New(c Config) *Log { return &Log{c: c, wake: make(chan struct{})} }
 
-// ReplaceEntries replaces all entries after a full read of the store at revision rev.
-func (l *Log) ReplaceEntries(all []follow.Change, rev follow.Revision) {
+// ReplaceEntries replaces all entries after a full read of the store at revision rev,
+// which includes all changes up to knownAt.
+func (l *Log) ReplaceEntries(all []follow.Change, rev follow.Revision, knownAt boottime.Instant) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	old, oldRev := l.entries, l.rev
@@ -76,7 +90,7 @@
 	} else {
 		l.add(diff(old, l.entries, oldRev, rev))
 	}
-	l.recordRead(rev)
+	l.recordRead(rev, knownAt)
 }
 
 // diff returns the changes from the old entries, at revision oldRev, to the new
@@ -100,8 +114,9 @@
 	return cs
 }
 
-// Append adds the changes of the store between revisions after and rev.
-func (l *Log) Append(after follow.Revision, cs []follow.Change, rev follow.Revision) {
+// Append adds the changes of the store between revisions after and rev, which are
+// complete up to knownAt.
+func (l *Log) Append(after follow.Revision, cs []follow.Change, rev follow.Revision, knownAt boottime.Instant) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if after != l.rev {
@@ -118,13 +133,13 @@
 		}
 	}
 	l.add(cs)
-	l.recordRead(max(after, rev))
+	l.recordRead(max(after, rev), knownAt)
 }
 
 // AppendRelayed adds changes that another VM relayed. The log stays complete, but
 // Wait returns ErrUnavailable.
 func (l *Log) AppendRelayed(after follow.Revision, cs []follow.Change, rev follow.Revision) {
-	l.Append(after, cs, rev)
+	l.Append(after, cs, rev, boottime.Instant{})
 	l.MarkUnreachable()
 }
 
@@ -140,7 +155,7 @@
 
 // ResetRelayed replaces all entries by those that another VM relayed.
 func (l *Log) ResetRelayed(all []follow.Change, rev follow.Revision) {
-	l.ReplaceEntries(all, rev)
+	l.ReplaceEntries(all, rev, boottime.Instant{})
 	l.MarkUnreachable()
 }
 
@@ -164,8 +179,8 @@
 }
 
 // recordRead records a read at revision rev. The caller holds the lock.
-func (l *Log) recordRead(rev follow.Revision) {
-	l.rev, l.lastRead = rev, time.Now()
+func (l *Log) recordRead(rev follow.Revision, knownAt boottime.Instant) {
+	l.rev, l.lastRead, l.knownAt = rev, time.Now(), knownAt
 	l.signal()
 }
 
@@ -175,40 +190,39 @@
 	l.wake = make(chan struct{})
 }
 
-// Wait waits for changes after a revision. It returns only the last change of each
-// key, and the revision up to which the changes are complete, or no changes after
-// wait. The error is ErrUnavailable, follow.ErrCompacted or that of ctx.
-func (l *Log) Wait(ctx context.Context, after follow.Revision, wait time.Duration) ([]follow.Change, follow.Revision, error) {
+// Wait waits for changes after a revision, and returns none after wait. The error is
+// ErrUnavailable, follow.ErrCompacted or that of ctx.
+func (l *Log) Wait(ctx context.Context, after follow.Revision, wait time.Duration) (Update, error) {
 	t := time.NewTimer(wait)
 	defer t.Stop()
 	for {
-		cs, rev, wake, err := l.since(after)
-		if err != nil || len(cs) > 0 {
-			return cs, rev, err
+		u, wake, err := l.since(after)
+		if err != nil || len(u.Changes) > 0 {
+			return u, err
 		}
 		select {
 		case <-wake:
 		case <-t.C:
-			return nil, rev, nil
+			return u, nil
 		case <-ctx.Done():
-			return nil, 0, errors.Trace(ctx.Err())
+			return Update{}, errors.Trace(ctx.Err())
 		}
 	}
 }
 
 // since returns the changes after a revision, and a channel that is closed at the
 // next update of the log.
-func (l *Log) since(after follow.Revision) ([]follow.Change, follow.Revision, <-chan struct{}, error) {
+func (l *Log) since(after follow.Revision) (Update, <-chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
 	case l.lastRead.IsZero() || time.Since(l.lastRead) > l.c.MaxAge:
-		return nil, 0, nil, ErrUnavailable
+		return Update{}, nil, ErrUnavailable
 	case after < l.base:
-		return nil, 0, nil, follow.ErrCompacted
+		return Update{}, nil, follow.ErrCompacted
 	}
 	n, _ := slices.BinarySearchFunc(l.changes, after+1, func(c follow.Change, r follow.Revision) int { return cmp.Compare(c.Revision, r) })
-	return latest(l.changes[n:]), max(after, l.rev), l.wake, nil
+	return Update{Changes: latest(l.changes[n:]), Revision: max(after, l.rev), KnownAt: l.knownAt}, l.wake, nil
 }
 
 // latest returns the last change of each key, in revision order.
--- a/internal/state/changelog/changelog_test.go
+++ b/internal/state/changelog/changelog_test.go
@@ -11,6 +11,7 @@
 
 	"pgregory.net/rapid"
 
+	"egrethaven/internal/infra/boottime"
 	_ "egrethaven/internal/proof/fixedseed"
 	"egrethaven/internal/state/changelog"
 	"egrethaven/internal/state/follow"
@@ -79,7 +80,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		h := &history{entries: map[string]follow.Change{}}
 		l := changelog.New(changelog.Config{MaxAge: time.Hour})
-		l.ReplaceEntries(h.all(), 0)
+		l.ReplaceEntries(h.all(), 0, boottime.Now())
 		rs := [2]*reader{{copied: map[string]string{}}, {copied: map[string]string{}}}
 		read := follow.Revision(0)
 		for range rapid.IntRange(1, 30).Draw(rt, "steps") {
@@ -88,26 +89,26 @@
 			}
 			if rapid.Bool().Draw(rt, "full read") {
 				if rapid.Bool().Draw(rt, "told of nothing") {
-					l.Append(read, nil, h.rev())
+					l.Append(read, nil, h.rev(), boottime.Now())
 					h.change("e", false)
 				}
-				l.ReplaceEntries(h.all(), h.rev())
+				l.ReplaceEntries(h.all(), h.rev(), boottime.Now())
 			} else {
-				l.Append(read, h.changes[read:], h.rev())
+				l.Append(read, h.changes[read:], h.rev(), boottime.Now())
 			}
 			read = h.rev()
 			for i, r := range rs {
 				if i > 0 && rapid.Bool().Draw(rt, "sleeps") {
 					continue
 				}
-				cs, rev, err := l.Wait(context.Background(), r.rev, 0)
+				u, err := l.Wait(context.Background(), r.rev, 0)
 				switch {
 				case errors.Is(err, follow.ErrCompacted):
 					r.reset(h)
 				case err != nil:
 					rt.Fatal(err)
 				default:
-					r.apply(cs, rev)
+					r.apply(u.Changes, u.Revision)
 				}
 				want := map[string]string{}
 				for k, c := range h.entries {
@@ -128,13 +129,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		l := changelog.New(changelog.Config{MaxAge: 5 * time.Second})
 		wait := func(d time.Duration) error {
-			_, _, err := l.Wait(t.Context(), 7, d)
+			_, err := l.Wait(t.Context(), 7, d)
 			return err
 		}
 		if err := wait(0); !errors.Is(err, changelog.ErrUnavailable) {
 			t.Error("before the first update:", err)
 		}
-		l.Append(7, nil, 7)
+		l.Append(7, nil, 7, boottime.Now())
 		if err := wait(time.Second); err != nil {
 			t.Error("after an update:", err)
 		}
@@ -150,7 +151,7 @@
 		if err := wait(0); !errors.Is(err, changelog.ErrUnavailable) {
 			t.Error("after a relayed update:", err)
 		}
-		l.Append(8, nil, 8)
+		l.Append(8, nil, 8, boottime.Now())
 		time.Sleep(6 * time.Second)
 		if err := wait(0); !errors.Is(err, changelog.ErrUnavailable) {
 			t.Error("last update older than MaxAge:", err)
@@ -166,12 +167,12 @@
 	for range 5000 {
 		h.change("k", false)
 	}
-	l.Append(0, h.changes, h.rev())
-	if _, _, err := l.Wait(t.Context(), 1, 0); !errors.Is(err, follow.ErrCompacted) {
+	l.Append(0, h.changes, h.rev(), boottime.Now())
+	if _, err := l.Wait(t.Context(), 1, 0); !errors.Is(err, follow.ErrCompacted) {
 		t.Error("dropped changes:", err)
 	}
-	cs, rev, err := l.Wait(t.Context(), 4990, 0)
-	if err != nil || rev != 5000 || len(cs) != 1 || cs[0].Revision != 5000 {
-		t.Errorf("recent changes: got %d up to revision %d, %v", len(cs), rev, err)
+	u, err := l.Wait(t.Context(), 4990, 0)
+	if err != nil || u.Revision != 5000 || len(u.Changes) != 1 || u.Changes[0].Revision != 5000 {
+		t.Errorf("recent changes: got %d up to revision %d, %v", len(u.Changes), u.Revision, err)
 	}
 }
--- a/internal/state/gatewaysettings/fields.go
+++ b/internal/state/gatewaysettings/fields.go
@@ -48,6 +48,12 @@
 	milliseconds(field.Spec{Section: "store", Key: "catch_up_ms", Default: "4000",
 		Help: "time after a disruption of the store within which its changes have to be known"},
 		200, 600_000, func(s *Settings) *time.Duration { return &s.CatchUp }),
+	milliseconds(field.Spec{Section: "store", Key: "config_apply_ms", Default: "3000",
+		Help: "time after its acknowledgement within which a change of the routes has to be in force"},
+		200, 600_000, func(s *Settings) *time.Duration { return &s.ConfigApply }),
+	milliseconds(field.Spec{Section: "store", Key: "drain_ms", Default: "3000",
+		Help: "time after its acknowledgement within which a searcher that leaves gets no more requests"},
+		200, 600_000, func(s *Settings) *time.Duration { return &s.DrainTime }),
 
 	field.Float(field.Spec{Section: "retries", Key: "ratio", Default: "0.2",
 		Help: "extra sends of all VMs to a service, for each of its requests in a window"},
--- a/internal/state/gatewaysettings/settings.go
+++ b/internal/state/gatewaysettings/settings.go
@@ -43,6 +43,12 @@
 	// CatchUp is the time after an outage of the store by which its changes have to be
 	// known.
 	CatchUp time.Duration
+	// ConfigApply is the time after the acknowledgement of a configuration by which it
+	// has to be in force.
+	ConfigApply time.Duration
+	// DrainTime is the time after the acknowledgement of a searcher's departure by
+	// which it gets no more requests.
+	DrainTime time.Duration
 	// RetryRatio, RetryWindow and RetryAllowance define the retry budget that all VMs
 	// share for a service: its requests in a window times the ratio, plus the allowance.
 	RetryRatio     float64
@@ -59,6 +65,10 @@
 	LogLevel settings.LogLevel
 }
 
+// ChangeTime returns the time after its acknowledgement by which any change of the
+// store has to be in force.
+func (s Settings) ChangeTime() time.Duration { return min(s.ConfigApply, s.DrainTime) }
+
 // Parse parses the contents b of a settings file; name is the file name to report in
 // problems. The settings are valid only if there are no problems.
 func Parse(name string, b []byte) (Settings, []problem.Problem) {
