--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"egrethaven/internal/observe/gatewaymetric"
 	"egrethaven/internal/observe/logger"
 	"egrethaven/internal/observe/logpipe"
+	"egrethaven/internal/peer/upstream"
 	"egrethaven/internal/query/forward"
 	"egrethaven/internal/query/retrybudget"
 	"egrethaven/internal/state/follow"
@@ -271,9 +272,7 @@
 	}
 	g.ingress.Serve()
 	g.peerComponents.serve()
-	f := follow.New(follow.Config{Source: g.peerComponents.storeSource, Handler: g.storeView, Events: g.log,
-		WatchTimeout: watchWait(g.c.Settings),
-		BatchDelay:   func() time.Duration { return g.storeView.batchDelay(g.peerComponents.storeSource.RelayAddr() == "") }})
+	f := newFollower(g.c.Settings, g.peerComponents.storeSource, g.storeView, g.log)
 	g.wg.Go(func() { f.Run(background) })
 	g.wg.Go(func() { g.register(background) })
 	g.wg.Go(func() { g.isolation.run(background) })
@@ -286,6 +285,12 @@
 	return err
 }
 
+// newFollower returns a follower that keeps v up to date with what s reads.
+func newFollower(c gatewaysettings.Settings, s *upstream.Upstream, v *storeView, events event.Sink) *follow.Follower {
+	return follow.New(follow.Config{Source: s, Handler: v, Events: events, WatchTimeout: watchWait(c),
+		BatchDelay: func() time.Duration { return v.batchDelay(s.RelayAddr() == "") }})
+}
+
 // register registers this VM and keeps it registered. It waits for the first read
 // of the store, which may find a registration from before a restart.
 func (g *Gateway) register(ctx context.Context) {
--- a/internal/node/gateway/peers.go
+++ b/internal/node/gateway/peers.go
@@ -64,9 +64,8 @@
 func newPeerComponents(c peerConfig) (*peerComponents, error) {
 	v := c.StoreView
 	p := &peerComponents{dialer: rpc.NewDialer(rpc.DialerConfig{DialTimeout: peerDialTimeout})}
-	log := changelog.New(changelog.Config{MaxAge: c.WatchWait + watchSlack})
-	p.storeSource = upstream.New(upstream.Config{Store: c.Store, Log: log, Dialer: p.dialer, Relays: v.relays, Seeds: c.Seeds,
-		ChangeTime: c.ChangeTime, Events: c.Events})
+	var log *changelog.Log
+	p.storeSource, log = newStoreSource(c, p.dialer)
 	board, pool := healthscore.New(), retrypool.New(retrypool.Config{Limit: c.GroupLimit})
 	p.sharing = loadreport.New(loadreport.Config{Dialer: p.dialer, HealthScores: board, RetryPool: pool, VM: v.c.Self.ID, Events: c.Events,
 		Usage: c.Engine.Usage, RelayAddr: func() (string, bool) { return p.scoreRelay(v) },
@@ -85,6 +84,14 @@
 	return p, errors.Trace(relayrpc.DRPCRegisterRelay(p.server.Mux(), relay.New(relay.Config{Log: log, HealthScores: board, RetryPool: pool})))
 }
 
+// newStoreSource returns the source through which this VM follows the store, and the
+// log through which other VMs follow it.
+func newStoreSource(c peerConfig, d upstream.Dialer) (*upstream.Upstream, *changelog.Log) {
+	log := changelog.New(changelog.Config{MaxAge: c.WatchWait + watchSlack})
+	return upstream.New(upstream.Config{Store: c.Store, Log: log, Dialer: d, Relays: c.StoreView.relays, Seeds: c.Seeds,
+		ChangeTime: c.ChangeTime, Events: c.Events}), log
+}
+
 // scoreRelay returns the address of the VM that aggregates measurements of
 // searchers; empty if this VM does. It returns false if measurements are not
 // shared or the relay is unknown.
