Ask the store again while a call to it stays without an answer

Cause: a watch that the silent store had swallowed was waited for until 0.8 of catch_up_ms and 2 s had passed, 5.2 s, also when the store was back a moment later; nobody else was asked meanwhile. A call outlived the outage in which it began.

A watch now waits for 0.4 of the time to apply a change at most, less by the age of the copy. When its answer is late, the store is asked again on another connection without giving up the first call, three times, so that a slow store is still heard (internal/platform/overlap). Full reads do the same.

--- a/internal/node/gateway/changes_test.go
+++ b/internal/node/gateway/changes_test.go
@@ -28,7 +28,7 @@
 	t.Helper()
 	for phase := time.Duration(0); phase < 6*time.Second; phase += 250 * time.Millisecond {
 		end := 12*time.Second + phase
-		d := day{VMs: vms, Faults: faults(end), Changes: storm(time.Second, end+8*time.Second, 500*time.Millisecond)}
+		d := day{VMs: vms, Faults: faults(end), Changes: storm(time.Second, end+8*time.Second, 100*time.Millisecond)}
 		if broken := d.play(t); broken != "" {
 			t.Fatalf("disturbed until %s: %s", end, broken)
 		}
--- a/internal/peer/upstream/upstream.go
+++ b/internal/peer/upstream/upstream.go
@@ -25,6 +25,7 @@
 	"egrethaven/internal/infra/boottime"
 	"egrethaven/internal/observe/event"
 	"egrethaven/internal/peer/relayrpc"
+	"egrethaven/internal/platform/overlap"
 	"egrethaven/internal/state/changelog"
 	"egrethaven/internal/state/copyage"
 	"egrethaven/internal/state/follow"
@@ -40,9 +41,21 @@
 	// seedDelay is how long the first read waits for the store before it asks a seed.
 	// A slow store responds within 250 ms.
 	seedDelay = 700 * time.Millisecond
-	// firstWatchWait is the wait of the first watch after a switch to the store. It is
-	// short to detect early whether the store can be reached.
-	firstWatchWait = 100 * time.Millisecond
+	// minWatchWait is the wait of a watch that is to show soon whether the store can be
+	// reached, as after a switch to the store or a call without an answer.
+	minWatchWait = 100 * time.Millisecond
+	// maxWatchShare is the share of the time to apply a change for which a watch waits.
+	// The rest is for the attempts after one that was swallowed.
+	maxWatchShare = 0.4
+	// An answer of the store is late after lateAnswer, and that of a full read after
+	// lateRead. The store is then asked again after lateAnswer and repeatInterval, and
+	// answerLimit after its first answer was due all attempts end. A VM whose calls are
+	// swallowed until the store's return asks again within about a second.
+	lateAnswer     = 500 * time.Millisecond
+	lateRead       = time.Second
+	repeatInterval = 700 * time.Millisecond
+	maxAttempts    = 3
+	answerLimit    = 2200 * time.Millisecond
 	// unresponsiveCooldown is how long a relay is not used after a failed call, and
 	// declinedCooldown after it declined one. Up to half of it is added as jitter.
 	unresponsiveCooldown = 5 * time.Second
@@ -124,11 +137,10 @@
 	u.setRelay("")
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	calledAt := boottime.Now()
 	fromStore := make(chan readResult, 1)
 	go func() {
-		var r readResult
-		r.entries, r.at, r.err = u.c.Store.Range(ctx, prefix)
+		r, err := u.readStore(ctx, prefix)
+		r.err = err
 		fromStore <- r
 	}()
 	r := readResult{err: errPending}
@@ -153,8 +165,8 @@
 		return nil, 0, errors.Trace(r.err)
 	}
 	u.loaded = true
-	u.c.Log.ReplaceEntries(r.entries, r.at, calledAt)
-	u.copyAge.Confirm(storeName, calledAt)
+	u.c.Log.ReplaceEntries(r.entries, r.at, r.knownAt)
+	u.copyAge.Confirm(storeName, r.knownAt)
 	return r.entries, r.at, nil
 }
 
@@ -162,12 +174,29 @@
 type readResult struct {
 	entries []follow.Change
 	at      follow.Revision
+	knownAt boottime.Instant
 	err     error
 }
 
 // errPending stands for the result of a read that has not returned yet.
 const errPending = errors.ConstError("the store has not responded yet")
 
+// readStore reads all entries of the store.
+func (u *Upstream) readStore(ctx context.Context, prefix string) (readResult, error) {
+	return overlap.Read(ctx, attempts(lateRead), func(ctx context.Context, _ int) (readResult, error) {
+		r := readResult{knownAt: boottime.Now()}
+		var err error
+		r.entries, r.at, err = u.c.Store.Range(ctx, prefix)
+		return r, errors.Trace(err)
+	})
+}
+
+// attempts returns the attempts of a call to the store whose first answer is late
+// after a while.
+func attempts(late time.Duration) overlap.Config {
+	return overlap.Config{First: late, Interval: repeatInterval, Attempts: maxAttempts, Limit: late + answerLimit - lateAnswer}
+}
+
 // readFromSeeds returns the entries of the first seed that responds. It reports false
 // if none does.
 func (u *Upstream) readFromSeeds(ctx context.Context) (readResult, bool) {
@@ -222,22 +251,41 @@
 	if u.setRelay("") {
 		// Other VMs may follow the store through this one from now on, but only once
 		// the store has responded.
-		wait = min(wait, firstWatchWait)
+		wait = min(wait, minWatchWait)
 	}
-	calledAt := boottime.Now()
-	cs, at, err := u.c.Store.Watch(ctx, prefix, after, wait)
+	r, err := u.watchStore(ctx, prefix, after, min(wait, u.maxWatchWait()))
 	if err != nil {
 		u.c.Log.MarkUnreachable()
 		return nil, 0, errors.Trace(err)
 	}
-	knownAt := calledAt
-	if len(cs) == 0 {
-		// The store had no change to report during the whole wait.
-		knownAt = calledAt.Add(wait)
-	}
-	u.c.Log.Append(after, cs, at, knownAt)
-	u.copyAge.Confirm(storeName, knownAt)
-	return cs, at, nil
+	u.c.Log.Append(after, r.Changes, r.Revision, r.KnownAt)
+	u.copyAge.Confirm(storeName, r.KnownAt)
+	return r.Changes, r.Revision, nil
+}
+
+// maxWatchWait returns how long the next watch of the store may wait, so that the
+// store's silence is noticed while the copy is young enough.
+func (u *Upstream) maxWatchWait() time.Duration {
+	longest := time.Duration(maxWatchShare * float64(u.c.ChangeTime))
+	return max(longest-u.copyAge.Age(), minWatchWait)
+}
+
+// watchStore returns the changes after a revision from the store, or none after wait.
+func (u *Upstream) watchStore(ctx context.Context, prefix string, after follow.Revision, wait time.Duration) (changelog.Update, error) {
+	return overlap.Read(ctx, attempts(wait+lateAnswer), func(ctx context.Context, attempt int) (changelog.Update, error) {
+		wait := wait
+		if attempt > 0 {
+			wait = min(wait, minWatchWait)
+		}
+		calledAt := boottime.Now()
+		cs, at, err := u.c.Store.Watch(ctx, prefix, after, wait)
+		u := changelog.Update{Changes: cs, Revision: at, KnownAt: calledAt}
+		if len(cs) == 0 {
+			// The store had no change to report during the whole wait.
+			u.KnownAt = calledAt.Add(wait)
+		}
+		return u, errors.Trace(err)
+	})
 }
 
 // errDeclined: the relay cannot reach the store, does not watch it, or no longer has
