Pass on and follow no copy of the store that is too old

The class: a copy whose age may pass what a promise allows.

A relay now declines once it does not know all changes up to 0.65 of the time to apply a change (the smaller of config_apply_ms and drain_ms) ago, also within a call. Its followers know the age of their copy and ask the store themselves when it is too old, while they still wait for a relay: one that hangs, or several that stopped answering, cost no time then. An answer counts as known from the start of its call, or up to the wait that passed without a change, so that a pause of the process before it is read does not make it younger.

--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -144,7 +144,7 @@
 	}); err != nil {
 		return errors.Trace(err)
 	}
-	if g.peerComponents, err = newPeerComponents(peerConfig{ListenAddr: s.PeerAddr, Seeds: s.SeedAddrs, Store: g.c.Store, ChangeTime: s.ChangeTime(), WatchWait: watchWait(s), StoreView: g.storeView,
+	if g.peerComponents, err = newPeerComponents(peerConfig{ListenAddr: s.PeerAddr, Seeds: s.SeedAddrs, Store: g.c.Store, ChangeTime: s.ChangeTime(), StoreView: g.storeView,
 		Engine: g.engine, GroupLimit: g.groupLimit, Events: g.log}); err != nil {
 		return errors.Trace(err)
 	}
--- a/internal/node/gateway/peers.go
+++ b/internal/node/gateway/peers.go
@@ -27,9 +27,6 @@
 	// measurements of searchers. With fewer VMs, each one measures every searcher
 	// many times a second itself.
 	minSharingVMs = 7
-	// watchSlack is how long a watch may exceed its wait before this VM stops
-	// relaying its copy of the store.
-	watchSlack = time.Second
 )
 
 // peerComponents holds the components that communicate with other VMs: to follow
@@ -50,10 +47,8 @@
 	Store follow.Source
 	// ChangeTime is the time by which a change of the store has to be in force.
 	ChangeTime time.Duration
-	// WatchWait is how long one watch of the store waits for changes.
-	WatchWait time.Duration
-	StoreView *storeView
-	Engine    *forward.Engine
+	StoreView  *storeView
+	Engine     *forward.Engine
 	// GroupLimit returns the number of extra sends to a service that the given
 	// number of VMs may make for the given number of first sends.
 	GroupLimit func(vms, first int) float64
@@ -87,7 +82,7 @@
 // newStoreSource returns the source through which this VM follows the store, and the
 // log through which other VMs follow it.
 func newStoreSource(c peerConfig, d upstream.Dialer) (*upstream.Upstream, *changelog.Log) {
-	log := changelog.New(changelog.Config{MaxAge: c.WatchWait + watchSlack})
+	log := changelog.New(changelog.Config{MaxAge: upstream.MaxCopyAge(c.ChangeTime)})
 	return upstream.New(upstream.Config{Store: c.Store, Log: log, Dialer: d, Relays: c.StoreView.relays, Seeds: c.Seeds,
 		ChangeTime: c.ChangeTime, Events: c.Events}), log
 }
--- a/internal/node/gateway/tier_test.go
+++ b/internal/node/gateway/tier_test.go
@@ -210,7 +210,7 @@
 				return &routing.Config{Version: routing.Version(n)}, err
 			},
 			Searcher: func(string, []byte, time.Time) (registry.Searcher, error) { return registry.Searcher{}, errRefused }}})
-	source, log := newStoreSource(peerConfig{Store: storeClient{r.store, i}, ChangeTime: s.ChangeTime(), WatchWait: watchWait(s), StoreView: v, Events: event.Discard{}}, r)
+	source, log := newStoreSource(peerConfig{Store: storeClient{r.store, i}, ChangeTime: s.ChangeTime(), StoreView: v, Events: event.Discard{}}, r)
 	m := drpcmux.New()
 	if err := relayrpc.DRPCRegisterRelay(m, relay.New(relay.Config{Log: log, HealthScores: healthscore.New(), RetryPool: retrypool.New(retrypool.Config{})})); err != nil {
 		t.Fatal(err)
--- a/internal/peer/upstream/upstream.go
+++ b/internal/peer/upstream/upstream.go
@@ -4,7 +4,8 @@
 // The store charges for each call, and in a large tier all VMs would make the same
 // calls. So a few VMs of each failure domain watch it and relay its changes. A VM
 // whose relay does not respond in time asks the next relay, and finally the store,
-// from the revision that it has reached.
+// from the revision that it has reached. Relays tell up to when they know all changes:
+// a VM whose copy becomes too old asks the store, whatever its relays do.
 //
 // # Usage
 //
@@ -32,9 +33,11 @@
 )
 
 const (
-	// relayWait is how long a relay waits for changes before it responds. A relay that
-	// hangs is detected well within the time to apply a new configuration.
-	relayWait = time.Second
+	// maxRelayWait is how long a relay waits for changes before it responds. It responds
+	// relaySlack before the copy of this VM is too old, but not before minRelayWait.
+	maxRelayWait = time.Second
+	minRelayWait = 50 * time.Millisecond
+	relaySlack   = 250 * time.Millisecond
 	// relayTimeout limits a call in addition to its wait. Connecting to a VM with a
 	// tenth of a core takes some tens of milliseconds.
 	relayTimeout = 400 * time.Millisecond
@@ -47,6 +50,11 @@
 	// maxWatchShare is the share of the time to apply a change for which a watch waits.
 	// The rest is for the attempts after one that was swallowed.
 	maxWatchShare = 0.4
+	// maxAgeShare is the share of the time to apply a change after which a copy is too
+	// old: relays do not pass it on, and VMs that follow them ask the store. It is more
+	// than a watch and the pause between two watches take, and leaves time for a call to
+	// the store that is swallowed.
+	maxAgeShare = 0.65
 	// An answer of the store is late after lateAnswer, and that of a full read after
 	// lateRead. The store is then asked again after lateAnswer and repeatInterval, and
 	// answerLimit after its first answer was due all attempts end. A VM whose calls are
@@ -85,7 +93,7 @@
 	// reached at startup.
 	Seeds []string
 	// ChangeTime is the time by which a change of the store has to be in force on this
-	// VM. A copy that is older is reported.
+	// VM; 0 means that a copy is never too old.
 	ChangeTime time.Duration
 	Events     event.Sink
 }
@@ -229,81 +237,155 @@
 	return readResult{entries: decode(out.GetEntries()), at: follow.Revision(out.GetRevision())}
 }
 
-// Watch returns the changes after a revision from the first available relay, or else
-// from the store.
+// MaxCopyAge returns the age from which on a copy of the store is too old to be passed
+// on, given the time by which a change has to be in force.
+func MaxCopyAge(changeTime time.Duration) time.Duration {
+	return time.Duration(maxAgeShare * float64(changeTime))
+}
+
+// watchResult is the result of a watch. The address is empty for the store.
+type watchResult struct {
+	changelog.Update
+	addr string
+	err  error
+}
+
+// Watch returns the changes after a revision from the first available relay. It asks
+// the store if no relay responds, or once the copy is too old, and returns the first
+// response.
 func (u *Upstream) Watch(ctx context.Context, prefix string, after follow.Revision, wait time.Duration) ([]follow.Change, follow.Revision, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	results := make(chan watchResult, 2)
+	ask := func(watch func() watchResult) { wg.Go(func() { results <- watch() }) }
+	ask(func() watchResult { return u.watchRelays(ctx, after) })
+	pending, storeAsked := 1, false
+	var storeErr error
+	due := time.NewTimer(u.untilTooOld())
+	defer due.Stop()
+	for {
+		var r watchResult
+		select {
+		case r = <-results:
+			if pending--; r.err == nil {
+				u.record(after, r)
+				return r.Changes, r.Revision, nil
+			}
+			if r.err != errNoRelay {
+				storeErr = r.err
+			}
+		case <-due.C:
+		}
+		switch {
+		case !storeAsked:
+			storeAsked = true
+			pending++
+			wait := min(wait, u.maxWatchWait())
+			if u.RelayAddr() != "" {
+				// Other VMs may follow the store through this one from now on, but only
+				// once the store has responded.
+				wait = min(wait, minWatchWait)
+			}
+			ask(func() watchResult { return u.watchStore(ctx, prefix, after, wait) })
+		case pending == 0:
+			u.setRelay("")
+			u.c.Log.MarkUnreachable()
+			return nil, 0, errors.Trace(storeErr)
+		}
+	}
+}
+
+// record records a successful watch after a revision.
+func (u *Upstream) record(after follow.Revision, r watchResult) {
+	u.setRelay(r.addr)
+	u.copyAge.Confirm(displayName(r.addr), r.KnownAt)
+	if r.addr == "" {
+		u.c.Log.Append(after, r.Changes, r.Revision, r.KnownAt)
+		return
+	}
+	u.c.Log.AppendRelayed(after, r.Changes, r.Revision)
+}
+
+// untilTooOld returns the time until the copy is too old to wait for a relay.
+func (u *Upstream) untilTooOld() time.Duration {
+	if u.c.ChangeTime == 0 {
+		return noDeadline
+	}
+	return MaxCopyAge(u.c.ChangeTime) - u.copyAge.Age()
+}
+
+// watchRelays returns the changes after a revision from the first relay that responds.
+func (u *Upstream) watchRelays(ctx context.Context, after follow.Revision) watchResult {
 	for _, addr := range u.c.Relays() {
 		if u.inCooldown(addr) {
 			continue
 		}
 		r, err := u.watchRelay(ctx, addr, after)
 		if err == nil {
-			u.setRelay(addr)
-			u.c.Log.AppendRelayed(after, r.Changes, r.Revision)
-			u.copyAge.Confirm(addr, r.KnownAt)
-			return r.Changes, r.Revision, nil
+			return watchResult{Update: r, addr: addr}
 		}
 		if ctx.Err() != nil {
-			return nil, 0, errors.Trace(err)
+			break
 		}
 		u.startCooldown(addr, err)
 	}
-	if u.setRelay("") {
-		// Other VMs may follow the store through this one from now on, but only once
-		// the store has responded.
-		wait = min(wait, minWatchWait)
-	}
-	r, err := u.watchStore(ctx, prefix, after, min(wait, u.maxWatchWait()))
-	if err != nil {
-		u.c.Log.MarkUnreachable()
-		return nil, 0, errors.Trace(err)
-	}
-	u.c.Log.Append(after, r.Changes, r.Revision, r.KnownAt)
-	u.copyAge.Confirm(storeName, r.KnownAt)
-	return r.Changes, r.Revision, nil
+	return watchResult{err: errNoRelay}
 }
 
 // maxWatchWait returns how long the next watch of the store may wait, so that the
 // store's silence is noticed while the copy is young enough.
 func (u *Upstream) maxWatchWait() time.Duration {
+	if u.c.ChangeTime == 0 {
+		return noDeadline
+	}
 	longest := time.Duration(maxWatchShare * float64(u.c.ChangeTime))
 	return max(longest-u.copyAge.Age(), minWatchWait)
 }
 
 // watchStore returns the changes after a revision from the store, or none after wait.
-func (u *Upstream) watchStore(ctx context.Context, prefix string, after follow.Revision, wait time.Duration) (changelog.Update, error) {
-	return overlap.Read(ctx, attempts(wait+lateAnswer), func(ctx context.Context, attempt int) (changelog.Update, error) {
+func (u *Upstream) watchStore(ctx context.Context, prefix string, after follow.Revision, wait time.Duration) watchResult {
+	r, err := overlap.Read(ctx, attempts(wait+lateAnswer), func(ctx context.Context, attempt int) (changelog.Update, error) {
 		wait := wait
 		if attempt > 0 {
 			wait = min(wait, minWatchWait)
 		}
-		calledAt := boottime.Now()
-		cs, at, err := u.c.Store.Watch(ctx, prefix, after, wait)
-		u := changelog.Update{Changes: cs, Revision: at, KnownAt: calledAt}
-		if len(cs) == 0 {
+		r := changelog.Update{KnownAt: boottime.Now()}
+		var err error
+		r.Changes, r.Revision, err = u.c.Store.Watch(ctx, prefix, after, wait)
+		if len(r.Changes) == 0 && r.KnownAt.Age() >= wait {
 			// The store had no change to report during the whole wait.
-			u.KnownAt = calledAt.Add(wait)
+			r.KnownAt = r.KnownAt.Add(wait)
 		}
-		return u, errors.Trace(err)
+		return r, errors.Trace(err)
 	})
+	return watchResult{Update: r, err: err}
 }
 
 // errDeclined: the relay cannot reach the store, does not watch it, or no longer has
 // the requested changes.
 const errDeclined = errors.ConstError("the relay does not follow the store")
 
+// errNoRelay: no relay is available.
+const errNoRelay = errors.ConstError("no relay is available")
+
+// noDeadline is longer than any wait.
+const noDeadline = time.Hour
+
 // watchRelay returns the changes after a revision from the relay at addr, or none
-// after relayWait.
+// after the relay's wait.
 func (u *Upstream) watchRelay(ctx context.Context, addr string, after follow.Revision) (changelog.Update, error) {
 	calledAt := boottime.Now()
-	ctx, cancel := context.WithTimeout(ctx, relayWait+relayTimeout)
+	wait := min(max(u.untilTooOld()-relaySlack, minRelayWait), maxRelayWait)
+	ctx, cancel := context.WithTimeout(ctx, wait+relayTimeout)
 	defer cancel()
 	c, err := u.c.Dialer.Conn(ctx, addr)
 	if err != nil {
 		return changelog.Update{}, errors.Trace(err)
 	}
 	defer func() { _ = c.Close() }()
-	out, err := relayrpc.NewDRPCRelayClient(c).Follow(ctx, &relayrpc.FollowRequest{After: int64(after), WaitMs: relayWait.Milliseconds()})
+	out, err := relayrpc.NewDRPCRelayClient(c).Follow(ctx, &relayrpc.FollowRequest{After: int64(after), WaitMs: wait.Milliseconds()})
 	switch {
 	case err != nil:
 		return changelog.Update{}, errors.Trace(err)
--- a/internal/platform/overlap/read_test.go
+++ b/internal/platform/overlap/read_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,7 +26,7 @@
 		attempt  int
 		after    time.Duration
 		err      error
-		attempts int
+		attempts int64
 	}{
 		"prompt":               {[]time.Duration{100}, 0, 100, nil, 1},
 		"first swallowed":      {[]time.Duration{never, 10}, 1, 510, nil, 2},
@@ -37,9 +38,10 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				began, attempts := time.Now(), 0
+				began := time.Now()
+				var attempts atomic.Int64
 				got, err := overlap.Read(t.Context(), config, func(ctx context.Context, attempt int) (int, error) {
-					attempts++
+					attempts.Add(1)
 					d := c.answers[attempt] * time.Millisecond
 					failed := d < 0
 					select {
@@ -52,8 +54,8 @@
 					}
 					return attempt, nil
 				})
-				if !errors.Is(err, c.err) || got != c.attempt || time.Since(began) != c.after*time.Millisecond || attempts != c.attempts {
-					t.Errorf("answer of attempt %d after %s, %d attempts, %v", got, time.Since(began), attempts, err)
+				if !errors.Is(err, c.err) || got != c.attempt || time.Since(began) != c.after*time.Millisecond || attempts.Load() != c.attempts {
+					t.Errorf("answer of attempt %d after %s, %d attempts, %v", got, time.Since(began), attempts.Load(), err)
 				}
 			})
 		})
--- a/internal/state/changelog/changelog.go
+++ b/internal/state/changelog/changelog.go
@@ -2,7 +2,7 @@
 // other VMs can follow the store through this one.
 //
 // A Log is updated with what this VM reads from the store, and answers only while
-// these reads succeed. After a full read it computes the differences to the
+// these reads succeed and are recent. After a full read it computes the differences to the
 // previous entries, so that its followers need no full read themselves.
 //
 // # Usage
@@ -38,8 +38,8 @@
 
 // Config configures a Log.
 type Config struct {
-	// MaxAge is how long after the last successful read of the store Wait returns
-	// changes.
+	// MaxAge is the age of the log from which on Wait returns no changes: the time
+	// since it was known to have all changes of the store.
 	MaxAge time.Duration
 }
 
@@ -53,10 +53,8 @@
 	// changes are all changes after base up to rev, in revision order.
 	changes   []follow.Change
 	base, rev follow.Revision
-	// lastRead is when this VM last read the store; zero if the store is
-	// unreachable or this VM does not read it directly.
-	lastRead time.Time
-	// knownAt is the time up to which the log has all changes of the store.
+	// knownAt is the time up to which the log has all changes of the store; zero if
+	// the store is unreachable or this VM does not read it directly.
 	knownAt boottime.Instant
 	// wake is closed and replaced whenever the state changes.
 	wake chan struct{}
@@ -147,8 +145,8 @@
 func (l *Log) MarkUnreachable() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.lastRead.IsZero() {
-		l.lastRead = time.Time{}
+	if !l.knownAt.IsZero() {
+		l.knownAt = boottime.Instant{}
 		l.signal()
 	}
 }
@@ -180,7 +178,7 @@
 
 // recordRead records a read at revision rev. The caller holds the lock.
 func (l *Log) recordRead(rev follow.Revision, knownAt boottime.Instant) {
-	l.rev, l.lastRead, l.knownAt = rev, time.Now(), knownAt
+	l.rev, l.knownAt = rev, knownAt
 	l.signal()
 }
 
@@ -191,19 +189,22 @@
 }
 
 // Wait waits for changes after a revision, and returns none after wait. The error is
-// ErrUnavailable, follow.ErrCompacted or that of ctx.
+// ErrUnavailable, as soon as the log reaches its maximum age, follow.ErrCompacted or
+// that of ctx.
 func (l *Log) Wait(ctx context.Context, after follow.Revision, wait time.Duration) (Update, error) {
-	t := time.NewTimer(wait)
-	defer t.Stop()
+	end := time.Now().Add(wait)
 	for {
 		u, wake, err := l.since(after)
 		if err != nil || len(u.Changes) > 0 {
 			return u, err
 		}
+		left := time.Until(end)
+		if left <= 0 {
+			return u, nil
+		}
 		select {
 		case <-wake:
-		case <-t.C:
-			return u, nil
+		case <-time.After(min(left, l.c.MaxAge-u.KnownAt.Age()+time.Millisecond)):
 		case <-ctx.Done():
 			return Update{}, errors.Trace(ctx.Err())
 		}
@@ -216,7 +217,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
-	case l.lastRead.IsZero() || time.Since(l.lastRead) > l.c.MaxAge:
+	case l.knownAt.Age() > l.c.MaxAge:
 		return Update{}, nil, ErrUnavailable
 	case after < l.base:
 		return Update{}, nil, follow.ErrCompacted
--- a/internal/state/changelog/changelog_test.go
+++ b/internal/state/changelog/changelog_test.go
@@ -176,3 +176,26 @@
 		t.Errorf("recent changes: got %d up to revision %d, %v", len(u.Changes), u.Revision, err)
 	}
 }
+
+// TestEndsAtMaxAge checks that a Wait in progress ends when the log reaches MaxAge.
+func TestEndsAtMaxAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := changelog.New(changelog.Config{MaxAge: 2 * time.Second})
+		l.Append(7, nil, 7, boottime.Now())
+		began := time.Now()
+		_, err := l.Wait(t.Context(), 7, time.Minute)
+		if d := time.Since(began); !errors.Is(err, changelog.ErrUnavailable) || d < 2*time.Second || d > 2010*time.Millisecond {
+			t.Errorf("%v after %s, want ErrUnavailable after 2s", err, d)
+		}
+	})
+}
+
+// TestAnswerReadAfterPause: a relay that was paused for seconds between the store's
+// answer and reading it must not pass the answer on as recent.
+func TestAnswerReadAfterPause(t *testing.T) {
+	l := changelog.New(changelog.Config{MaxAge: 2 * time.Second})
+	l.Append(7, nil, 8, boottime.Now().Add(-5*time.Second))
+	if _, err := l.Wait(t.Context(), 7, 0); !errors.Is(err, changelog.ErrUnavailable) {
+		t.Error(err)
+	}
+}
