Log the limits that searchers name

The logs could not tell whether a searcher named a limit, nor when. Server-Limit is parsed (platform/dialect) and kept with the searcher; searcher_limited, searcher_unlimited and limit_unreadable are logged when the belief changes. A limit ends with a signed answer without one to a request that was sent after the limit was last named: answers cross each other on several connections. No decision uses it yet.

--- a/internal/back/instance/instance.go
+++ b/internal/back/instance/instance.go
@@ -194,6 +194,7 @@
 	// sharedScoreDecay is between minSharedScoreDecay and maxSharedScoreDecay.
 	sharedScoreDecay time.Duration
 	stats            stats
+	limit            sendLimit
 }
 
 // stats holds what is known about the searcher from outcomes and shared scores.
--- a/internal/observe/event/number.go
+++ b/internal/observe/event/number.go
@@ -34,6 +34,9 @@
 	ContractChanged   Number = 311
 	VersionAppeared   Number = 312
 	VersionRetired    Number = 313
+	SearcherLimited   Number = 314
+	SearcherUnlimited Number = 315
+	LimitUnreadable   Number = 316
 
 	PlatformDown      Number = 400
 	PlatformBack      Number = 401
@@ -101,6 +104,7 @@
 	PlatformUnsure: "platform_unsure", VMListStale: "vm_list_stale", HistoryLost: "history_lost",
 	EntryUnreadable: "entry_unreadable", LeaseLost: "lease_lost", VMsCounted: "vms_counted",
 	RelayChanged: "relay_changed", RelayLost: "relay_lost", SharingFailed: "sharing_failed", SnapshotTaken: "snapshot_taken",
+	SearcherLimited: "searcher_limited", SearcherUnlimited: "searcher_unlimited", LimitUnreadable: "limit_unreadable",
 	CopyOutdated: "copy_outdated", CopyCurrent: "copy_current",
 
 	ConfigAdopted: "config_adopted", ConfigRefused: "config_refused", ConfigAccepted: "config_accepted",
--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -100,6 +100,12 @@
 	// Load is the reported load of the searcher; valid if HasLoad is set.
 	Load    instance.Load
 	HasLoad bool
+	// Limit is the number of requests a second that the searcher accepts from all
+	// VMs together; valid if HasLimit is set. UnreadableLimit is the text of a limit
+	// that could not be parsed.
+	Limit           float64
+	HasLimit        bool
+	UnreadableLimit string
 }
 
 // Dialect encodes and parses the headers exchanged with searchers and clients.
--- a/internal/query/forward/subrequest.go
+++ b/internal/query/forward/subrequest.go
@@ -203,6 +203,7 @@
 	if a.HasLoad {
 		f.searcher.RecordLoad(a.Load)
 	}
+	f.recordLimit(a)
 	switch {
 	case a.Misdirected:
 		f.searcher.RecordOutcome(instance.WrongSearcher, a.Elapsed, x.medianLatency)
@@ -216,6 +217,20 @@
 	}
 }
 
+// recordLimit passes on whether the searcher named a limit. Only a signed answer is
+// known to be its own, so that only such an answer without a limit ends one.
+func (f *attempt) recordLimit(a *reply) {
+	switch {
+	case a.Misdirected:
+	case a.HasLimit:
+		f.searcher.RecordLimit(a.Limit)
+	case a.UnreadableLimit != "":
+		f.searcher.RecordUnreadableLimit(a.UnreadableLimit)
+	case a.Stamp != "":
+		f.searcher.RecordNoLimit(f.startedAt)
+	}
+}
+
 // handleResult processes the result of an attempt.
 func (p *subrequest) handleResult(f *attempt, a *reply, now time.Time) {
 	f.handled = true
