--- a/internal/query/forward/fake_test.go
+++ b/internal/query/forward/fake_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -35,6 +36,9 @@
 	if n, err := strconv.Atoi(h.Get("Waiting")); err == nil {
 		r.Load, r.HasLoad = instance.Load{Waiting: n}, true
 	}
+	if n, err := strconv.ParseFloat(h.Get("Limit"), 64); err == nil {
+		r.Limit, r.HasLimit = n, true
+	}
 	return r
 }
 
@@ -63,12 +67,17 @@
 	// slots limits the requests that run concurrently and queue those that
 	// wait; more are shed. With 0 slots there are no limits.
 	slots, queue int
+	// limit is the number of requests a second that the searcher names in its
+	// answers; 0 for none.
+	limit atomic.Int64
 
-	stop      chan struct{}
-	mu        sync.Mutex
-	received  []*http.Request
-	slotSem   chan struct{}
-	occupancy int
+	stop     chan struct{}
+	mu       sync.Mutex
+	received []*http.Request
+	// receivedAt holds the time of each request.
+	receivedAt []time.Time
+	slotSem    chan struct{}
+	occupancy  int
 	// unreadAnswers counts the answers that failed to be written because the
 	// connection was closed.
 	unreadAnswers int
@@ -122,6 +131,7 @@
 		_, _ = io.Copy(io.Discard, q.Body)
 		s.mu.Lock()
 		s.received = append(s.received, q)
+		s.receivedAt = append(s.receivedAt, time.Now())
 		a := s.answer(len(s.received), q)
 		s.mu.Unlock()
 		if !s.acquireSlot() {
@@ -154,6 +164,9 @@
 		if !a.noStamp {
 			out += "Stamp: " + s.id + "\r\n"
 		}
+		if n := s.limit.Load(); n > 0 {
+			out += fmt.Sprintf("Limit: %d\r\n", n)
+		}
 		if a.notRun {
 			out += "Not-Run: 1\r\n"
 		}
@@ -178,6 +191,8 @@
 	engine    *Engine
 	searchers map[string]*fakeSearcher
 	snapshot  *Snapshot
+	// dial connects to the searcher with the ID addr.
+	dial func(ctx context.Context, addr string) (net.Conn, error)
 }
 
 // newFixture returns an engine for the given routes and searchers, the latter
@@ -195,7 +210,7 @@
 		t.Fatal(err)
 	}
 	fx := &fixture{searchers: map[string]*fakeSearcher{}, snapshot: &Snapshot{Config: c, Instances: map[string][]*instance.Instance{}}}
-	dial := func(_ context.Context, addr string) (net.Conn, error) {
+	fx.dial = func(_ context.Context, addr string) (net.Conn, error) {
 		s := fx.searchers[addr]
 		if s == nil {
 			return nil, errors.New("connection refused")
@@ -214,7 +229,7 @@
 	var all []*instance.Instance
 	for service, ss := range searchers {
 		for _, s := range ss {
-			i := instance.New(instance.Config{Conns: instance.ConnLimits{MinOpen: 2, MaxOpen: 2}, Dial: dial,
+			i := instance.New(instance.Config{Conns: instance.ConnLimits{MinOpen: 2, MaxOpen: 2}, Dial: fx.dial,
 				Searcher: registry.Searcher{ID: s.id, Service: service, Addr: s.id, Domain: "a", Slots: 2, State: registry.Ready}})
 			fx.snapshot.Instances[service] = append(fx.snapshot.Instances[service], i)
 			all = append(all, i)
