Bound what a relay says about its knowledge

What it says is now at most the response's arrival, and at least an hour ago.

The limit of repeated calls is named for what it is counted from.

--- a/internal/peer/upstream/upstream.go
+++ b/internal/peer/upstream/upstream.go
@@ -55,15 +55,15 @@
 	// than a watch and the pause between two watches take, and leaves time for a call to
 	// the store that is swallowed.
 	maxAgeShare = 0.65
-	// An answer of the store is late after lateAnswer, and that of a full read after
-	// lateRead. The store is then asked again after lateAnswer and repeatInterval, and
-	// answerLimit after its first answer was due all attempts end. A VM whose calls are
-	// swallowed until the store's return asks again within about a second.
+	// An answer of the store is late lateAnswer after a watch's wait, and lateRead after
+	// the start of a full read. The store is then asked again, once more repeatInterval
+	// later, and all attempts end lateLimit after the first was late. So a VM whose calls
+	// are swallowed until the store's return asks again within about a second.
 	lateAnswer     = 500 * time.Millisecond
 	lateRead       = time.Second
 	repeatInterval = 700 * time.Millisecond
 	maxAttempts    = 3
-	answerLimit    = 2200 * time.Millisecond
+	lateLimit      = 1700 * time.Millisecond
 	// unresponsiveCooldown is how long a relay is not used after a failed call, and
 	// declinedCooldown after it declined one. Up to half of it is added as jitter.
 	unresponsiveCooldown = 5 * time.Second
@@ -202,7 +202,7 @@
 // attempts returns the attempts of a call to the store whose first answer is late
 // after a while.
 func attempts(late time.Duration) overlap.Config {
-	return overlap.Config{First: late, Interval: repeatInterval, Attempts: maxAttempts, Limit: late + answerLimit - lateAnswer}
+	return overlap.Config{First: late, Interval: repeatInterval, Attempts: maxAttempts, Limit: late + lateLimit}
 }
 
 // readFromSeeds returns the entries of the first seed that responds. It reports false
@@ -370,8 +370,11 @@
 // errNoRelay: no relay is available.
 const errNoRelay = errors.ConstError("no relay is available")
 
-// noDeadline is longer than any wait.
-const noDeadline = time.Hour
+// noDeadline is longer than any wait, and maxKnownAge is older than any usable copy.
+const (
+	noDeadline  = time.Hour
+	maxKnownAge = time.Hour
+)
 
 // watchRelay returns the changes after a revision from the relay at addr, or none
 // after the relay's wait.
@@ -393,7 +396,15 @@
 		return changelog.Update{}, errors.WithType(errors.New(out.GetOutcome().String()), errDeclined)
 	}
 	return changelog.Update{Changes: decode(out.GetChanges()), Revision: max(after, follow.Revision(out.GetRevision())),
-		KnownAt: calledAt.Add(time.Duration(out.GetKnownMs()) * time.Millisecond)}, nil
+		KnownAt: relayKnownAt(calledAt, out.GetKnownMs())}, nil
+}
+
+// relayKnownAt returns the time up to which a relay knows all changes, given the start of
+// the call and what the relay says. Whatever it says, it is not after the response, and
+// not so long ago that it cannot be represented.
+func relayKnownAt(calledAt boottime.Instant, knownMS int64) boottime.Instant {
+	known := max(knownMS, -maxKnownAge.Milliseconds())
+	return calledAt.Add(time.Duration(min(known, calledAt.Age().Milliseconds())) * time.Millisecond)
 }
 
 // decode converts messages to changes, and omits messages without a key.
