--- a/internal/node/gateway/storeview.go
+++ b/internal/node/gateway/storeview.go
@@ -5,7 +5,6 @@
 	"maps"
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -356,22 +355,6 @@
 	}
 }
 
-// updateLimits updates the number of VMs among which limits of searchers are divided.
-// The lock is held.
-func (v *storeView) updateLimits() {
-	d := limitshare.Divider{VM: v.c.Self.ID, VMs: slices.Collect(maps.Keys(v.vms)), Count: v.vmCounter.current}
-	if !v.vmCountTrusted {
-		d.Count = v.countedVMs
-	}
-	v.limits.Store(&d)
-}
-
-// limitShare returns this VM's part of the requests a second that a searcher accepts
-// from all VMs. The lock need not be held.
-func (v *storeView) limitShare(searcher string, perSecond float64) float64 {
-	return v.limits.Load().Rate(searcher, perSecond)
-}
-
 // batchDelay returns the pause before changes are requested again. storeAsked
 // reports whether the last request went to the store instead of a relay. A new VM
 // waits until VMs started at the same time have registered.
