Count a new VM among those that share a limit

A VM that was not registered yet divided a searcher's limit by the others only, so that VMs which are added took up to a third more than the limit until their keys were seen. TestNewVMTakesWholeLimit failed before (10 of 10, want 5).

--- a/internal/node/gateway/limits.go
+++ b/internal/node/gateway/limits.go
@@ -11,6 +11,9 @@
 // The lock is held.
 func (v *storeView) updateLimits() {
 	d := limitshare.Divider{VM: v.c.Self.ID, VMs: slices.Collect(maps.Keys(v.vms)), Count: v.vmCounter.current}
+	if _, registered := v.vms[v.c.Self.ID]; !registered {
+		d.VMs = append(d.VMs, v.c.Self.ID)
+	}
 	if !v.vmCountTrusted {
 		d.Count = v.countedVMs
 	}
