Leave out a shard only if all its searchers have named limits

Fan-outs left out a shard whose best searcher had less than half of its limit's burst left, although another searcher of the shard had no limit and was only busier: such answers lacked a part that could have been had. What decides is now whether any responsive searcher of the shard has no limit.

TestShardWithUnlimitedReplicaIsLeftOut failed before (1 shard missing) and passes.

--- a/internal/query/admission/admission.go
+++ b/internal/query/admission/admission.go
@@ -46,8 +46,8 @@
 	// Queued reports whether requests are queued for this searcher, either in
 	// this process or at the searcher.
 	Queued bool
-	// Limited reports whether the searcher has named a limit, and LimitSpare which
-	// share of a burst it permits at once, 0 to 1.
+	// Limited reports whether all responsive searchers of the shard have named a limit,
+	// and LimitSpare which share of a burst that of this one permits at once, 0 to 1.
 	Limited    bool
 	LimitSpare float64
 }
--- a/internal/query/forward/admit.go
+++ b/internal/query/forward/admit.go
@@ -62,10 +62,15 @@
 // times. It returns false if no searcher seems responsive.
 func (p *subrequest) predict(now time.Time) (admission.Shard, bool) {
 	var c placement.Candidate
-	if p.preferred, c = p.chooseSearcher(now, func(placement.Candidate) bool { return true }); p.preferred == nil || c.Suspect {
+	limited := true
+	p.preferred, c = p.chooseSearcher(now, func(c placement.Candidate) bool {
+		limited = limited && (c.Limited || c.Suspect)
+		return true
+	})
+	if p.preferred == nil || c.Suspect {
 		return admission.Shard{}, false
 	}
 	wait, service := placement.Predict(c)
 	return admission.Shard{ServiceTime: service, Wait: wait, Queued: c.Queued > 0 || c.Waiting >= c.Slots || c.LimitWait > 0,
-		Limited: c.Limited, LimitSpare: c.LimitSpare}, true
+		Limited: limited, LimitSpare: c.LimitSpare}, true
 }
--- a/internal/query/forward/load_test.go
+++ b/internal/query/forward/load_test.go
@@ -9,7 +9,9 @@
 	"testing/synctest"
 	"time"
 
+	"egrethaven/internal/back/conn"
 	"egrethaven/internal/back/instance"
+	"egrethaven/internal/query/placement"
 	"egrethaven/internal/query/retrybudget"
 	"egrethaven/internal/query/retrypool"
 	"egrethaven/internal/state/routing"
@@ -232,3 +234,43 @@
 		}
 	})
 }
+
+// TestShardWithUnlimitedReplicaIsLeftOut: a shard was left out of fan-outs because little
+// was left of one searcher's limit, though another one, which was busy, had none.
+func TestShardWithUnlimitedReplicaIsLeftOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limited := &fakeSearcher{id: "i-limited", answer: answerAfter(5*time.Millisecond, "0123456789abcdef")}
+		limited.limit.Store(20)
+		busy := &fakeSearcher{id: "i-busy", answer: answerAfter(50*time.Millisecond, "0123456789abcdef")}
+		other := &fakeSearcher{id: "i-other", answer: answerAfter(5*time.Millisecond, "0123456789abcdef")}
+		route := fanOutRoute(2)
+		route.MinCoverage = 0.5
+		fx := newFixture(t, []routing.Route{route}, map[string][]*fakeSearcher{"s0": {limited, busy}, "s1": {other}})
+		synctest.Wait()
+		scarce := func(c placement.Candidate) bool { return c.LimitWait == 0 && c.LimitSpare < 0.4 }
+		var l, b *instance.Instance
+		for _, i := range fx.snapshot.Instances["s0"] {
+			if i.Searcher().ID == limited.id {
+				l = i
+			} else {
+				b = i
+			}
+		}
+		l.RecordLimit(20)
+		send := func(i *instance.Instance) {
+			i.Send(instance.Request{Method: http.MethodGet, Done: func(conn.Result) {}, Matches: func(http.Header) bool { return true },
+				Build: func() []byte { return []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n") }})
+		}
+		time.Sleep(time.Second)
+		for !scarce(l.Candidate(time.Now(), "a", 5*time.Millisecond)) {
+			send(l)
+			time.Sleep(6 * time.Millisecond)
+		}
+		for range 4 {
+			send(b)
+		}
+		if a := fx.engine.Do(t.Context(), newRequest(300*time.Millisecond)); a.Header.Get("Missing") != "0" {
+			t.Errorf("%d (%s), %s shards missing", a.Status, a.Reason, a.Header.Get("Missing"))
+		}
+	})
+}
