--- a/internal/query/placement/placement.go
+++ b/internal/query/placement/placement.go
@@ -83,9 +83,9 @@
 	LimitSpare float64
 }
 
-// Predict returns the expected wait for a connection and for the searcher's limit, and
-// the expected service time after it. The service time includes queueing at the searcher, as
-// SlowdownFactor is taken from recent requests.
+// Predict returns the expected wait for a connection and for the searcher's limit,
+// and the expected service time after it. The service time includes queueing at the
+// searcher, as SlowdownFactor is taken from recent requests.
 func Predict(c Candidate) (wait, service time.Duration) {
 	service = time.Duration(float64(c.MedianLatency) * max(c.SlowdownFactor, minSlowdown))
 	if c.Cold {
