Take no more requests while the last ones of a stop are answered

Cause: a stop waited for a moment without a request in flight, which a busy gateway never has, and cut off what was in flight when its time was over, taking new requests to the end. It now closes the listener and idle connections once the balancer has noticed, and gives what was taken until 0.15 of its time is left, instead of 1.5 s.

--- a/internal/front/ingress/ingress.go
+++ b/internal/front/ingress/ingress.go
@@ -40,9 +40,6 @@
 	defaultMaxHeaderBytes = 64 << 10
 	// defaultIdleTimeout applies if the configuration sets no idle timeout.
 	defaultIdleTimeout = 15 * time.Second
-	// stopPollInterval is the time between two checks for requests in flight
-	// during a shutdown.
-	stopPollInterval = 20 * time.Millisecond
 )
 
 // Dialect parses the headers of clients.
@@ -77,7 +74,6 @@
 	done     chan struct{}
 
 	stopping atomic.Bool
-	inFlight atomic.Int64
 
 	mu    sync.Mutex
 	conns map[net.Conn]*connState
@@ -131,17 +127,12 @@
 	s.wg.Go(s.closeExpiredLoop)
 }
 
-// Stop shuts the server down. It keeps serving until minEnd has passed and no
-// request is in flight, or until the deadline. Each answer closes its connection.
+// Stop shuts the server down. It serves until minEnd; each answer closes its
+// connection. Then it takes no more requests, so that all that were taken have until
+// the deadline to be answered, and closes the connections without a request.
 func (s *Server) Stop(minEnd, deadline time.Time) error {
 	s.stopping.Store(true)
-	for now := time.Now(); now.Before(deadline); now = time.Now() {
-		if now.After(minEnd) && s.inFlight.Load() == 0 {
-			break
-		}
-		time.Sleep(stopPollInterval)
-	}
-	// Requests that arrived after the last check are still answered.
+	time.Sleep(time.Until(minEnd))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	err := httpserver.Shutdown(ctx, s.srv)
@@ -230,8 +221,6 @@
 // handle answers one request.
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	s.inFlight.Add(1)
-	defer s.inFlight.Add(-1)
 	networkTime := s.markHeaderRead(r)
 	h := w.Header()
 	if s.stopping.Load() || s.c.CloseConns() {
--- a/internal/front/ingress/ingress_test.go
+++ b/internal/front/ingress/ingress_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -46,3 +48,55 @@
 		t.Errorf("network times %s and %s, want twice a round trip, then one", first, second)
 	}
 }
+
+// TestStopCutsRequests: requests that arrived on busy connections until the end of a
+// stop were cut off without an answer. The clients use their connections, and open new
+// ones, until the server is gone.
+func TestStopCutsRequests(t *testing.T) {
+	const work = 50 * time.Millisecond
+	var taken atomic.Int64
+	s, err := ingress.New(ingress.Config{Addr: "127.0.0.1:0", Dialect: dialect{}, Limits: func() routing.Limits { return routing.Limits{} },
+		Do: func(context.Context, forward.Request) forward.Answer {
+			taken.Add(1)
+			time.Sleep(work)
+			return forward.Answer{Status: http.StatusOK}
+		}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Serve()
+	var answered atomic.Int64
+	var wg sync.WaitGroup
+	gone := make(chan struct{})
+	for range 8 {
+		wg.Go(func() {
+			c := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}
+			defer c.CloseIdleConnections()
+			for {
+				select {
+				case <-gone:
+					return
+				default:
+				}
+				if resp, err := c.Post("http://"+s.Addr()+"/x/", "", nil); err == nil {
+					if resp.StatusCode == http.StatusOK {
+						answered.Add(1)
+					}
+					_ = resp.Body.Close()
+				}
+			}
+		})
+	}
+	for answered.Load() < 20 {
+		time.Sleep(time.Millisecond)
+	}
+	began := time.Now()
+	if err := s.Stop(began.Add(4*work), began.Add(5*time.Second)); err != nil {
+		t.Error(err)
+	}
+	close(gone)
+	wg.Wait()
+	if n := taken.Load() - answered.Load(); n != 0 {
+		t.Errorf("%d of %d requests that were taken got no answer", n, taken.Load())
+	}
+}
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -41,9 +41,10 @@
 const (
 	// eventRingSize is the number of events kept in memory.
 	eventRingSize = 512
-	// shutdownReserve is the part of the shutdown time reserved for closing
-	// connections and flushing logs.
-	shutdownReserve = 1500 * time.Millisecond
+	// shutdownReserveShare is the share of the shutdown time that is reserved for
+	// closing connections and flushing logs. Requests have to be answered until a sixth
+	// of that time is left.
+	shutdownReserveShare = 0.15
 	// vmAllowanceShare is the share of the allowance for extra sends that is
 	// divided among single VMs. The rest covers VMs that are not counted yet and
 	// VMs that restart within a window.
@@ -315,13 +316,13 @@
 	return time.Duration(watchWaitShare * float64(s.CatchUp))
 }
 
-// stop keeps serving until the balancer has noticed and no request is in flight,
-// or until the shutdown time minus shutdownReserve is over.
+// stop keeps serving until the balancer has noticed, and then until no request is in
+// flight or the shutdown time less its reserve is over.
 func (g *Gateway) stop() error {
 	now := time.Now()
 	g.stopping.Store(true)
 	g.log.Emit(event.NodeDraining, g.c.Settings.ID, "told to stop")
-	limit := max(g.c.Settings.ShutdownTimeout-shutdownReserve, 0)
+	limit := time.Duration((1 - shutdownReserveShare) * float64(g.c.Settings.ShutdownTimeout))
 	return errors.Trace(g.ingress.Stop(now.Add(min(minDrainTime, limit)), now.Add(limit)))
 }
 
