Log to which history of the store a position belongs

The logs could not tell whether a gateway went on from a revision of before the store's restore. The client reads Store-Era, positions and leases carry it, relays pass it on, and store_restored (415) tells when an answer is of another history than the one before. Nothing is decided by it yet.

--- a/internal/node/gateway/membership.go
+++ b/internal/node/gateway/membership.go
@@ -27,8 +27,8 @@
 	Key   string
 	// Value is the registration to write.
 	Value []byte
-	// PreviousLease is the lease of a registration from before a restart; 0 if
-	// there is none.
+	// PreviousLease is the lease of a registration from before a restart; zero
+	// if there is none.
 	PreviousLease follow.Lease
 	Events        event.Sink
 }
@@ -58,12 +58,12 @@
 // step renews the lease. If there is none, or it has expired, it registers the VM
 // with a new lease.
 func (m *membership) step(ctx context.Context) error {
-	if m.lease != 0 {
+	if m.lease.ID != 0 {
 		err := m.c.Store.KeepAlive(ctx, m.lease)
 		if !errors.Is(err, follow.ErrNotFound) {
 			return errors.Annotate(err, "renewing the lease of the VM's key")
 		}
-		m.lease = 0
+		m.lease = follow.Lease{}
 	}
 	l, err := m.c.Store.Grant(ctx, leaseTTL)
 	if err != nil {
--- a/internal/node/gateway/storeview.go
+++ b/internal/node/gateway/storeview.go
@@ -107,7 +107,7 @@
 	// vms holds the registered VMs by ID.
 	vms map[string]vmregistry.VM
 	// previousLease is the lease of this VM's registration from before a
-	// restart; 0 if there is none.
+	// restart; zero if there is none.
 	previousLease follow.Lease
 	vmCounter     vmCounter
 	countedVMs    int
--- a/internal/node/gateway/tier_test.go
+++ b/internal/node/gateway/tier_test.go
@@ -120,11 +120,11 @@
 	return nil
 }
 
-func (c storeClient) Range(ctx context.Context, _ string) ([]follow.Change, follow.Revision, error) {
+func (c storeClient) Range(ctx context.Context, _ string) ([]follow.Change, follow.Position, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if err := c.reach(ctx); err != nil {
-		return nil, 0, err
+		return nil, follow.Position{}, err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -132,38 +132,38 @@
 	for _, e := range c.entries {
 		all = append(all, e)
 	}
-	return all, c.rev, nil
+	return all, follow.Position{Revision: c.rev}, nil
 }
 
 // callTimeout is that of platform/store.
 const callTimeout = 2 * time.Second
 
-func (c storeClient) Watch(ctx context.Context, _ string, after follow.Revision, wait time.Duration) ([]follow.Change, follow.Revision, error) {
+func (c storeClient) Watch(ctx context.Context, _ string, after follow.Position, wait time.Duration) ([]follow.Change, follow.Position, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout+wait)
 	defer cancel()
 	if err := c.reach(ctx); err != nil {
-		return nil, 0, err
+		return nil, follow.Position{}, err
 	}
 	t := time.NewTimer(wait)
 	defer t.Stop()
 	for {
 		c.mu.Lock()
 		p, wake, rev := c.paths[c.vm], c.wake, c.rev
-		cs := c.changes[min(after, rev):rev]
+		cs := c.changes[min(after.Revision, rev):rev]
 		c.mu.Unlock()
 		switch {
 		case p == silent:
 			<-ctx.Done()
-			return nil, 0, ctx.Err()
+			return nil, follow.Position{}, ctx.Err()
 		case len(cs) > 0:
-			return cs, rev, nil
+			return cs, follow.Position{Revision: rev}, nil
 		}
 		select {
 		case <-wake:
 		case <-t.C:
 			return nil, after, nil
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, follow.Position{}, ctx.Err()
 		}
 	}
 }
--- a/internal/node/gateway/vms.go
+++ b/internal/node/gateway/vms.go
@@ -53,8 +53,8 @@
 	}
 }
 
-// Lease returns the lease of this VM's registration from before a restart; 0 if
-// there is none.
+// Lease returns the lease of this VM's registration from before a restart; zero
+// if there is none.
 func (v *storeView) Lease() follow.Lease {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/internal/observe/event/number.go
+++ b/internal/observe/event/number.go
@@ -53,6 +53,7 @@
 	SnapshotTaken     Number = 412
 	CopyOutdated      Number = 413
 	CopyCurrent       Number = 414
+	StoreRestored     Number = 415
 
 	ConfigAdopted  Number = 500
 	ConfigRefused  Number = 501
@@ -105,7 +106,7 @@
 	EntryUnreadable: "entry_unreadable", LeaseLost: "lease_lost", VMsCounted: "vms_counted",
 	RelayChanged: "relay_changed", RelayLost: "relay_lost", SharingFailed: "sharing_failed", SnapshotTaken: "snapshot_taken",
 	SearcherLimited: "searcher_limited", SearcherUnlimited: "searcher_unlimited", LimitUnreadable: "limit_unreadable",
-	CopyOutdated: "copy_outdated", CopyCurrent: "copy_current",
+	CopyOutdated: "copy_outdated", CopyCurrent: "copy_current", StoreRestored: "store_restored",
 
 	ConfigAdopted: "config_adopted", ConfigRefused: "config_refused", ConfigAccepted: "config_accepted",
 	ConfigConflict: "config_conflict", ConfigUnsure: "config_unsure", ConfigFromPeer: "config_from_peer",
--- a/internal/peer/relay/relay.go
+++ b/internal/peer/relay/relay.go
@@ -40,13 +40,13 @@
 // New returns a relay.
 func New(c Config) *Relay { return &Relay{c: c} }
 
-// Follow returns the changes after a revision, or none after the requested wait. The
+// Follow returns the changes after a position, or none after the requested wait. The
 // outcome is UNAVAILABLE if this VM does not watch the store itself or cannot reach
 // it, and COMPACTED if the changes are no longer known.
 func (r *Relay) Follow(ctx context.Context, in *relayrpc.FollowRequest) (*relayrpc.FollowReply, error) {
 	wait := min(max(time.Duration(in.GetWaitMs())*time.Millisecond, 0), maxWait)
 	arrivedAt := boottime.Now()
-	u, err := r.c.Log.Wait(ctx, follow.Revision(in.GetAfter()), wait)
+	u, err := r.c.Log.Wait(ctx, follow.Position{Era: follow.Era(in.GetEra()), Revision: follow.Revision(in.GetAfter())}, wait)
 	switch {
 	case errors.Is(err, changelog.ErrUnavailable):
 		return &relayrpc.FollowReply{Outcome: relayrpc.FollowReply_UNAVAILABLE}, nil
@@ -55,7 +55,7 @@
 	case err != nil:
 		return nil, errors.Trace(err)
 	}
-	return &relayrpc.FollowReply{Revision: int64(u.Revision), Changes: encode(u.Changes), KnownMs: u.KnownAt.Sub(arrivedAt).Milliseconds()}, nil
+	return &relayrpc.FollowReply{Revision: int64(u.Position.Revision), Era: int64(u.Position.Era), Changes: encode(u.Changes), KnownMs: u.KnownAt.Sub(arrivedAt).Milliseconds()}, nil
 }
 
 // Snapshot returns all entries of the store, even if it cannot be reached. The outcome
@@ -65,7 +65,7 @@
 	if !ok {
 		return &relayrpc.SnapshotReply{Outcome: relayrpc.FollowReply_UNAVAILABLE}, nil
 	}
-	return &relayrpc.SnapshotReply{Revision: int64(at), Entries: encode(all)}, nil
+	return &relayrpc.SnapshotReply{Revision: int64(at.Revision), Era: int64(at.Era), Entries: encode(all)}, nil
 }
 
 // encode converts changes to messages.
--- a/internal/peer/upstream/read.go
+++ b/internal/peer/upstream/read.go
@@ -16,8 +16,8 @@
 
 // Range reads all entries directly from the store. If no read has succeeded yet and
 // this one fails or takes longer than seedDelay, it returns the entries and the
-// revision of the first seed that responds.
-func (u *Upstream) Range(ctx context.Context, prefix string) ([]follow.Change, follow.Revision, error) {
+// position of the first seed that responds.
+func (u *Upstream) Range(ctx context.Context, prefix string) ([]follow.Change, follow.Position, error) {
 	u.setRelay("")
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -37,6 +37,7 @@
 	if r.err != nil && !u.loaded {
 		if s, ok := u.readFromSeeds(ctx); ok {
 			u.loaded = true
+			u.noteEra(s.at, "a seed")
 			u.c.Log.ResetRelayed(s.entries, s.at)
 			return s.entries, s.at, nil
 		}
@@ -46,9 +47,10 @@
 	}
 	if r.err != nil {
 		u.c.Log.MarkUnreachable()
-		return nil, 0, errors.Trace(r.err)
+		return nil, follow.Position{}, errors.Trace(r.err)
 	}
 	u.loaded = true
+	u.noteEra(r.at, storeName)
 	u.c.Log.ReplaceEntries(r.entries, r.at, r.knownAt)
 	u.copyAge.Confirm(storeName, r.knownAt)
 	return r.entries, r.at, nil
@@ -57,7 +59,7 @@
 // readResult is the result of reading all entries.
 type readResult struct {
 	entries []follow.Change
-	at      follow.Revision
+	at      follow.Position
 	knownAt boottime.Instant
 	err     error
 }
@@ -87,7 +89,7 @@
 	for _, addr := range u.c.Seeds {
 		r := u.snapshot(ctx, addr)
 		if r.err == nil {
-			u.c.Events.Emit(event.SnapshotTaken, addr, fmt.Sprintf("%d entries at revision %d, because the store does not respond", len(r.entries), r.at))
+			u.c.Events.Emit(event.SnapshotTaken, addr, fmt.Sprintf("%d entries at %s, because the store does not respond", len(r.entries), r.at))
 			return r, true
 		}
 	}
@@ -110,5 +112,5 @@
 	case out.GetOutcome() != relayrpc.FollowReply_FOLLOWED:
 		return readResult{err: errDeclined}
 	}
-	return readResult{entries: decode(out.GetEntries()), at: follow.Revision(out.GetRevision())}
+	return readResult{entries: decode(out.GetEntries()), at: follow.Position{Era: follow.Era(out.GetEra()), Revision: follow.Revision(out.GetRevision())}}
 }
--- a/internal/peer/upstream/upstream.go
+++ b/internal/peer/upstream/upstream.go
@@ -15,6 +15,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -101,6 +102,8 @@
 	copyAge *copyage.Tracker
 	// loaded is set once all entries have been read, from the store or a seed.
 	loaded bool
+	// last is the position of the last answer.
+	last follow.Position
 
 	mu sync.Mutex
 	// cooldowns holds the time until which a relay is not used, by address.
@@ -140,6 +143,15 @@
 	return time.Duration(maxAgeShare * float64(changeTime))
 }
 
+// noteEra records the position in an answer of a source, and reports when it is of
+// another era than the last one.
+func (u *Upstream) noteEra(at follow.Position, source string) {
+	if u.last.Era != at.Era && u.last.Revision != 0 {
+		u.c.Events.Emit(event.StoreRestored, source, fmt.Sprintf("%s, before that %s", at, u.last))
+	}
+	u.last = at
+}
+
 // inCooldown reports whether a relay must not be used now.
 func (u *Upstream) inCooldown(addr string) bool {
 	u.mu.Lock()
--- a/internal/peer/upstream/upstream_test.go
+++ b/internal/peer/upstream/upstream_test.go
@@ -40,22 +40,22 @@
 }
 
 // Range returns the entry.
-func (s *fakeStore) Range(context.Context, string) ([]follow.Change, follow.Revision, error) {
-	return s.Watch(context.Background(), "", 0, 0)
+func (s *fakeStore) Range(context.Context, string) ([]follow.Change, follow.Position, error) {
+	return s.Watch(context.Background(), "", follow.Position{}, 0)
 }
 
 // Watch returns the entry if its revision is greater than after.
-func (s *fakeStore) Watch(_ context.Context, _ string, after follow.Revision, _ time.Duration) ([]follow.Change, follow.Revision, error) {
+func (s *fakeStore) Watch(_ context.Context, _ string, after follow.Position, _ time.Duration) ([]follow.Change, follow.Position, error) {
 	s.calls.Add(1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
 	case s.down:
-		return nil, 0, errDown
-	case after >= s.at:
-		return nil, s.at, nil
+		return nil, follow.Position{}, errDown
+	case after.Revision >= s.at:
+		return nil, follow.Position{Revision: s.at}, nil
 	}
-	return []follow.Change{{Key: "k", Value: []byte("v"), Revision: s.at}}, s.at, nil
+	return []follow.Change{{Key: "k", Value: []byte("v"), Revision: s.at}}, follow.Position{Revision: s.at}, nil
 }
 
 // vm is a VM that serves as a relay and follows the store through relays.
@@ -98,11 +98,11 @@
 // watch makes one watch, which must succeed.
 func (v *vm) watch(t *testing.T, after follow.Revision) ([]follow.Change, follow.Revision) {
 	t.Helper()
-	cs, at, err := v.up.Watch(t.Context(), "", after, time.Second)
+	cs, at, err := v.up.Watch(t.Context(), "", follow.Position{Revision: after}, time.Second)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return cs, at
+	return cs, at.Revision
 }
 
 // TestFollowsThroughRelay checks that a VM gets changes through a relay without
@@ -132,7 +132,7 @@
 			}
 			breakRelay(t, r)
 			// This fails if the relay is cut off from the store.
-			_, _, _ = r.up.Watch(t.Context(), "", 2, 0)
+			_, _, _ = r.up.Watch(t.Context(), "", follow.Position{Revision: 2}, 0)
 			v.store.update(func() { v.store.at = 3 })
 			if cs, at := v.watch(t, 2); len(cs) != 1 || at != 3 || v.up.RelayAddr() != "" {
 				t.Errorf("without the relay: %+v up to %d", cs, at)
@@ -197,10 +197,10 @@
 	u := upstream.New(upstream.Config{Store: down, Log: log, Dialer: d, Relays: func() []string { return nil },
 		Seeds: []string{"127.0.0.1:1", empty.server.Addr(), r.server.Addr()}})
 	all, at, err := u.Range(t.Context(), "")
-	if err != nil || at != 1 || len(all) != 1 || all[0].Key != "k" {
-		t.Errorf("%+v up to %d, %v", all, at, err)
+	if err != nil || at != (follow.Position{Revision: 1}) || len(all) != 1 || all[0].Key != "k" {
+		t.Errorf("%+v up to %s, %v", all, at, err)
 	}
-	if _, err := log.Wait(t.Context(), 1, 0); !errors.Is(err, changelog.ErrUnavailable) {
+	if _, err := log.Wait(t.Context(), follow.Position{Revision: 1}, 0); !errors.Is(err, changelog.ErrUnavailable) {
 		t.Error("the log serves entries that were not read from the store:", err)
 	}
 	if _, _, err := u.Range(t.Context(), ""); !errors.Is(err, errDown) {
--- a/internal/peer/upstream/watch.go
+++ b/internal/peer/upstream/watch.go
@@ -21,10 +21,10 @@
 	err  error
 }
 
-// Watch returns the changes after a revision from the first available relay. It asks
+// Watch returns the changes after a position from the first available relay. It asks
 // the store if no relay responds, or once the copy is too old, and returns the first
 // response.
-func (u *Upstream) Watch(ctx context.Context, prefix string, after follow.Revision, wait time.Duration) ([]follow.Change, follow.Revision, error) {
+func (u *Upstream) Watch(ctx context.Context, prefix string, after follow.Position, wait time.Duration) ([]follow.Change, follow.Position, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -42,7 +42,7 @@
 		case r = <-results:
 			if pending--; r.err == nil {
 				u.record(after, r)
-				return r.Changes, r.Revision, nil
+				return r.Changes, r.Position, nil
 			}
 			if r.err != errNoRelay {
 				storeErr = r.err
@@ -63,20 +63,21 @@
 		case pending == 0:
 			u.setRelay("")
 			u.c.Log.MarkUnreachable()
-			return nil, 0, errors.Trace(storeErr)
+			return nil, follow.Position{}, errors.Trace(storeErr)
 		}
 	}
 }
 
-// record records a successful watch after a revision.
-func (u *Upstream) record(after follow.Revision, r watchResult) {
+// record records a successful watch after a position.
+func (u *Upstream) record(after follow.Position, r watchResult) {
+	u.noteEra(r.Position, displayName(r.addr))
 	u.setRelay(r.addr)
 	u.copyAge.Confirm(displayName(r.addr), r.KnownAt)
 	if r.addr == "" {
-		u.c.Log.Append(after, r.Changes, r.Revision, r.KnownAt)
+		u.c.Log.Append(after, r.Changes, r.Position, r.KnownAt)
 		return
 	}
-	u.c.Log.AppendRelayed(after, r.Changes, r.Revision)
+	u.c.Log.AppendRelayed(after, r.Changes, r.Position)
 }
 
 // untilTooOld returns the time until the copy is too old to wait for a relay.
@@ -87,8 +88,8 @@
 	return MaxCopyAge(u.c.ChangeTime) - u.copyAge.Age()
 }
 
-// watchRelays returns the changes after a revision from the first relay that responds.
-func (u *Upstream) watchRelays(ctx context.Context, after follow.Revision) watchResult {
+// watchRelays returns the changes after a position from the first relay that responds.
+func (u *Upstream) watchRelays(ctx context.Context, after follow.Position) watchResult {
 	for _, addr := range u.c.Relays() {
 		if u.inCooldown(addr) {
 			continue
@@ -115,8 +116,8 @@
 	return max(longest-u.copyAge.Age(), minWatchWait)
 }
 
-// watchStore returns the changes after a revision from the store, or none after wait.
-func (u *Upstream) watchStore(ctx context.Context, prefix string, after follow.Revision, wait time.Duration) watchResult {
+// watchStore returns the changes after a position from the store, or none after wait.
+func (u *Upstream) watchStore(ctx context.Context, prefix string, after follow.Position, wait time.Duration) watchResult {
 	r, err := overlap.Read(ctx, attempts(wait+lateAnswer), func(ctx context.Context, attempt int) (changelog.Update, error) {
 		wait := wait
 		if attempt > 0 {
@@ -124,7 +125,7 @@
 		}
 		r := changelog.Update{KnownAt: boottime.Now()}
 		var err error
-		r.Changes, r.Revision, err = u.c.Store.Watch(ctx, prefix, after, wait)
+		r.Changes, r.Position, err = u.c.Store.Watch(ctx, prefix, after, wait)
 		if len(r.Changes) == 0 && r.KnownAt.Age() >= wait {
 			// The store had no change to report during the whole wait.
 			r.KnownAt = r.KnownAt.Add(wait)
@@ -147,9 +148,9 @@
 	maxKnownAge = time.Hour
 )
 
-// watchRelay returns the changes after a revision from the relay at addr, or none
+// watchRelay returns the changes after a position from the relay at addr, or none
 // after the relay's wait.
-func (u *Upstream) watchRelay(ctx context.Context, addr string, after follow.Revision) (changelog.Update, error) {
+func (u *Upstream) watchRelay(ctx context.Context, addr string, after follow.Position) (changelog.Update, error) {
 	calledAt := boottime.Now()
 	wait := min(max(u.untilTooOld()-relaySlack, minRelayWait), maxRelayWait)
 	ctx, cancel := context.WithTimeout(ctx, wait+relayTimeout)
@@ -159,15 +160,15 @@
 		return changelog.Update{}, errors.Trace(err)
 	}
 	defer func() { _ = c.Close() }()
-	out, err := relayrpc.NewDRPCRelayClient(c).Follow(ctx, &relayrpc.FollowRequest{After: int64(after), WaitMs: wait.Milliseconds()})
+	out, err := relayrpc.NewDRPCRelayClient(c).Follow(ctx, &relayrpc.FollowRequest{After: int64(after.Revision), Era: int64(after.Era), WaitMs: wait.Milliseconds()})
 	switch {
 	case err != nil:
 		return changelog.Update{}, errors.Trace(err)
 	case out.GetOutcome() != relayrpc.FollowReply_FOLLOWED:
 		return changelog.Update{}, errors.WithType(errors.New(out.GetOutcome().String()), errDeclined)
 	}
-	return changelog.Update{Changes: decode(out.GetChanges()), Revision: max(after, follow.Revision(out.GetRevision())),
-		KnownAt: relayKnownAt(calledAt, out.GetKnownMs())}, nil
+	at := follow.Position{Era: follow.Era(out.GetEra()), Revision: max(after.Revision, follow.Revision(out.GetRevision()))}
+	return changelog.Update{Changes: decode(out.GetChanges()), Position: at, KnownAt: relayKnownAt(calledAt, out.GetKnownMs())}, nil
 }
 
 // relayKnownAt returns the time up to which a relay knows all changes, given the start of
--- a/internal/platform/kv/client.go
+++ b/internal/platform/kv/client.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
-	"strconv"
 	"sync"
 	"time"
 
@@ -148,7 +148,7 @@
 // changes after revision after, watchKey reads the key instead. It returns the zero
 // Change if the key has not changed or was deleted.
 func (c *Client) watchKey(ctx context.Context, key string, after follow.Revision) (follow.Change, error) {
-	cs, _, err := c.config.Transport.Watch(ctx, key, after, c.config.WatchTimeout)
+	cs, _, err := c.config.Transport.Watch(ctx, key, follow.Position{Revision: after}, c.config.WatchTimeout)
 	if errors.Is(err, follow.ErrCompacted) {
 		cs, _, err = c.config.Transport.Range(ctx, key)
 	}
@@ -188,7 +188,7 @@
 	if s != OK {
 		return Lease{}, s
 	}
-	return Lease{ID: strconv.FormatInt(int64(l), 10), TTLMS: ttlMS}, OK
+	return Lease{ID: fmt.Sprintf(leaseFormat, l.Era, l.ID), TTLMS: ttlMS}, OK
 }
 
 // KeepAlive renews a lease. It returns NotFound if the lease has expired.
--- a/internal/platform/kv/store.go
+++ b/internal/platform/kv/store.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"strconv"
+	"fmt"
 
 	"github.com/juju/errors"
 
@@ -49,13 +49,18 @@
 	TTLMS int64 `json:"ttl_ms"`
 }
 
-// parseID returns the lease ID of the store, 0 for the zero Lease.
+// leaseFormat is the format of Lease.ID: the era in which the lease was granted and its
+// number.
+const leaseFormat = "%d-%d"
+
+// parseID returns the lease ID of the store, zero for the zero Lease.
 func (l Lease) parseID() (follow.Lease, error) {
 	if l.ID == "" {
-		return 0, nil
+		return follow.Lease{}, nil
 	}
-	n, err := strconv.ParseInt(l.ID, 10, 64)
-	return follow.Lease(n), errors.Annotatef(err, "parsing the ID of lease %q", l.ID)
+	var id follow.Lease
+	_, err := fmt.Sscanf(l.ID, leaseFormat, &id.Era, &id.ID)
+	return id, errors.Annotatef(err, "parsing the ID of lease %q", l.ID)
 }
 
 // Store is the platform's key-value service. Client implements it over the network, and
--- a/internal/state/changelog/changelog.go
+++ b/internal/state/changelog/changelog.go
@@ -8,8 +8,8 @@
 // # Usage
 //
 //	l := changelog.New(changelog.Config{MaxAge: 6 * time.Second})
-//	l.ReplaceEntries(all, rev, knownAt)     // after a full read
-//	l.Append(after, changes, rev, knownAt)  // after a watch
+//	l.ReplaceEntries(all, at, knownAt)     // after a full read
+//	l.Append(after, changes, at, knownAt)  // after a watch
 //	u, err := l.Wait(ctx, after, time.Second)
 package changelog
 
@@ -48,11 +48,12 @@
 	c Config
 
 	mu sync.Mutex
-	// entries are the store's entries at rev; nil if not completely known.
+	// entries are the store's entries at position at; nil if not completely known.
 	entries map[string]follow.Change
-	// changes are all changes after base up to rev, in revision order.
-	changes   []follow.Change
-	base, rev follow.Revision
+	// changes are all changes after base up to at, in revision order.
+	changes []follow.Change
+	base    follow.Revision
+	at      follow.Position
 	// knownAt is the time up to which the log has all changes of the store; zero if
 	// the store is unreachable or this VM does not read it directly.
 	knownAt boottime.Instant
@@ -60,12 +61,12 @@
 	wake chan struct{}
 }
 
-// Update holds the changes after a revision.
+// Update holds the changes after a position.
 type Update struct {
 	// Changes holds the last change of each key.
 	Changes []follow.Change
-	// Revision is that up to which the changes are complete.
-	Revision follow.Revision
+	// Position is that up to which the changes are complete.
+	Position follow.Position
 	// KnownAt is the time up to which the changes are complete.
 	KnownAt boottime.Instant
 }
@@ -73,12 +74,12 @@
 // New returns an empty log.
 func New(c Config) *Log { return &Log{c: c, wake: make(chan struct{})} }
 
-// ReplaceEntries replaces all entries after a full read of the store at revision rev,
+// ReplaceEntries replaces all entries after a full read of the store at a position,
 // which includes all changes up to knownAt.
-func (l *Log) ReplaceEntries(all []follow.Change, rev follow.Revision, knownAt boottime.Instant) {
+func (l *Log) ReplaceEntries(all []follow.Change, at follow.Position, knownAt boottime.Instant) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	old, oldRev := l.entries, l.rev
+	old, oldRev, rev := l.entries, l.at.Revision, at.Revision
 	l.entries = make(map[string]follow.Change, len(all))
 	for _, c := range all {
 		l.entries[c.Key] = c
@@ -88,7 +89,7 @@
 	} else {
 		l.add(diff(old, l.entries, oldRev, rev))
 	}
-	l.recordRead(rev, knownAt)
+	l.recordRead(at, knownAt)
 }
 
 // diff returns the changes from the old entries, at revision oldRev, to the new
@@ -112,14 +113,14 @@
 	return cs
 }
 
-// Append adds the changes of the store between revisions after and rev, which are
-// complete up to knownAt.
-func (l *Log) Append(after follow.Revision, cs []follow.Change, rev follow.Revision, knownAt boottime.Instant) {
+// Append adds the changes of the store between two positions, which are complete up to
+// knownAt.
+func (l *Log) Append(after follow.Position, cs []follow.Change, at follow.Position, knownAt boottime.Instant) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if after != l.rev {
-		// The changes between the last revision and this one are missing.
-		l.base, l.changes, l.entries = after, nil, nil
+	if after.Revision != l.at.Revision {
+		// The changes between the last position and this one are missing.
+		l.base, l.changes, l.entries = after.Revision, nil, nil
 	}
 	for _, c := range cs {
 		switch {
@@ -131,13 +132,14 @@
 		}
 	}
 	l.add(cs)
-	l.recordRead(max(after, rev), knownAt)
+	at.Revision = max(after.Revision, at.Revision)
+	l.recordRead(at, knownAt)
 }
 
 // AppendRelayed adds changes that another VM relayed. The log stays complete, but
 // Wait returns ErrUnavailable.
-func (l *Log) AppendRelayed(after follow.Revision, cs []follow.Change, rev follow.Revision) {
-	l.Append(after, cs, rev, boottime.Instant{})
+func (l *Log) AppendRelayed(after follow.Position, cs []follow.Change, at follow.Position) {
+	l.Append(after, cs, at, boottime.Instant{})
 	l.MarkUnreachable()
 }
 
@@ -152,17 +154,17 @@
 }
 
 // ResetRelayed replaces all entries by those that another VM relayed.
-func (l *Log) ResetRelayed(all []follow.Change, rev follow.Revision) {
-	l.ReplaceEntries(all, rev, boottime.Instant{})
+func (l *Log) ResetRelayed(all []follow.Change, at follow.Position) {
+	l.ReplaceEntries(all, at, boottime.Instant{})
 	l.MarkUnreachable()
 }
 
-// Entries returns all entries of the store and their revision. It returns false if
+// Entries returns all entries of the store and their position. It returns false if
 // the entries are not completely known.
-func (l *Log) Entries() ([]follow.Change, follow.Revision, bool) {
+func (l *Log) Entries() ([]follow.Change, follow.Position, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return slices.Collect(maps.Values(l.entries)), l.rev, l.entries != nil
+	return slices.Collect(maps.Values(l.entries)), l.at, l.entries != nil
 }
 
 // add adds changes and drops the oldest beyond maxChanges. The caller holds the
@@ -176,9 +178,9 @@
 	}
 }
 
-// recordRead records a read at revision rev. The caller holds the lock.
-func (l *Log) recordRead(rev follow.Revision, knownAt boottime.Instant) {
-	l.rev, l.knownAt = rev, knownAt
+// recordRead records a read at a position. The caller holds the lock.
+func (l *Log) recordRead(at follow.Position, knownAt boottime.Instant) {
+	l.at, l.knownAt = at, knownAt
 	l.signal()
 }
 
@@ -188,10 +190,10 @@
 	l.wake = make(chan struct{})
 }
 
-// Wait waits for changes after a revision, and returns none after wait. The error is
+// Wait waits for changes after a position, and returns none after wait. The error is
 // ErrUnavailable, as soon as the log reaches its maximum age, follow.ErrCompacted or
 // that of ctx.
-func (l *Log) Wait(ctx context.Context, after follow.Revision, wait time.Duration) (Update, error) {
+func (l *Log) Wait(ctx context.Context, after follow.Position, wait time.Duration) (Update, error) {
 	end := time.Now().Add(wait)
 	for {
 		u, wake, err := l.since(after)
@@ -211,19 +213,20 @@
 	}
 }
 
-// since returns the changes after a revision, and a channel that is closed at the
+// since returns the changes after a position, and a channel that is closed at the
 // next update of the log.
-func (l *Log) since(after follow.Revision) (Update, <-chan struct{}, error) {
+func (l *Log) since(after follow.Position) (Update, <-chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
 	case l.knownAt.Age() > l.c.MaxAge:
 		return Update{}, nil, ErrUnavailable
-	case after < l.base:
+	case after.Revision < l.base:
 		return Update{}, nil, follow.ErrCompacted
 	}
-	n, _ := slices.BinarySearchFunc(l.changes, after+1, func(c follow.Change, r follow.Revision) int { return cmp.Compare(c.Revision, r) })
-	return Update{Changes: latest(l.changes[n:]), Revision: max(after, l.rev), KnownAt: l.knownAt}, l.wake, nil
+	n, _ := slices.BinarySearchFunc(l.changes, after.Revision+1, func(c follow.Change, r follow.Revision) int { return cmp.Compare(c.Revision, r) })
+	at := follow.Position{Era: l.at.Era, Revision: max(after.Revision, l.at.Revision)}
+	return Update{Changes: latest(l.changes[n:]), Position: at, KnownAt: l.knownAt}, l.wake, nil
 }
 
 // latest returns the last change of each key, in revision order.
--- a/internal/state/changelog/changelog_test.go
+++ b/internal/state/changelog/changelog_test.go
@@ -26,6 +26,12 @@
 // rev returns the store's revision.
 func (h *history) rev() follow.Revision { return follow.Revision(len(h.changes)) }
 
+// at returns the store's position.
+func (h *history) at() follow.Position { return rev(h.rev()) }
+
+// rev returns the position of a revision of a store that was never restored.
+func rev(r follow.Revision) follow.Position { return follow.Position{Revision: r} }
+
 // change writes or deletes a key.
 func (h *history) change(key string, deleted bool) {
 	if _, ok := h.entries[key]; deleted && !ok {
@@ -51,12 +57,12 @@
 
 // reader holds the copy of a VM that follows the log.
 type reader struct {
-	rev    follow.Revision
+	at     follow.Position
 	copied map[string]string
 }
 
-// apply applies changes up to revision rev.
-func (r *reader) apply(cs []follow.Change, rev follow.Revision) {
+// apply applies changes up to a position.
+func (r *reader) apply(cs []follow.Change, at follow.Position) {
 	for _, c := range cs {
 		if c.Deleted {
 			delete(r.copied, c.Key)
@@ -64,13 +70,13 @@
 			r.copied[c.Key] = string(c.Value)
 		}
 	}
-	r.rev = max(r.rev, rev)
+	r.at = at
 }
 
 // reset replaces the copy by a full read of the store.
 func (r *reader) reset(h *history) {
 	r.copied = map[string]string{}
-	r.apply(h.all(), h.rev())
+	r.apply(h.all(), h.at())
 }
 
 // TestFollowers updates a log from random watches and full reads, some of which
@@ -80,7 +86,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		h := &history{entries: map[string]follow.Change{}}
 		l := changelog.New(changelog.Config{MaxAge: time.Hour})
-		l.ReplaceEntries(h.all(), 0, boottime.Now())
+		l.ReplaceEntries(h.all(), rev(0), boottime.Now())
 		rs := [2]*reader{{copied: map[string]string{}}, {copied: map[string]string{}}}
 		read := follow.Revision(0)
 		for range rapid.IntRange(1, 30).Draw(rt, "steps") {
@@ -89,26 +95,26 @@
 			}
 			if rapid.Bool().Draw(rt, "full read") {
 				if rapid.Bool().Draw(rt, "told of nothing") {
-					l.Append(read, nil, h.rev(), boottime.Now())
+					l.Append(rev(read), nil, h.at(), boottime.Now())
 					h.change("e", false)
 				}
-				l.ReplaceEntries(h.all(), h.rev(), boottime.Now())
+				l.ReplaceEntries(h.all(), h.at(), boottime.Now())
 			} else {
-				l.Append(read, h.changes[read:], h.rev(), boottime.Now())
+				l.Append(rev(read), h.changes[read:], h.at(), boottime.Now())
 			}
 			read = h.rev()
 			for i, r := range rs {
 				if i > 0 && rapid.Bool().Draw(rt, "sleeps") {
 					continue
 				}
-				u, err := l.Wait(context.Background(), r.rev, 0)
+				u, err := l.Wait(context.Background(), r.at, 0)
 				switch {
 				case errors.Is(err, follow.ErrCompacted):
 					r.reset(h)
 				case err != nil:
 					rt.Fatal(err)
 				default:
-					r.apply(u.Changes, u.Revision)
+					r.apply(u.Changes, u.Position)
 				}
 				want := map[string]string{}
 				for k, c := range h.entries {
@@ -129,13 +135,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		l := changelog.New(changelog.Config{MaxAge: 5 * time.Second})
 		wait := func(d time.Duration) error {
-			_, err := l.Wait(t.Context(), 7, d)
+			_, err := l.Wait(t.Context(), rev(7), d)
 			return err
 		}
 		if err := wait(0); !errors.Is(err, changelog.ErrUnavailable) {
 			t.Error("before the first update:", err)
 		}
-		l.Append(7, nil, 7, boottime.Now())
+		l.Append(rev(7), nil, rev(7), boottime.Now())
 		if err := wait(time.Second); err != nil {
 			t.Error("after an update:", err)
 		}
@@ -147,11 +153,11 @@
 		if err := wait(time.Minute); !errors.Is(err, changelog.ErrUnavailable) || time.Since(began) != time.Second {
 			t.Errorf("store unreachable: %v after %s", err, time.Since(began))
 		}
-		l.AppendRelayed(7, nil, 8)
+		l.AppendRelayed(rev(7), nil, rev(8))
 		if err := wait(0); !errors.Is(err, changelog.ErrUnavailable) {
 			t.Error("after a relayed update:", err)
 		}
-		l.Append(8, nil, 8, boottime.Now())
+		l.Append(rev(8), nil, rev(8), boottime.Now())
 		time.Sleep(6 * time.Second)
 		if err := wait(0); !errors.Is(err, changelog.ErrUnavailable) {
 			t.Error("last update older than MaxAge:", err)
@@ -167,13 +173,13 @@
 	for range 5000 {
 		h.change("k", false)
 	}
-	l.Append(0, h.changes, h.rev(), boottime.Now())
-	if _, err := l.Wait(t.Context(), 1, 0); !errors.Is(err, follow.ErrCompacted) {
+	l.Append(rev(0), h.changes, h.at(), boottime.Now())
+	if _, err := l.Wait(t.Context(), rev(1), 0); !errors.Is(err, follow.ErrCompacted) {
 		t.Error("dropped changes:", err)
 	}
-	u, err := l.Wait(t.Context(), 4990, 0)
-	if err != nil || u.Revision != 5000 || len(u.Changes) != 1 || u.Changes[0].Revision != 5000 {
-		t.Errorf("recent changes: got %d up to revision %d, %v", len(u.Changes), u.Revision, err)
+	u, err := l.Wait(t.Context(), rev(4990), 0)
+	if err != nil || u.Position != rev(5000) || len(u.Changes) != 1 || u.Changes[0].Revision != 5000 {
+		t.Errorf("recent changes: got %d up to %s, %v", len(u.Changes), u.Position, err)
 	}
 }
 
@@ -181,9 +187,9 @@
 func TestEndsAtMaxAge(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := changelog.New(changelog.Config{MaxAge: 2 * time.Second})
-		l.Append(7, nil, 7, boottime.Now())
+		l.Append(rev(7), nil, rev(7), boottime.Now())
 		began := time.Now()
-		_, err := l.Wait(t.Context(), 7, time.Minute)
+		_, err := l.Wait(t.Context(), rev(7), time.Minute)
 		if d := time.Since(began); !errors.Is(err, changelog.ErrUnavailable) || d < 2*time.Second || d > 2010*time.Millisecond {
 			t.Errorf("%v after %s, want ErrUnavailable after 2s", err, d)
 		}
@@ -194,8 +200,8 @@
 // answer and reading it must not pass the answer on as recent.
 func TestAnswerReadAfterPause(t *testing.T) {
 	l := changelog.New(changelog.Config{MaxAge: 2 * time.Second})
-	l.Append(7, nil, 8, boottime.Now().Add(-5*time.Second))
-	if _, err := l.Wait(t.Context(), 7, 0); !errors.Is(err, changelog.ErrUnavailable) {
+	l.Append(rev(7), nil, rev(8), boottime.Now().Add(-5*time.Second))
+	if _, err := l.Wait(t.Context(), rev(7), 0); !errors.Is(err, changelog.ErrUnavailable) {
 		t.Error(err)
 	}
 }
--- a/internal/state/follow/follow.go
+++ b/internal/state/follow/follow.go
@@ -23,12 +23,12 @@
 	"egrethaven/internal/platform/pause"
 )
 
-// Revision is a revision of the store, which each change increments; 0 is before
-// the first change.
-type Revision int64
-
-// Lease identifies a lease. The store deletes the keys of a lease that expires.
-type Lease int64
+// Lease identifies a lease, which the store granted in an era. The store deletes the
+// keys of a lease that expires. Its zero value is no lease.
+type Lease struct {
+	Era Era
+	ID  int64
+}
 
 // The errors of a Store.
 const (
@@ -53,7 +53,7 @@
 	Key      string
 	Value    []byte
 	Revision Revision
-	// Lease is the lease of the entry; 0 for none, or if another VM relayed the
+	// Lease is the lease of the entry; zero for none, or if another VM relayed the
 	// change.
 	Lease   Lease
 	Deleted bool
@@ -61,11 +61,11 @@
 
 // Source is the source of changes: the store, or a VM that relays them.
 type Source interface {
-	// Range returns all current entries under a prefix, and their revision.
-	Range(ctx context.Context, prefix string) ([]Change, Revision, error)
-	// Watch waits for changes after a revision. It returns them and the revision
+	// Range returns all current entries under a prefix, and their position.
+	Range(ctx context.Context, prefix string) ([]Change, Position, error)
+	// Watch waits for changes after a position. It returns them and the position
 	// up to which they are complete, or no changes after wait.
-	Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) ([]Change, Revision, error)
+	Watch(ctx context.Context, prefix string, after Position, wait time.Duration) ([]Change, Position, error)
 }
 
 // Store is the platform's key-value store.
@@ -120,8 +120,8 @@
 // Follower keeps a handler's copy of the store up to date.
 type Follower struct {
 	c Config
-	// rev is the revision of the copy; 0 if a full read is needed.
-	rev        Revision
+	// at is the position of the copy; zero if a full read is needed.
+	at         Position
 	retryDelay time.Duration
 	down       bool
 }
@@ -149,7 +149,7 @@
 		case ctx.Err() != nil:
 		case errors.Is(err, ErrCompacted):
 			f.c.Events.Emit(event.HistoryLost, f.c.Prefix, "reading everything again")
-			f.rev = 0
+			f.at = Position{}
 		case err != nil:
 			f.failed(now, err)
 			f.retryDelay = min(max(2*f.retryDelay, minRetryDelay), maxRetryDelay)
@@ -166,23 +166,23 @@
 // step makes one call, a full read or a watch, and reports whether it delivered
 // entries to the handler.
 func (f *Follower) step(ctx context.Context) (changed bool, err error) {
-	if f.rev == 0 {
-		all, rev, err := f.c.Source.Range(ctx, f.c.Prefix)
+	if (f.at == Position{}) {
+		all, at, err := f.c.Source.Range(ctx, f.c.Prefix)
 		if err != nil {
 			return false, errors.Trace(err)
 		}
 		f.c.Handler.Replace(time.Now(), all)
-		f.rev = rev
+		f.at = at
 		return true, nil
 	}
-	cs, rev, err := f.c.Source.Watch(ctx, f.c.Prefix, f.rev, f.c.WatchTimeout)
+	cs, at, err := f.c.Source.Watch(ctx, f.c.Prefix, f.at, f.c.WatchTimeout)
 	if err != nil {
 		return false, errors.Trace(err)
 	}
 	if len(cs) > 0 {
 		f.c.Handler.Apply(time.Now(), cs)
 	}
-	f.rev = max(f.rev, rev)
+	f.at.Revision = max(f.at.Revision, at.Revision)
 	return len(cs) > 0, nil
 }
 
--- a/internal/state/follow/follow_test.go
+++ b/internal/state/follow/follow_test.go
@@ -31,17 +31,17 @@
 
 var errDown = errors.New("down")
 
-func (s *fakeStore) Range(context.Context, string) ([]follow.Change, follow.Revision, error) {
+func (s *fakeStore) Range(context.Context, string) ([]follow.Change, follow.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ranges++
 	if s.down {
-		return nil, 0, errDown
+		return nil, follow.Position{}, errDown
 	}
-	return []follow.Change{{Key: "k", Value: []byte(fmt.Sprint(s.rev)), Revision: s.rev}}, s.rev, nil
+	return []follow.Change{{Key: "k", Value: []byte(fmt.Sprint(s.rev)), Revision: s.rev}}, follow.Position{Revision: s.rev}, nil
 }
 
-func (s *fakeStore) Watch(ctx context.Context, _ string, after follow.Revision, wait time.Duration) ([]follow.Change, follow.Revision, error) {
+func (s *fakeStore) Watch(ctx context.Context, _ string, after follow.Position, wait time.Duration) ([]follow.Change, follow.Position, error) {
 	s.mu.Lock()
 	s.watches++
 	s.mu.Unlock()
@@ -60,7 +60,7 @@
 		case <-t.C:
 			return nil, after, nil
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, follow.Position{}, ctx.Err()
 		}
 	}
 }
@@ -72,16 +72,16 @@
 }
 
 // since returns the changes after a revision.
-func (s *fakeStore) since(after follow.Revision) ([]follow.Change, follow.Revision, error) {
+func (s *fakeStore) since(after follow.Position) ([]follow.Change, follow.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
 	case s.down:
-		return nil, 0, errDown
-	case after < s.compacted:
-		return nil, 0, follow.ErrCompacted
-	case s.rev > after:
-		return []follow.Change{{Key: "k", Value: []byte(fmt.Sprint(s.rev)), Revision: s.rev}}, s.rev, nil
+		return nil, follow.Position{}, errDown
+	case after.Revision < s.compacted:
+		return nil, follow.Position{}, follow.ErrCompacted
+	case s.rev > after.Revision:
+		return []follow.Change{{Key: "k", Value: []byte(fmt.Sprint(s.rev)), Revision: s.rev}}, follow.Position{Revision: s.rev}, nil
 	}
 	return nil, after, nil
 }
@@ -101,7 +101,7 @@
 	}
 }
 
-func (*fakeStore) Grant(context.Context, time.Duration) (follow.Lease, error) { return 0, nil }
+func (*fakeStore) Grant(context.Context, time.Duration) (follow.Lease, error) { return follow.Lease{}, nil }
 
 func (*fakeStore) Keep(context.Context, follow.Lease) error { return nil }
 
@@ -216,38 +216,38 @@
 	}
 }
 
-func (m *model) Range(context.Context, string) ([]follow.Change, follow.Revision, error) {
+func (m *model) Range(context.Context, string) ([]follow.Change, follow.Position, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.down {
-		return nil, 0, errDown
+		return nil, follow.Position{}, errDown
 	}
 	var all []follow.Change
 	for _, c := range m.keys {
 		all = append(all, c)
 	}
-	return all, m.rev, nil
+	return all, follow.Position{Revision: m.rev}, nil
 }
 
-func (m *model) Watch(ctx context.Context, _ string, after follow.Revision, wait time.Duration) ([]follow.Change, follow.Revision, error) {
+func (m *model) Watch(ctx context.Context, _ string, after follow.Position, wait time.Duration) ([]follow.Change, follow.Position, error) {
 	if _, _, err := m.fakeStore.Watch(ctx, "", after, wait); err != nil {
-		return nil, 0, err
+		return nil, follow.Position{}, err
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.down {
-		return nil, 0, errDown
+		return nil, follow.Position{}, errDown
 	}
-	if after < m.compacted {
-		return nil, 0, follow.ErrCompacted
+	if after.Revision < m.compacted {
+		return nil, follow.Position{}, follow.ErrCompacted
 	}
 	var cs []follow.Change
 	for _, c := range m.log {
-		if c.Revision > after {
+		if c.Revision > after.Revision {
 			cs = append(cs, c)
 		}
 	}
-	return cs, m.rev, nil
+	return cs, follow.Position{Revision: m.rev}, nil
 }
 
 func (m *model) Replace(now time.Time, all []follow.Change) {
