Add failing tests of a store restored from an older copy

A tier of seven VMs on a fake clock, whose store loses two changes, gets one written again and accepts a new one: a VM that still stands at the revision of before the restore never learns of the new one ("vm-6 has version 3, want 4 or newer").

--- a/internal/node/gateway/changes_test.go
+++ b/internal/node/gateway/changes_test.go
@@ -22,19 +22,26 @@
 	return at
 }
 
-// checkChangesInForce plays days whose silence ends at any phase of the calls that are
-// under way, and checks that changes are in force in time.
-func checkChangesInForce(t *testing.T, vms int, faults func(end time.Duration) []fault) {
+// checkDays plays a day for each phase of the calls that are under way when its last
+// fault ends, and checks that changes are in force in time.
+func checkDays(t *testing.T, day func(end time.Duration) day) {
 	t.Helper()
 	for phase := time.Duration(0); phase < 6*time.Second; phase += 250 * time.Millisecond {
 		end := 12*time.Second + phase
-		d := day{VMs: vms, Faults: faults(end), Changes: storm(time.Second, end+8*time.Second, 100*time.Millisecond)}
-		if broken := d.play(t); broken != "" {
+		if broken := day(end).play(t); broken != "" {
 			t.Fatalf("disturbed until %s: %s", end, broken)
 		}
 	}
 }
 
+// checkChangesInForce checks days with a change each 100 ms.
+func checkChangesInForce(t *testing.T, vms int, faults func(end time.Duration) []fault) {
+	t.Helper()
+	checkDays(t, func(end time.Duration) day {
+		return day{VMs: vms, Faults: faults(end), Changes: storm(time.Second, end+8*time.Second, 100*time.Millisecond)}
+	})
+}
+
 // TestCallOutlivesOutage: a call that the silent store swallowed blocked a VM for
 // seconds after the store's return.
 func TestCallOutlivesOutage(t *testing.T) {
@@ -68,6 +75,30 @@
 	})
 }
 
+// TestRestoredStoreGivesOutRevisionsAgain: VMs that went on from a revision of before
+// the restore missed the change to which the store gave that revision again.
+func TestRestoredStoreGivesOutRevisionsAgain(t *testing.T) {
+	for name, p := range map[string]path{"refusing": refusing, "silent": silent} {
+		t.Run(name, func(t *testing.T) {
+			checkDays(t, func(end time.Duration) day {
+				lost := []time.Duration{end - 2600*time.Millisecond, end - 2400*time.Millisecond}
+				return day{VMs: 7, Changes: append(lost, end+100*time.Millisecond),
+					Faults: []fault{{At: end - 2*time.Second, For: 2 * time.Second, Path: p, VMs: everyVM, RestoredAge: 3 * time.Second}}}
+			})
+		})
+	}
+}
+
+// TestStoreRestoredTwice: VMs that heard of one restore only missed a change.
+func TestStoreRestoredTwice(t *testing.T) {
+	checkDays(t, func(end time.Duration) day {
+		lost := []time.Duration{end - 5200*time.Millisecond, end - 5100*time.Millisecond, end - 5*time.Second}
+		return day{VMs: 7, Changes: append(lost, end+100*time.Millisecond), Faults: []fault{
+			{At: end - 4*time.Second, For: 500 * time.Millisecond, Path: refusing, VMs: everyVM, RestoredAge: time.Second},
+			{At: end - 2*time.Second, For: 2 * time.Second, Path: refusing, VMs: everyVM, RestoredAge: 6 * time.Second}}}
+	})
+}
+
 // TestChangesInForceInTime plays random days.
 func TestChangesInForceInTime(t *testing.T) {
 	ms := func(rt *rapid.T, label string, low, high int) time.Duration {
@@ -81,6 +112,8 @@
 			if rapid.Bool().Draw(rt, "some") {
 				f.VMs = uint(rapid.IntRange(1, 127).Draw(rt, "mask"))
 				f.Dark = rapid.Bool().Draw(rt, "dark")
+			} else if rapid.Bool().Draw(rt, "restored") {
+				f.RestoredAge, f.Rewrite = ms(rt, "age", 1, 12_000), ms(rt, "rewrite", 0, 1000)
 			}
 			d.Faults = append(d.Faults, f)
 		}
--- a/internal/node/gateway/tier_test.go
+++ b/internal/node/gateway/tier_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -50,7 +51,10 @@
 	mu      sync.Mutex
 	entries map[string]follow.Change
 	changes []follow.Change
-	rev     follow.Revision
+	// writtenAt holds the times of the changes.
+	writtenAt []time.Time
+	at        follow.Position
+	version   routing.Version
 	// paths holds how the calls of each VM are treated.
 	paths []path
 	// wake is closed and replaced at each change.
@@ -59,10 +63,11 @@
 
 // put writes an entry. The lock is held.
 func (s *tierStore) put(key string, value []byte) {
-	s.rev++
-	c := follow.Change{Key: key, Value: value, Revision: s.rev}
+	s.at.Revision++
+	c := follow.Change{Key: key, Value: value, Revision: s.at.Revision}
 	s.entries[key] = c
 	s.changes = append(s.changes, c)
+	s.writtenAt = append(s.writtenAt, time.Now())
 	close(s.wake)
 	s.wake = make(chan struct{})
 }
@@ -71,8 +76,36 @@
 func (s *tierStore) writeConfig() routing.Version {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.put("op/config", strconv.AppendInt(nil, int64(s.rev)+1, 10))
-	return routing.Version(s.rev)
+	s.version++
+	s.put("op/config", s.config())
+	return s.version
+}
+
+// config returns the value of the last configuration. The lock is held.
+func (s *tierStore) config() []byte { return strconv.AppendInt(nil, int64(s.version), 10) }
+
+// restore brings the store back to its state of some time ago, in a new era. Who wrote
+// the configuration writes it again with rewriteConfig.
+func (s *tierStore) restore(age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	kept := 0
+	for kept < len(s.changes) && time.Since(s.writtenAt[kept]) >= age {
+		kept++
+	}
+	s.changes, s.writtenAt = slices.Clone(s.changes[:kept]), s.writtenAt[:kept]
+	s.at = follow.Position{Era: s.at.Era + 1, Revision: follow.Revision(kept)}
+	s.entries = map[string]follow.Change{}
+	for _, c := range s.changes {
+		s.entries[c.Key] = c
+	}
+}
+
+// rewriteConfig writes the last configuration again.
+func (s *tierStore) rewriteConfig() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put("op/config", s.config())
 }
 
 // writeVM writes the registration of a VM.
@@ -132,7 +165,7 @@
 	for _, e := range c.entries {
 		all = append(all, e)
 	}
-	return all, follow.Position{Revision: c.rev}, nil
+	return all, c.at, nil
 }
 
 // callTimeout is that of platform/store.
@@ -148,20 +181,22 @@
 	defer t.Stop()
 	for {
 		c.mu.Lock()
-		p, wake, rev := c.paths[c.vm], c.wake, c.rev
-		cs := c.changes[min(after.Revision, rev):rev]
+		p, wake, at := c.paths[c.vm], c.wake, c.at
+		cs := c.changes[min(after.Revision, at.Revision):at.Revision]
 		c.mu.Unlock()
 		switch {
+		case after.Revision > at.Revision:
+			return nil, follow.Position{}, follow.ErrCompacted
 		case p == silent:
 			<-ctx.Done()
 			return nil, follow.Position{}, ctx.Err()
 		case len(cs) > 0:
-			return cs, follow.Position{Revision: rev}, nil
+			return cs, at, nil
 		}
 		select {
 		case <-wake:
 		case <-t.C:
-			return nil, after, nil
+			return nil, at, nil
 		case <-ctx.Done():
 			return nil, follow.Position{}, ctx.Err()
 		}
@@ -267,6 +302,24 @@
 	Dark bool
 	// VMs is a bit mask of the VMs.
 	VMs uint
+	// RestoredAge is the age of the copy from which the store is restored at the end; 0
+	// if it is not.
+	RestoredAge time.Duration
+	// Rewrite is how long after that the last configuration is written again.
+	Rewrite time.Duration
+}
+
+// restore restores the store at the end of the fault.
+func (f fault) restore(r *tier, wg *sync.WaitGroup) {
+	if f.RestoredAge == 0 {
+		return
+	}
+	wg.Go(func() {
+		time.Sleep(f.At + f.For)
+		r.store.restore(f.RestoredAge)
+		time.Sleep(f.Rewrite)
+		r.store.rewriteConfig()
+	})
 }
 
 // hits reports whether the fault disturbs a VM.
@@ -310,6 +363,10 @@
 		}
 		var acks []ack
 		disturbedAt := make([]time.Time, d.VMs)
+		newest := make([]routing.Version, d.VMs)
+		for _, f := range d.Faults {
+			f.restore(r, &r.wg)
+		}
 		began := time.Now()
 		for next := 0; time.Since(began) < d.length() && broken == ""; time.Sleep(checkInterval) {
 			now := time.Now()
@@ -326,9 +383,14 @@
 				if d.disturb(r, i, now.Sub(began)) {
 					disturbedAt[i] = now
 				}
-				if got := r.views[i].Current().Config.Version; got < due && now.Sub(disturbedAt[i]) > stableTime {
+				got := r.views[i].Current().Config.Version
+				if got < due && now.Sub(disturbedAt[i]) > stableTime {
 					broken = fmt.Sprintf("after %s vm-%d has version %d, want %d or newer", now.Sub(began), i, got, due)
 				}
+				if got < newest[i] {
+					broken = fmt.Sprintf("after %s vm-%d went back from version %d to %d", now.Sub(began), i, newest[i], got)
+				}
+				newest[i] = got
 			}
 		}
 	})
--- a/internal/state/follow/follow_test.go
+++ b/internal/state/follow/follow_test.go
@@ -101,7 +101,9 @@
 	}
 }
 
-func (*fakeStore) Grant(context.Context, time.Duration) (follow.Lease, error) { return follow.Lease{}, nil }
+func (*fakeStore) Grant(context.Context, time.Duration) (follow.Lease, error) {
+	return follow.Lease{}, nil
+}
 
 func (*fakeStore) Keep(context.Context, follow.Lease) error { return nil }
 
