Compare revisions of the store only within an era

After a restore of the store some gateways missed changes of the configuration for good. Cause: watches and relays went on from a revision of before the restore, which the store gave out again. A relay answered a revision above its own with that revision, and the store answers 410 only until it has passed the old one.

Positions are compared with their era now: a watch or relay of a later era makes a gateway read everything again, an answer of an earlier one is dropped, a relay that does not know of the restore yet is left for the store, and pages of two eras are not joined. An answer that demands a full read ends the other attempts of a call.

Ruled out: version refused or gone back (no 501 in the logs).

--- a/internal/peer/relay/relay.go
+++ b/internal/peer/relay/relay.go
@@ -42,7 +42,8 @@
 
 // Follow returns the changes after a position, or none after the requested wait. The
 // outcome is UNAVAILABLE if this VM does not watch the store itself or cannot reach
-// it, and COMPACTED if the changes are no longer known.
+// it, COMPACTED if the changes are no longer known, and RESTORED if the store was
+// restored since.
 func (r *Relay) Follow(ctx context.Context, in *relayrpc.FollowRequest) (*relayrpc.FollowReply, error) {
 	wait := min(max(time.Duration(in.GetWaitMs())*time.Millisecond, 0), maxWait)
 	arrivedAt := boottime.Now()
@@ -52,6 +53,8 @@
 		return &relayrpc.FollowReply{Outcome: relayrpc.FollowReply_UNAVAILABLE}, nil
 	case errors.Is(err, follow.ErrCompacted):
 		return &relayrpc.FollowReply{Outcome: relayrpc.FollowReply_COMPACTED}, nil
+	case errors.Is(err, follow.ErrRestored):
+		return &relayrpc.FollowReply{Outcome: relayrpc.FollowReply_RESTORED}, nil
 	case err != nil:
 		return nil, errors.Trace(err)
 	}
--- a/internal/peer/upstream/read.go
+++ b/internal/peer/upstream/read.go
@@ -37,7 +37,7 @@
 	if r.err != nil && !u.loaded {
 		if s, ok := u.readFromSeeds(ctx); ok {
 			u.loaded = true
-			u.noteEra(s.at, "a seed")
+			u.notePosition(s.at, "a seed")
 			u.c.Log.ResetRelayed(s.entries, s.at)
 			return s.entries, s.at, nil
 		}
@@ -50,7 +50,7 @@
 		return nil, follow.Position{}, errors.Trace(r.err)
 	}
 	u.loaded = true
-	u.noteEra(r.at, storeName)
+	u.notePosition(r.at, storeName)
 	u.c.Log.ReplaceEntries(r.entries, r.at, r.knownAt)
 	u.copyAge.Confirm(storeName, r.knownAt)
 	return r.entries, r.at, nil
@@ -73,6 +73,9 @@
 		r := readResult{knownAt: boottime.Now()}
 		var err error
 		r.entries, r.at, err = u.c.Store.Range(ctx, prefix)
+		if err == nil && r.at.Era < u.last.Era {
+			err = u.last.CheckNext(r.at)
+		}
 		return r, errors.Trace(err)
 	})
 }
--- a/internal/peer/upstream/upstream.go
+++ b/internal/peer/upstream/upstream.go
@@ -143,9 +143,9 @@
 	return time.Duration(maxAgeShare * float64(changeTime))
 }
 
-// noteEra records the position in an answer of a source, and reports when it is of
+// notePosition records the position in an answer of a source, and reports when it is of
 // another era than the last one.
-func (u *Upstream) noteEra(at follow.Position, source string) {
+func (u *Upstream) notePosition(at follow.Position, source string) {
 	if u.last.Era != at.Era && u.last.Revision != 0 {
 		u.c.Events.Emit(event.StoreRestored, source, fmt.Sprintf("%s, before that %s", at, u.last))
 	}
--- a/internal/peer/upstream/upstream_test.go
+++ b/internal/peer/upstream/upstream_test.go
@@ -25,6 +25,7 @@
 // fakeStore is a store with one entry, whose watches return at once.
 type fakeStore struct {
 	mu    sync.Mutex
+	era   follow.Era
 	at    follow.Revision
 	down  bool
 	calls atomic.Int64
@@ -53,9 +54,9 @@
 	case s.down:
 		return nil, follow.Position{}, errDown
 	case after.Revision >= s.at:
-		return nil, follow.Position{Revision: s.at}, nil
+		return nil, follow.Position{Era: s.era, Revision: s.at}, nil
 	}
-	return []follow.Change{{Key: "k", Value: []byte("v"), Revision: s.at}}, follow.Position{Revision: s.at}, nil
+	return []follow.Change{{Key: "k", Value: []byte("v"), Revision: s.at}}, follow.Position{Era: s.era, Revision: s.at}, nil
 }
 
 // vm is a VM that serves as a relay and follows the store through relays.
@@ -207,3 +208,39 @@
 		t.Error("error of a later read:", err)
 	}
 }
+
+// TestRelayOfAnotherEra checks that a VM reads everything again once its relay knows of a
+// restore of the store, and asks the store while its relay does not know of it yet.
+func TestRelayOfAnotherEra(t *testing.T) {
+	r, v := newVM(t), newVM(t)
+	v.relays = []string{r.server.Addr()}
+	r.read(t)
+	v.read(t)
+	r.store.update(func() { r.store.era, r.store.at = 1, 3 })
+	r.read(t)
+	if _, _, err := v.up.Watch(t.Context(), "", follow.Position{Revision: 4}, time.Second); !errors.Is(err, follow.ErrRestored) {
+		t.Error("the relay is of a later era:", err)
+	}
+	v.store.update(func() { v.store.era, v.store.at = 2, 1 })
+	v.read(t)
+	v.store.update(func() { v.store.at = 2 })
+	cs, at, err := v.up.Watch(t.Context(), "", follow.Position{Era: 2, Revision: 1}, time.Second)
+	if err != nil || len(cs) != 1 || at != (follow.Position{Era: 2, Revision: 2}) || v.up.RelayAddr() != "" {
+		t.Errorf("the relay is of an earlier era: %+v up to %s, %v", cs, at, err)
+	}
+}
+
+// TestLateAnswerOfEarlierEra: an answer from before a restore of the store must not
+// replace what was read after it.
+func TestLateAnswerOfEarlierEra(t *testing.T) {
+	v := newVM(t)
+	v.store.update(func() { v.store.era = 2 })
+	v.read(t)
+	v.store.update(func() { v.store.era, v.store.at = 1, 9 })
+	if _, _, err := v.up.Watch(t.Context(), "", follow.Position{Era: 2, Revision: 1}, time.Second); !errors.Is(err, follow.ErrOutdated) {
+		t.Error("watch:", err)
+	}
+	if _, _, err := v.up.Range(t.Context(), ""); !errors.Is(err, follow.ErrOutdated) {
+		t.Error("full read:", err)
+	}
+}
--- a/internal/peer/upstream/watch.go
+++ b/internal/peer/upstream/watch.go
@@ -44,6 +44,9 @@
 				u.record(after, r)
 				return r.Changes, r.Position, nil
 			}
+			if mustReadAll(r.err) {
+				return nil, follow.Position{}, errors.Trace(r.err)
+			}
 			if r.err != errNoRelay {
 				storeErr = r.err
 			}
@@ -68,9 +71,15 @@
 	}
 }
 
+// mustReadAll reports whether the changes after a position are not to be had, so that
+// all entries have to be read.
+func mustReadAll(err error) bool {
+	return errors.Is(err, follow.ErrCompacted) || errors.Is(err, follow.ErrRestored)
+}
+
 // record records a successful watch after a position.
 func (u *Upstream) record(after follow.Position, r watchResult) {
-	u.noteEra(r.Position, displayName(r.addr))
+	u.notePosition(r.Position, displayName(r.addr))
 	u.setRelay(r.addr)
 	u.copyAge.Confirm(displayName(r.addr), r.KnownAt)
 	if r.addr == "" {
@@ -98,6 +107,9 @@
 		if err == nil {
 			return watchResult{Update: r, addr: addr}
 		}
+		if errors.Is(err, follow.ErrRestored) {
+			return watchResult{err: err}
+		}
 		if ctx.Err() != nil {
 			break
 		}
@@ -116,9 +128,10 @@
 	return max(longest-u.copyAge.Age(), minWatchWait)
 }
 
-// watchStore returns the changes after a position from the store, or none after wait.
+// watchStore returns the changes after a position from the store, or none after wait. An
+// attempt that finds that all entries have to be read ends the others.
 func (u *Upstream) watchStore(ctx context.Context, prefix string, after follow.Position, wait time.Duration) watchResult {
-	r, err := overlap.Read(ctx, attempts(wait+lateAnswer), func(ctx context.Context, attempt int) (changelog.Update, error) {
+	r, err := overlap.Read(ctx, attempts(wait+lateAnswer), func(ctx context.Context, attempt int) (watchResult, error) {
 		wait := wait
 		if attempt > 0 {
 			wait = min(wait, minWatchWait)
@@ -130,9 +143,18 @@
 			// The store had no change to report during the whole wait.
 			r.KnownAt = r.KnownAt.Add(wait)
 		}
-		return r, errors.Trace(err)
+		if err == nil {
+			err = after.CheckNext(r.Position)
+		}
+		if mustReadAll(err) {
+			return watchResult{err: err}, nil
+		}
+		return watchResult{Update: r}, errors.Trace(err)
 	})
-	return watchResult{Update: r, err: err}
+	if err != nil {
+		return watchResult{err: err}
+	}
+	return r
 }
 
 // errDeclined: the relay cannot reach the store, does not watch it, or no longer has
@@ -164,10 +186,15 @@
 	switch {
 	case err != nil:
 		return changelog.Update{}, errors.Trace(err)
+	case out.GetOutcome() == relayrpc.FollowReply_RESTORED:
+		return changelog.Update{}, errors.Trace(follow.ErrRestored)
 	case out.GetOutcome() != relayrpc.FollowReply_FOLLOWED:
 		return changelog.Update{}, errors.WithType(errors.New(out.GetOutcome().String()), errDeclined)
 	}
-	at := follow.Position{Era: follow.Era(out.GetEra()), Revision: max(after.Revision, follow.Revision(out.GetRevision()))}
+	at := follow.Position{Era: follow.Era(out.GetEra()), Revision: follow.Revision(out.GetRevision())}
+	if err := after.CheckNext(at); err != nil {
+		return changelog.Update{}, errors.Trace(err)
+	}
 	return changelog.Update{Changes: decode(out.GetChanges()), Position: at, KnownAt: relayKnownAt(calledAt, out.GetKnownMs())}, nil
 }
 
--- a/internal/state/changelog/changelog.go
+++ b/internal/state/changelog/changelog.go
@@ -80,6 +80,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	old, oldRev, rev := l.entries, l.at.Revision, at.Revision
+	if l.at.CheckNext(at) != nil {
+		// Followers of another history have to read everything too.
+		old = nil
+	}
 	l.entries = make(map[string]follow.Change, len(all))
 	for _, c := range all {
 		l.entries[c.Key] = c
@@ -118,7 +122,7 @@
 func (l *Log) Append(after follow.Position, cs []follow.Change, at follow.Position, knownAt boottime.Instant) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if after.Revision != l.at.Revision {
+	if after != l.at {
 		// The changes between the last position and this one are missing.
 		l.base, l.changes, l.entries = after.Revision, nil, nil
 	}
@@ -132,7 +136,6 @@
 		}
 	}
 	l.add(cs)
-	at.Revision = max(after.Revision, at.Revision)
 	l.recordRead(at, knownAt)
 }
 
@@ -191,8 +194,8 @@
 }
 
 // Wait waits for changes after a position, and returns none after wait. The error is
-// ErrUnavailable, as soon as the log reaches its maximum age, follow.ErrCompacted or
-// that of ctx.
+// ErrUnavailable, as soon as the log reaches its maximum age or if it is of an earlier
+// era, follow.ErrCompacted, follow.ErrRestored or that of ctx.
 func (l *Log) Wait(ctx context.Context, after follow.Position, wait time.Duration) (Update, error) {
 	end := time.Now().Add(wait)
 	for {
@@ -221,6 +224,10 @@
 	switch {
 	case l.knownAt.Age() > l.c.MaxAge:
 		return Update{}, nil, ErrUnavailable
+	case after.Era < l.at.Era:
+		return Update{}, nil, follow.ErrRestored
+	case after.Era > l.at.Era:
+		return Update{}, nil, ErrUnavailable
 	case after.Revision < l.base:
 		return Update{}, nil, follow.ErrCompacted
 	}
--- a/internal/state/changelog/changelog_test.go
+++ b/internal/state/changelog/changelog_test.go
@@ -205,3 +205,19 @@
 		t.Error(err)
 	}
 }
+
+// TestFollowerOfAnotherEra: a log that compared revisions only told followers of before
+// a restore that nothing had changed.
+func TestFollowerOfAnotherEra(t *testing.T) {
+	l := changelog.New(changelog.Config{MaxAge: time.Hour})
+	l.ReplaceEntries([]follow.Change{{Key: "k", Revision: 9}}, follow.Position{Era: 1, Revision: 9}, boottime.Now())
+	l.ReplaceEntries([]follow.Change{{Key: "k", Revision: 8}}, follow.Position{Era: 2, Revision: 12}, boottime.Now())
+	for after, want := range map[follow.Position]error{
+		{Era: 1, Revision: 9}: follow.ErrRestored, {Era: 1, Revision: 20}: follow.ErrRestored,
+		{Era: 3, Revision: 9}: changelog.ErrUnavailable, {Era: 2, Revision: 9}: follow.ErrCompacted, {Era: 2, Revision: 12}: nil,
+	} {
+		if _, err := l.Wait(t.Context(), after, 0); !errors.Is(err, want) {
+			t.Errorf("after %s: %v, want %v", after, err, want)
+		}
+	}
+}
--- a/internal/state/follow/follow.go
+++ b/internal/state/follow/follow.go
@@ -2,8 +2,8 @@
 //
 // A Follower reads all entries under a prefix and then watches for changes. Each
 // watch starts at the revision where the previous one ended, so that no change is
-// missed. If the store has compacted the changes since that revision, all entries
-// are read again. During an outage of the store the copy stays unchanged and the
+// missed. If the store has compacted the changes since that revision, or was restored
+// from a backup, all entries are read again. During an outage of the store the copy stays unchanged and the
 // handler is notified.
 //
 // # Usage
@@ -35,6 +35,12 @@
 	// ErrCompacted means that the store has compacted changes after the requested
 	// revision.
 	ErrCompacted = errors.ConstError("the store has compacted the requested revision")
+	// ErrRestored means that the store was restored from a backup after the requested
+	// position, so that the changes since then are not known.
+	ErrRestored = errors.ConstError("the store was restored after the requested position")
+	// ErrOutdated means that an answer is from before a restore of the store that is
+	// already known.
+	ErrOutdated = errors.ConstError("the answer is from before the store was restored")
 	// ErrNotFound means that the key or lease does not exist.
 	ErrNotFound = errors.ConstError("key or lease not found in the store")
 	// ErrConflict means that an entry does not have the expected revision; the
@@ -64,7 +70,8 @@
 	// Range returns all current entries under a prefix, and their position.
 	Range(ctx context.Context, prefix string) ([]Change, Position, error)
 	// Watch waits for changes after a position. It returns them and the position
-	// up to which they are complete, or no changes after wait.
+	// up to which they are complete, or no changes after wait. The error is ErrCompacted
+	// or ErrRestored if all entries have to be read again.
 	Watch(ctx context.Context, prefix string, after Position, wait time.Duration) ([]Change, Position, error)
 }
 
@@ -147,8 +154,8 @@
 		now := time.Now()
 		switch {
 		case ctx.Err() != nil:
-		case errors.Is(err, ErrCompacted):
-			f.c.Events.Emit(event.HistoryLost, f.c.Prefix, "reading everything again")
+		case errors.Is(err, ErrCompacted) || errors.Is(err, ErrRestored):
+			f.c.Events.Emit(event.HistoryLost, f.c.Prefix, err.Error()+"; reading everything again")
 			f.at = Position{}
 		case err != nil:
 			f.failed(now, err)
@@ -182,7 +189,7 @@
 	if len(cs) > 0 {
 		f.c.Handler.Apply(time.Now(), cs)
 	}
-	f.at.Revision = max(f.at.Revision, at.Revision)
+	f.at = at
 	return len(cs) > 0, nil
 }
 
