Keep what is known of searchers when the store is restored

A restored store lists searchers as they were some seconds ago: one that drains, or has drained and left, as ready, and those that registered since not at all. Cause: a listing replaced all that was known, as the store was taken to lose nothing.

Entries of a process are ordered by its own count of writes (seq), not by the store. A process that left is not taken back because a restored store still lists it: never if it had drained, else not within ten seconds, in which the store deletes the entry of a dead process. Entries that are missing are kept for the grace period.

--- a/internal/node/gateway/storeview.go
+++ b/internal/node/gateway/storeview.go
@@ -157,6 +157,13 @@
 // Current returns the current snapshot; nil before the first one.
 func (v *storeView) Current() *forward.Snapshot { return v.current.Load() }
 
+// Restored records that the store was restored from a backup.
+func (v *storeView) Restored(now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.registry.MarkRestored(now)
+}
+
 // Replace replaces all entries.
 func (v *storeView) Replace(now time.Time, all []follow.Change) {
 	v.mu.Lock()
@@ -212,7 +219,7 @@
 			v.applyVM(c)
 		case strings.HasPrefix(c.Key, v.c.Decode.SearcherPrefix):
 			if s, ok := v.decodeSearcher(c, now); ok {
-				v.registry.Put(s)
+				v.registry.Put(now, s)
 			} else {
 				v.registry.Remove(now, strings.TrimPrefix(c.Key, v.c.Decode.SearcherPrefix))
 			}
--- a/internal/state/follow/follow.go
+++ b/internal/state/follow/follow.go
@@ -86,6 +86,10 @@
 // Handler receives entries and changes. Its methods are called from a single
 // goroutine.
 type Handler interface {
+	// Restored is called before Replace if the store was restored from a backup since
+	// the last call: entries may be older than before, or missing until they are written
+	// again.
+	Restored(now time.Time)
 	// Replace replaces all entries.
 	Replace(now time.Time, all []Change)
 	// Apply applies changes in revision order.
@@ -127,8 +131,9 @@
 // Follower keeps a handler's copy of the store up to date.
 type Follower struct {
 	c Config
-	// at is the position of the copy; zero if a full read is needed.
+	// at is the position of the copy, and readAll whether a full read is needed.
 	at         Position
+	readAll    bool
 	retryDelay time.Duration
 	down       bool
 }
@@ -144,7 +149,7 @@
 	if c.BatchDelay == nil {
 		c.BatchDelay = func() time.Duration { return defaultBatchDelay }
 	}
-	return &Follower{c: c}
+	return &Follower{c: c, readAll: true}
 }
 
 // Run follows the store until ctx is canceled.
@@ -156,7 +161,7 @@
 		case ctx.Err() != nil:
 		case errors.Is(err, ErrCompacted) || errors.Is(err, ErrRestored):
 			f.c.Events.Emit(event.HistoryLost, f.c.Prefix, err.Error()+"; reading everything again")
-			f.at = Position{}
+			f.readAll = true
 		case err != nil:
 			f.failed(now, err)
 			f.retryDelay = min(max(2*f.retryDelay, minRetryDelay), maxRetryDelay)
@@ -173,13 +178,16 @@
 // step makes one call, a full read or a watch, and reports whether it delivered
 // entries to the handler.
 func (f *Follower) step(ctx context.Context) (changed bool, err error) {
-	if (f.at == Position{}) {
+	if f.readAll {
 		all, at, err := f.c.Source.Range(ctx, f.c.Prefix)
 		if err != nil {
 			return false, errors.Trace(err)
 		}
+		if (f.at != Position{}) && f.at.CheckNext(at) != nil {
+			f.c.Handler.Restored(time.Now())
+		}
 		f.c.Handler.Replace(time.Now(), all)
-		f.at = at
+		f.at, f.readAll = at, false
 		return true, nil
 	}
 	cs, at, err := f.c.Source.Watch(ctx, f.c.Prefix, f.at, f.c.WatchTimeout)
--- a/internal/state/follow/follow_test.go
+++ b/internal/state/follow/follow_test.go
@@ -20,6 +20,7 @@
 // fakeStore is a store with a single key whose value is the revision.
 type fakeStore struct {
 	mu        sync.Mutex
+	era       follow.Era
 	rev       follow.Revision
 	compacted follow.Revision
 	changed   chan struct{}
@@ -38,7 +39,7 @@
 	if s.down {
 		return nil, follow.Position{}, errDown
 	}
-	return []follow.Change{{Key: "k", Value: []byte(fmt.Sprint(s.rev)), Revision: s.rev}}, follow.Position{Revision: s.rev}, nil
+	return []follow.Change{{Key: "k", Value: []byte(fmt.Sprint(s.rev)), Revision: s.rev}}, follow.Position{Era: s.era, Revision: s.rev}, nil
 }
 
 func (s *fakeStore) Watch(ctx context.Context, _ string, after follow.Position, wait time.Duration) ([]follow.Change, follow.Position, error) {
@@ -78,10 +79,12 @@
 	switch {
 	case s.down:
 		return nil, follow.Position{}, errDown
+	case after.Era != s.era:
+		return nil, follow.Position{}, follow.ErrRestored
 	case after.Revision < s.compacted:
 		return nil, follow.Position{}, follow.ErrCompacted
 	case s.rev > after.Revision:
-		return []follow.Change{{Key: "k", Value: []byte(fmt.Sprint(s.rev)), Revision: s.rev}}, follow.Position{Revision: s.rev}, nil
+		return []follow.Change{{Key: "k", Value: []byte(fmt.Sprint(s.rev)), Revision: s.rev}}, follow.Position{Era: s.era, Revision: s.rev}, nil
 	}
 	return nil, after, nil
 }
@@ -114,10 +117,14 @@
 	value   string
 	outages int
 	current bool
+	// restores is the number of calls to Restored.
+	restores int
 }
 
 func (m *recorder) set(cs []follow.Change) { m.value = string(cs[len(cs)-1].Value) }
 
+func (m *recorder) Restored(time.Time) { m.restores++ }
+
 func (m *recorder) Replace(_ time.Time, all []follow.Change) { m.set(all) }
 
 func (m *recorder) Apply(_ time.Time, cs []follow.Change) { m.set(cs) }
@@ -174,6 +181,29 @@
 	}
 }
 
+// TestRestoredStore checks that the handler is told of a restore before it gets the
+// entries of the restored store, and of nothing else.
+func TestRestoredStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, m := &fakeStore{rev: 7, changed: make(chan struct{})}, &recorder{}
+		ctx, cancel := context.WithCancel(t.Context())
+		go follow.New(follow.Config{Source: s, Handler: m}).Run(ctx)
+		time.Sleep(10 * time.Second)
+		s.set(func() { s.rev, s.compacted = 8, 8 })
+		time.Sleep(10 * time.Second)
+		if m.restores != 0 {
+			t.Error("a compaction was taken for a restore")
+		}
+		s.set(func() { s.era, s.rev, s.compacted = 1, 9, 0 })
+		time.Sleep(10 * time.Second)
+		cancel()
+		synctest.Wait()
+		if m.restores != 1 || m.value != "9" || s.ranges != 3 {
+			t.Errorf("told of %d restores, copy %q, %d full reads; want 1, 9 and 3", m.restores, m.value, s.ranges)
+		}
+	})
+}
+
 // TestIdleStore checks that without changes there is one watch per WatchTimeout.
 func TestIdleStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -252,6 +282,8 @@
 	return cs, follow.Position{Revision: m.rev}, nil
 }
 
+func (*model) Restored(time.Time) {}
+
 func (m *model) Replace(now time.Time, all []follow.Change) {
 	old := m.copy
 	m.copy = map[string]string{}
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -4,17 +4,23 @@
 // keeps the last known searchers. Entries that are missing after the outage are
 // kept for a grace period, in which searchers can register again.
 //
+// A store that was restored from a backup shows searchers as they were some time ago.
+// An entry that is older than what is known of its process changes nothing, and a
+// process that has left is not taken back because of it.
+//
 // # Usage
 //
 //	r := registry.New(registry.Config{Grace: 2 * time.Second})
 //	r.Replace(now, entries)           // a full read
-//	r.Put(searcher)                   // one change
+//	r.Put(now, searcher)              // one change
+//	r.MarkRestored(now)               // before a full read of a restored store
 //	next := r.Expire(now)             // when to call it again
 //	for _, s := range r.Searchers() { ... }
 package registry
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -46,8 +52,27 @@
 	// StartedMs is the start time of the process by its own wall clock, in Unix
 	// milliseconds; 0 if unknown. It distinguishes processes with the same ID.
 	StartedMs int64
+	// Seq counts the writes of the entry by the process.
+	Seq int64
+}
+
+// isOlder reports whether the entry was written before another entry of the same ID. The
+// writes of a process without a start time cannot be ordered, as its successor counts
+// anew.
+func (s Searcher) isOlder(o Searcher) bool {
+	return s.StartedMs < o.StartedMs || s.StartedMs == o.StartedMs && s.StartedMs != 0 && s.Seq < o.Seq
 }
 
+const (
+	// departureMemory is how long a process that has left is remembered. It exceeds the
+	// age of the backups that a store is restored from.
+	departureMemory = 5 * time.Minute
+	// holdTime is how long an entry of a process that had left without a notice is held
+	// back in a restored store. If the process is dead, the store deletes the entry
+	// meanwhile.
+	holdTime = 10 * time.Second
+)
+
 // Config configures a Registry.
 type Config struct {
 	// Grace is how long entries that are missing after an outage are kept.
@@ -61,17 +86,32 @@
 	expiresAt time.Time
 }
 
+// departure is the last entry of a process that has left.
+type departure struct {
+	Searcher
+	at time.Time
+	// restores is the number of restores of the store that were known at that time.
+	restores int
+}
+
 // Registry holds the known searchers. It is not safe for concurrent use.
 type Registry struct {
 	c       Config
 	entries map[string]entry
+	// departures holds the processes that have left, by searcher ID.
+	departures map[string]departure
+	// held are entries of processes that had left, with the time at which they are used
+	// nevertheless.
+	held map[string]entry
+	// restores is the number of restores of the store.
+	restores int
 	// graceEnd is when the grace period after the last outage ends.
 	graceEnd time.Time
 }
 
 // New returns an empty registry.
 func New(c Config) *Registry {
-	return &Registry{c: c, entries: map[string]entry{}}
+	return &Registry{c: c, entries: map[string]entry{}, departures: map[string]departure{}, held: map[string]entry{}}
 }
 
 // SetGrace sets the grace period for later outages.
@@ -89,39 +129,58 @@
 	}
 }
 
+// MarkRestored records that the store was restored from a backup. Entries may be older
+// than what is known, or missing until they are written again.
+func (r *Registry) MarkRestored(now time.Time) {
+	r.restores++
+	r.MarkOutage(now)
+}
+
 // Replace applies a complete listing of the store.
 func (r *Registry) Replace(now time.Time, all []Searcher) {
 	present := make(map[string]bool, len(all))
 	for _, s := range all {
 		present[s.ID] = true
-		r.Put(s)
+		r.Put(now, s)
 	}
 	for id := range r.entries {
 		if !present[id] {
 			r.Remove(now, id)
 		}
 	}
+	maps.DeleteFunc(r.held, func(id string, _ entry) bool { return !present[id] })
 }
 
-// Put adds or updates one entry. It ignores an entry of an older process with the
-// same ID.
-func (r *Registry) Put(s Searcher) {
-	old, ok := r.entries[s.ID]
-	if ok && s.StartedMs < old.StartedMs {
+// Put adds or updates one entry. It ignores an entry that is older than the known one of
+// the same ID, as in a restored store.
+func (r *Registry) Put(now time.Time, s Searcher) {
+	delete(r.held, s.ID)
+	if old, ok := r.entries[s.ID]; ok && s.isOlder(old.Searcher) {
+		// The entry is there, so the searcher is not missing.
+		old.expiresAt = time.Time{}
+		r.entries[s.ID] = old
 		return
 	}
+	if d, ok := r.departures[s.ID]; ok && d.StartedMs != 0 && d.restores < r.restores && !d.isOlder(s) {
+		if d.State != Draining {
+			r.held[s.ID] = entry{Searcher: s, expiresAt: now.Add(holdTime)}
+		}
+		return
+	}
+	delete(r.departures, s.ID)
 	r.entries[s.ID] = entry{Searcher: s}
 }
 
 // Remove removes one entry. During a grace period, the entry is kept until the
 // period ends unless it is draining.
 func (r *Registry) Remove(now time.Time, id string) {
+	delete(r.held, id)
 	e, ok := r.entries[id]
 	if !ok {
 		return
 	}
 	if !now.Before(r.graceEnd) || e.State == Draining {
-		delete(r.entries, id)
+		r.depart(now, e.Searcher)
 		return
 	}
 	if e.expiresAt.IsZero() {
@@ -130,18 +189,38 @@
 	}
 }
 
-// Expire removes the entries whose grace period is over. It returns the next
-// expiry time, or the zero time if no entry expires.
+// depart removes the entry of a process that has left, and remembers it.
+func (r *Registry) depart(now time.Time, s Searcher) {
+	delete(r.entries, s.ID)
+	r.departures[s.ID] = departure{Searcher: s, at: now, restores: r.restores}
+}
+
+// Expire removes the entries whose grace period is over, and uses those that were held
+// back for long enough. It returns the next time at which it has to be called, or the
+// zero time if there is none.
 func (r *Registry) Expire(now time.Time) (next time.Time) {
-	for id, e := range r.entries {
-		switch {
-		case e.expiresAt.IsZero():
-		case !now.Before(e.expiresAt):
-			delete(r.entries, id)
-		case next.IsZero() || e.expiresAt.Before(next):
+	due := func(e entry) bool {
+		if e.expiresAt.IsZero() {
+			return false
+		}
+		if now.Before(e.expiresAt) && (next.IsZero() || e.expiresAt.Before(next)) {
 			next = e.expiresAt
 		}
+		return !now.Before(e.expiresAt)
+	}
+	for _, e := range r.entries {
+		if due(e) {
+			r.depart(now, e.Searcher)
+		}
+	}
+	for id, e := range r.held {
+		if due(e) {
+			delete(r.held, id)
+			delete(r.departures, id)
+			r.entries[id] = entry{Searcher: e.Searcher}
+		}
 	}
+	maps.DeleteFunc(r.departures, func(_ string, d departure) bool { return now.Sub(d.at) > departureMemory })
 	return next
 }
 
