Register a VM again as soon as the store was restored

A restored store has lost the leases and keys of VMs that registered after its copy was made, and gives their numbers out again. Such a VM wrote its key again only when its lease was due, up to nine seconds later, and not at all if its number belonged to another VM by then; relays refuse VMs that they do not know.

A lease belongs to the era in which it was granted. A restore wakes the membership, which asks for a new lease within half a second. Before, TestKeyLostByRestore saw the key written once, and TestLeaseOfEarlierEra no error.

--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -302,7 +302,7 @@
 	}
 	v := vmRecord(g.c.Settings)
 	newMembership(membershipConfig{
-		Store: g.c.Store, Key: g.c.Decode.VMPrefix + v.ID, Value: v.Encode(), PreviousLease: g.storeView.Lease(), Events: g.log,
+		Store: g.c.Store, Key: g.c.Decode.VMPrefix + v.ID, Value: v.Encode(), PreviousLease: g.storeView.Lease(), Restored: g.storeView.restored, Events: g.log,
 	}).Run(ctx)
 }
 
--- a/internal/node/gateway/membership.go
+++ b/internal/node/gateway/membership.go
@@ -19,6 +19,9 @@
 	renewInterval = 9 * time.Second
 	// registerRetryInterval is the mean delay after a failed call.
 	registerRetryInterval = time.Second
+	// restoredSpread is the time over which VMs register again after the store was
+	// restored. VMs whose keys are missing are refused by their relays until then.
+	restoredSpread = 500 * time.Millisecond
 )
 
 // membershipConfig holds the settings and dependencies of a membership.
@@ -30,7 +33,9 @@
 	// PreviousLease is the lease of a registration from before a restart; zero
 	// if there is none.
 	PreviousLease follow.Lease
-	Events        event.Sink
+	// Restored receives a value after the store was restored, which loses leases.
+	Restored <-chan struct{}
+	Events   event.Sink
 }
 
 // membership keeps this VM's key in the store. VMs count each other by these keys
@@ -51,7 +56,20 @@
 			m.c.Events.Emit(event.LeaseLost, m.c.Key, err.Error())
 			d = registerRetryInterval/2 + rand.N(registerRetryInterval)
 		}
-		pause.Sleep(ctx, d)
+		m.wait(ctx, d)
+	}
+}
+
+// wait returns after d, or soon after a restore of the store, whose leases are lost.
+func (m *membership) wait(ctx context.Context, d time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	select {
+	case <-m.c.Restored:
+		m.c.Events.Emit(event.LeaseLost, m.c.Key, "the store was restored; registering again")
+		m.lease = follow.Lease{}
+		pause.Sleep(ctx, rand.N(restoredSpread))
+	case <-ctx.Done():
 	}
 }
 
--- a/internal/node/gateway/storeview.go
+++ b/internal/node/gateway/storeview.go
@@ -118,6 +118,8 @@
 	trustVMCountAt time.Time
 	// firstRead is closed after the first read of the store.
 	firstRead chan struct{}
+	// restored receives a value after a restore of the store.
+	restored chan struct{}
 	// instances holds the searchers in use, by process.
 	instances    map[process]*instance.Instance
 	rebuildTimer *time.Timer
@@ -142,6 +144,7 @@
 	return &storeView{
 		c: c, registry: registry.New(registry.Config{Grace: c.EntryGrace}), vms: map[string]vmregistry.VM{},
 		instances: map[process]*instance.Instance{}, stop: make(chan struct{}), firstRead: make(chan struct{}),
+		restored:  make(chan struct{}, 1),
 		startedAt: time.Now(), observeSearcher: func(healthscore.Process, float64, bool) {},
 	}
 }
@@ -162,6 +165,10 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.registry.MarkRestored(now)
+	select {
+	case v.restored <- struct{}{}:
+	default:
+	}
 }
 
 // Replace replaces all entries.
