Order revisions of the key-value client over restores

The product's own interface follows its root and swaps buckets of claims by revisions. After a restore, a watch from an old revision returned nothing, which was taken for "the store confirms what is in force", and a swap by a revision that the store had given to another entry was reported as done.

Revisions that the client returns contain the era, so those of a restored store are greater. A watch over a restore reads the key instead; a swap whose condition held in another era only is unsure, so its caller reads back. The stand-in store can be restored. Before, TestWatchOfRestoredStore got no entry and TestSwapInRestoredStore OK.

--- a/internal/platform/kv/client.go
+++ b/internal/platform/kv/client.go
@@ -22,8 +22,8 @@
 	follow.Store
 	// Get returns one entry.
 	Get(ctx context.Context, key string) (follow.Change, error)
-	// Swap writes or deletes an entry if its current revision is expected.
-	Swap(ctx context.Context, expected follow.Revision, c follow.Change) (follow.Change, error)
+	// Swap writes or deletes an entry if its current position is expected.
+	Swap(ctx context.Context, expected follow.Position, c follow.Change) (follow.Change, error)
 	// Close closes idle connections.
 	Close()
 }
@@ -78,7 +78,25 @@
 
 // toEntry converts a change to an Entry.
 func toEntry(c follow.Change) Entry {
-	return Entry{Key: c.Key, Value: c.Value, Revision: uint64(c.Revision)}
+	return Entry{Key: c.Key, Value: c.Value, Revision: encodePosition(follow.Position{Era: c.Era, Revision: c.Revision})}
+}
+
+// eraShift leaves 48 bits for the store's revision, which suffice for centuries, and 16
+// for its era.
+const eraShift = 48
+
+// encodePosition returns the revision of an Entry, which orders positions of all eras; 0
+// if the entry does not exist.
+func encodePosition(p follow.Position) uint64 {
+	if p.Revision == 0 {
+		return 0
+	}
+	return uint64(p.Era)<<eraShift | uint64(p.Revision)
+}
+
+// decodePosition returns the position of the revision of an Entry.
+func decodePosition(revision uint64) follow.Position {
+	return follow.Position{Era: follow.Era(revision >> eraShift), Revision: follow.Revision(revision & (1<<eraShift - 1))}
 }
 
 // Get returns an entry. See Store.
@@ -108,7 +126,7 @@
 	}
 	var e follow.Change
 	s := c.write(ctx, func(ctx context.Context) (err error) {
-		e, err = c.config.Transport.Swap(ctx, follow.Revision(expect), follow.Change{Key: key, Value: value, Lease: id})
+		e, err = c.config.Transport.Swap(ctx, decodePosition(expect), follow.Change{Key: key, Value: value, Lease: id})
 		return err
 	})
 	if s != OK && s != Conflict {
@@ -121,7 +139,7 @@
 func (c *Client) Delete(ctx context.Context, key string, expect uint64) Status {
 	var current follow.Change
 	s := c.write(ctx, func(ctx context.Context) (err error) {
-		current, err = c.config.Transport.Swap(ctx, follow.Revision(expect), follow.Change{Key: key, Deleted: true})
+		current, err = c.config.Transport.Swap(ctx, decodePosition(expect), follow.Change{Key: key, Deleted: true})
 		return err
 	})
 	if s == Conflict && current.Revision == 0 {
@@ -135,7 +153,7 @@
 func (c *Client) Watch(ctx context.Context, key string, after uint64) (Entry, Status) {
 	var e follow.Change
 	s := c.watch(ctx, func(ctx context.Context) (err error) {
-		e, err = c.watchKey(ctx, key, follow.Revision(after))
+		e, err = c.watchKey(ctx, key, decodePosition(after))
 		return err
 	})
 	if s == OK && e.Revision == 0 {
@@ -145,16 +163,23 @@
 }
 
 // watchKey watches a key and returns its last change. If the store has compacted the
-// changes after revision after, watchKey reads the key instead. It returns the zero
-// Change if the key has not changed or was deleted.
-func (c *Client) watchKey(ctx context.Context, key string, after follow.Revision) (follow.Change, error) {
-	cs, _, err := c.config.Transport.Watch(ctx, key, follow.Position{Revision: after}, c.config.WatchTimeout)
-	if errors.Is(err, follow.ErrCompacted) {
-		cs, _, err = c.config.Transport.Range(ctx, key)
+// changes after a position, or was restored since, watchKey reads the key instead. It
+// returns the zero Change if the key has not changed or was deleted.
+func (c *Client) watchKey(ctx context.Context, key string, after follow.Position) (follow.Change, error) {
+	cs, at, err := c.config.Transport.Watch(ctx, key, after, c.config.WatchTimeout)
+	if err == nil {
+		err = after.CheckNext(at)
+	}
+	if errors.Is(err, follow.ErrCompacted) || errors.Is(err, follow.ErrRestored) {
+		cs, at, err = c.config.Transport.Range(ctx, key)
+		if errors.Is(after.CheckNext(at), follow.ErrRestored) {
+			// All revisions of a later era are newer.
+			after = follow.Position{}
+		}
 	}
 	var last follow.Change
 	for _, e := range cs {
-		if e.Key == key && e.Revision > max(after, last.Revision) {
+		if e.Key == key && e.Revision > max(after.Revision, last.Revision) {
 			last = e
 		}
 	}
@@ -173,7 +198,7 @@
 	})
 	es := make([]Entry, len(cs))
 	for i, e := range cs {
-		es[i] = Entry{Key: e.Key, Revision: uint64(e.Revision)}
+		es[i] = Entry{Key: e.Key, Revision: toEntry(e).Revision}
 	}
 	return es, s
 }
--- a/internal/platform/kv/client_test.go
+++ b/internal/platform/kv/client_test.go
@@ -139,3 +139,35 @@
 	_, s = k.SwapLeased(ctx, "a", 0, []byte("x"), l)
 	wantStatus(t, "leased swap after expiry", s, kv.NotFound)
 }
+
+// TestWatchOfRestoredStore: a watch from a revision of before a restore returned nothing,
+// which was taken for "not changed".
+func TestWatchOfRestoredStore(t *testing.T) {
+	p, k := startPlatform(t, kv.Config{WatchTimeout: 50 * time.Millisecond})
+	p.Put("root", []byte("old"))
+	began := time.Now()
+	p.Put("root", []byte("new"))
+	e, s := k.Get(t.Context(), "root")
+	wantStatus(t, "get", s, kv.OK)
+	p.Restore(time.Since(began))
+	p.Put("other", nil)
+	got, s := k.Watch(t.Context(), "root", e.Revision)
+	wantStatus(t, "watch", s, kv.OK)
+	if string(got.Value) != "old" || got.Revision <= e.Revision {
+		t.Errorf("watch returned %q at revision %d, want the restored entry, above revision %d", got.Value, got.Revision, e.Revision)
+	}
+}
+
+// TestSwapInRestoredStore: a swap whose expected revision a restored store had given to
+// another entry was reported as done.
+func TestSwapInRestoredStore(t *testing.T) {
+	p, k := startPlatform(t, kv.Config{})
+	began := time.Now()
+	p.Put("bucket", []byte("ours"))
+	e, s := k.Get(t.Context(), "bucket")
+	wantStatus(t, "get", s, kv.OK)
+	p.Restore(time.Since(began))
+	p.Put("bucket", []byte("theirs"))
+	_, s = k.Swap(t.Context(), "bucket", e.Revision, []byte("ours and more"))
+	wantStatus(t, "swap", s, kv.Unknown)
+}
--- a/internal/platform/kv/store.go
+++ b/internal/platform/kv/store.go
@@ -34,7 +34,8 @@
 const MaxValueBytes = 1 << 20
 
 // Entry is a key with its value. Revision is the service-wide revision of the last
-// write to the key, 0 if the key does not exist.
+// write to the key, 0 if the key does not exist. Revisions of a service that was restored
+// from a backup are greater than all that it returned before.
 type Entry struct {
 	Key      string `json:"key"`
 	Value    []byte `json:"value"`
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -56,9 +56,15 @@
 	revision int64
 	items    map[string]store.Item
 	leases   map[int64]lease
-	// history holds the changes after revision compacted, oldest first.
-	history     []store.Item
-	compacted   int64
+	// era is the number of restores.
+	era int64
+	// history holds the changes after revision compacted, oldest first, and undo how to
+	// revert each.
+	history   []store.Item
+	undo      []undo
+	compacted int64
+	// external holds what was last written by Put or Delete, without calls.
+	external    map[string]externalWrite
 	changed     chan struct{}
 	vmLists     []vmList
 	calls       callCounter
@@ -70,6 +76,7 @@
 type lease struct {
 	ttl       time.Duration
 	expiresAt time.Time
+	grantedAt time.Time
 }
 
 // vmList is a VM list and the time at which it was set.
@@ -90,6 +97,7 @@
 		random:   rand.New(rand.NewPCG(c.Seed, 1)),
 		faults:   c.Faults,
 		items:    map[string]store.Item{},
+		external: map[string]externalWrite{},
 		leases:   map[int64]lease{},
 		changed:  make(chan struct{}),
 	}
@@ -126,6 +134,7 @@
 func (p *Platform) Put(key string, b []byte) uint64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.external[key] = externalWrite{value: b}
 	return uint64(p.setLocked(store.Item{Key: key, Value: b}).Rev)
 }
 
@@ -133,6 +142,7 @@
 func (p *Platform) Delete(key string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.external[key] = externalWrite{deleted: true}
 	p.deleteLocked(key)
 }
 
--- a/internal/standin/platform/serve.go
+++ b/internal/standin/platform/serve.go
@@ -50,11 +50,13 @@
 			return
 		}
 		p.sleep(r.Context(), p.delay())
+		w.Header().Set(store.EraHeader, strconv.FormatInt(p.currentEra(), 10))
 		if s := p.admit(k); s != 0 {
 			w.WriteHeader(s)
 			return
 		}
 		a := handle(r, b)
+		w.Header().Set(store.EraHeader, strconv.FormatInt(p.currentEra(), 10))
 		if p.loseAnswer() {
 			panic(http.ErrAbortHandler)
 		}
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -17,29 +17,33 @@
 func (p *Platform) setLocked(i store.Item) store.Item {
 	p.revision++
 	i.Rev = p.revision
+	old := p.items[i.Key]
 	p.items[i.Key] = i
-	p.recordLocked(i)
+	p.recordLocked(i, old)
 	return i
 }
 
 // deleteLocked removes a key, if present, and wakes the watches. The caller
 // holds p.mu.
 func (p *Platform) deleteLocked(key string) {
-	if _, ok := p.items[key]; !ok {
+	old, ok := p.items[key]
+	if !ok {
 		return
 	}
 	delete(p.items, key)
 	p.revision++
-	p.recordLocked(store.Item{Key: key, Rev: p.revision, Deleted: true})
+	p.recordLocked(store.Item{Key: key, Rev: p.revision, Deleted: true}, old)
 }
 
-// recordLocked appends a change to the history and wakes the watches. The
-// caller holds p.mu.
-func (p *Platform) recordLocked(i store.Item) {
+// recordLocked appends a change to the history, with the item that it replaced, and
+// wakes the watches. The caller holds p.mu.
+func (p *Platform) recordLocked(i, old store.Item) {
 	p.history = append(p.history, i)
+	p.undo = append(p.undo, undo{at: time.Now(), old: old})
 	if n := len(p.history) - maxHistory; n > 0 {
 		p.compacted = p.history[n-1].Rev
 		p.history = slices.Delete(p.history, 0, n)
+		p.undo = slices.Delete(p.undo, 0, n)
 	}
 	close(p.changed)
 	p.changed = make(chan struct{})
@@ -93,7 +97,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.removeExpiredLocked()
-	if after < p.compacted {
+	if after < p.compacted || after > p.revision {
 		return nil, 0, nil, false
 	}
 	out := []store.Item{}
@@ -127,7 +131,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.revision++
-	p.leases[p.revision] = lease{ttl: ttl, expiresAt: time.Now().Add(ttl)}
+	p.leases[p.revision] = lease{ttl: ttl, expiresAt: time.Now().Add(ttl), grantedAt: time.Now()}
 	return p.revision
 }
 
@@ -139,7 +143,8 @@
 	p.removeExpiredLocked()
 	l, ok := p.leases[id]
 	if ok {
-		p.leases[id] = lease{ttl: l.ttl, expiresAt: time.Now().Add(l.ttl)}
+		l.expiresAt = time.Now().Add(l.ttl)
+		p.leases[id] = l
 	}
 	return l.ttl, ok
 }
--- a/internal/state/follow/follow.go
+++ b/internal/state/follow/follow.go
@@ -59,6 +59,8 @@
 	Key      string
 	Value    []byte
 	Revision Revision
+	// Era is that of the answer in which the change was read; 0 if another VM relayed it.
+	Era Era
 	// Lease is the lease of the entry; zero for none, or if another VM relayed the
 	// change.
 	Lease   Lease
