Grant no claim that a restored service may have lost

A claim of an idempotency key that the key-value service acknowledged was taken to last. After a restore it may be gone, and the next request with the key was granted the dispatch again: a registration would have been doubled.

The client tells when it learned of a restore, also by the answer to the very swap that claims. Keys of before, and up to the minute that a key may be ahead, are then refused as expired unless the bucket still tells their outcome. Before, TestClaimLostByRestore saw the lost claim granted twice. Not covered: a VM that starts after the restore does not know of it.

--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -51,6 +51,8 @@
 		Dialer:  n.dialer,
 		Events:  n.log,
 		Seed:    n.c.Seed,
+
+		RestoredAt: n.store.RestoredAt,
 	})
 	return nil
 }
--- a/internal/platform/kv/client.go
+++ b/internal/platform/kv/client.go
@@ -51,6 +51,9 @@
 
 	mu     sync.Mutex
 	random *rand.Rand
+	// era is that of the last answer, and restoredAt when it rose.
+	era        follow.Era
+	restoredAt time.Time
 
 	budget budget
 	outage outage
@@ -99,11 +102,31 @@
 	return follow.Position{Era: follow.Era(revision >> eraShift), Revision: follow.Revision(revision & (1<<eraShift - 1))}
 }
 
+// RestoredAt returns when this client learned that the service was restored from a
+// backup; zero if it never did.
+func (c *Client) RestoredAt() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.restoredAt
+}
+
+// recordEra records the era of an answer.
+func (c *Client) recordEra(e follow.Era) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.era != 0 && e > c.era {
+		c.restoredAt = time.Now()
+		c.config.Events.Emit(event.StoreRestored, c.config.Addr, fmt.Sprintf("era %d, before that era %d", e, c.era))
+	}
+	c.era = max(c.era, e)
+}
+
 // Get returns an entry. See Store.
 func (c *Client) Get(ctx context.Context, key string) (Entry, Status) {
 	var e follow.Change
 	s := c.read(ctx, func(ctx context.Context) (err error) {
 		e, err = c.config.Transport.Get(ctx, key)
+		c.recordEra(e.Era)
 		return err
 	})
 	return toEntry(e), s
@@ -127,6 +150,7 @@
 	var e follow.Change
 	s := c.write(ctx, func(ctx context.Context) (err error) {
 		e, err = c.config.Transport.Swap(ctx, decodePosition(expect), follow.Change{Key: key, Value: value, Lease: id})
+		c.recordEra(e.Era)
 		return err
 	})
 	if s != OK && s != Conflict {
@@ -167,6 +191,7 @@
 // returns the zero Change if the key has not changed or was deleted.
 func (c *Client) watchKey(ctx context.Context, key string, after follow.Position) (follow.Change, error) {
 	cs, at, err := c.config.Transport.Watch(ctx, key, after, c.config.WatchTimeout)
+	c.recordEra(at.Era)
 	if err == nil {
 		err = after.CheckNext(at)
 	}
--- a/internal/platform/kv/client_test.go
+++ b/internal/platform/kv/client_test.go
@@ -171,3 +171,27 @@
 	_, s = k.Swap(t.Context(), "bucket", e.Revision, []byte("ours and more"))
 	wantStatus(t, "swap", s, kv.Unknown)
 }
+
+// TestRestoredAt checks that a client learns of a restore with its next call, and that
+// a service that is only down is not taken for restored.
+func TestRestoredAt(t *testing.T) {
+	p, k := startPlatform(t, kv.Config{})
+	p.Put("a", nil)
+	_, s := k.Get(t.Context(), "a")
+	wantStatus(t, "get", s, kv.OK)
+	p.SetFaults(platform.Faults{Down: true})
+	_, s = k.Swap(t.Context(), "a", 0, nil)
+	wantStatus(t, "swap of a service that is down", s, kv.Unavailable)
+	p.SetFaults(platform.Faults{})
+	_, s = k.Swap(t.Context(), "b", 0, nil)
+	wantStatus(t, "swap", s, kv.OK)
+	if at := k.RestoredAt(); !at.IsZero() {
+		t.Error("restored at", at)
+	}
+	p.Restore(0)
+	_, s = k.Swap(t.Context(), "c", 0, nil)
+	wantStatus(t, "swap after the restore", s, kv.OK)
+	if k.RestoredAt().IsZero() {
+		t.Error("the restore was not noticed")
+	}
+}
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -56,7 +56,7 @@
 	revision int64
 	items    map[string]store.Item
 	leases   map[int64]lease
-	// era is the number of restores.
+	// era is 1 and rises with each restore.
 	era int64
 	// history holds the changes after revision compacted, oldest first, and undo how to
 	// revert each.
@@ -100,6 +100,7 @@
 		external: map[string]externalWrite{},
 		leases:   map[int64]lease{},
 		changed:  make(chan struct{}),
+		era:      1,
 	}
 	p.server.Handler = p.routes()
 	p.wg.Go(func() { _ = p.server.Serve(l) })
--- a/internal/standin/platform/restore.go
+++ b/internal/standin/platform/restore.go
@@ -61,7 +61,7 @@
 	}
 }
 
-// currentEra returns the number of restores.
+// currentEra returns the era.
 func (p *Platform) currentEra() int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/state/idempotency/batchcommit.go
+++ b/internal/state/idempotency/batchcommit.go
@@ -90,6 +90,10 @@
 
 func (b *batchCommit) answer(rs []*claimrpc.Result) {
 	for i, p := range b.batch {
+		if rs[i].Verdict == claimrpc.Verdict_GRANTED && b.c.s.mayBeForgotten(key(p.op.Entry.Key)) {
+			// The claim stays in the bucket, so the key is not granted later either.
+			rs[i] = &claimrpc.Result{Verdict: claimrpc.Verdict_FORGOTTEN}
+		}
 		p.answer(rs[i])
 	}
 }
--- a/internal/state/idempotency/claim.go
+++ b/internal/state/idempotency/claim.go
@@ -149,6 +149,8 @@
 		c.Status, c.Reason = Refused, outcome.KeyReused
 	case claimrpc.Verdict_FULL:
 		c.Status, c.Reason = Refused, outcome.BucketFull
+	case claimrpc.Verdict_FORGOTTEN:
+		c.Status, c.Reason = Refused, outcome.KeyExpired
 	case claimrpc.Verdict_SHED:
 		c.Status, c.Reason = Refused, outcome.Shed
 	default:
--- a/internal/state/idempotency/doc.go
+++ b/internal/state/idempotency/doc.go
@@ -22,6 +22,11 @@
 // A refusal is about the refused request only. An earlier request with the
 // same key whose outcome is unknown may still have run.
 //
+// A service that is restored from a backup loses claims. Keys that may have been claimed
+// before are refused then, unless the bucket still tells their outcome: those whose
+// timestamp is at most a minute, the most that a key may be ahead, after the restore was
+// noticed. A VM that starts after the restore does not know of it.
+//
 // Keys older than the retention are refused. Their buckets are deleted after a
 // further margin, which must exceed the difference between the wall clocks of
 // any two nodes.
--- a/internal/state/idempotency/store.go
+++ b/internal/state/idempotency/store.go
@@ -40,6 +40,9 @@
 	Members Members
 	// Dialer connects to the members.
 	Dialer Dialer
+	// RestoredAt returns when this VM learned that the key-value service was restored from
+	// a backup, zero if it never did. Nil means never.
+	RestoredAt func() time.Time
 	// Events receives events 107, 703 and 705; nil discards them.
 	Events event.Sink
 	// Seed is the random seed of the jitter.
@@ -257,6 +260,16 @@
 	return now.Sub(k.timestamp()) > s.config.Retention
 }
 
+// mayBeForgotten reports whether a claim of the key may have been granted before the
+// key-value service was restored, and lost.
+func (s *Store) mayBeForgotten(k key) bool {
+	if s.config.RestoredAt == nil {
+		return false
+	}
+	at := s.config.RestoredAt()
+	return !at.IsZero() && !k.timestamp().After(at.Add(s.config.MaxFutureOffset))
+}
+
 func (s *Store) isClosed() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/state/idempotency/store_test.go
+++ b/internal/state/idempotency/store_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -418,3 +419,27 @@
 		}
 	}
 }
+
+// TestClaimLostByRestore: a claim that the restored key-value service had lost was granted
+// a second time.
+func TestClaimLostByRestore(t *testing.T) {
+	var restoredAt time.Time
+	withTwoNodes(t, Config{RestoredAt: func() time.Time { return restoredAt }}, func(m *memoryStore, a, b *Store) {
+		kept, lost := keyAt(time.Now()), keyAt(time.Now())
+		k := claim(a, kept, time.Second)
+		checkClaim(t, "claim", k, Claimed, "")
+		a.Record(k, Record{Outcome: outcome.OK()})
+		time.Sleep(time.Second)
+		backup := map[string]kv.Entry{}
+		m.locked(func() { maps.Copy(backup, m.entries) })
+		checkClaim(t, "claim that is lost", claim(a, lost, time.Second), Claimed, "")
+		time.Sleep(time.Minute)
+		m.locked(func() { m.entries = backup })
+		restoredAt = time.Now()
+		checkClaim(t, "repeat of a lost claim", claim(b, lost, time.Second), Refused, outcome.KeyExpired)
+		checkClaim(t, "second repeat", claim(b, lost, time.Second), InProgress, "")
+		checkClaim(t, "repeat of a claim that was kept", claim(b, kept, time.Second), Repeated, "")
+		time.Sleep(DefaultMaxFutureOffset + time.Second)
+		checkClaim(t, "new key", claim(a, keyAt(time.Now()), time.Second), Claimed, "")
+	})
+}
