Leave a searcher alone for the time that it names in a rejection

A searcher that turns a request away with 503 may name a time (Retry-After) in which it wants nothing from this VM. Nothing read it: 163, 137 and 95 requests reached three searchers within a second in which they wanted none (BUDGET allows two from each VM).

First sends, hedges, retries and queued sends wait for the end of that time, like for a limit; fan-outs leave the shard out if they can; what no searcher takes in time is refused at once, with the time at which one will. Afterwards one request at a time is sent until one is answered. Events 317 and 318.

--- a/internal/back/instance/instance.go
+++ b/internal/back/instance/instance.go
@@ -203,6 +203,10 @@
 	limitTimer *time.Timer
 	// loggedLimit is the last limit in the log, in requests/s.
 	loggedLimit float64
+	// waitUntil is until when the searcher wants no request. resuming is set from then on
+	// until it has answered one, and allows one request at a time.
+	waitUntil time.Time
+	resuming  bool
 }
 
 // stats holds what is known about the searcher from outcomes and shared scores.
--- a/internal/back/instance/limit.go
+++ b/internal/back/instance/limit.go
@@ -40,10 +40,20 @@
 	i.c.Events.Emit(event.LimitUnreadable, i.Searcher().ID, fmt.Sprintf("%.*q", maxLogged, text))
 }
 
-// awaitLimit reports whether the limit permits no request now. It then schedules another
-// run of dispatchQueued. The caller holds the lock.
+// sendWait returns the time until a request may be sent if others are queued ahead of it,
+// by what the searcher said; 0 for at once. The caller holds the lock.
+func (i *Instance) sendWait(now time.Time, ahead int) time.Duration {
+	wait := max(i.limiter.Wait(now, ahead), i.waitUntil.Sub(now))
+	if i.resuming && len(i.calls) > len(i.queue) {
+		wait = max(wait, resumeCheckInterval)
+	}
+	return max(wait, 0)
+}
+
+// awaitLimit reports whether the searcher takes no request now, by what it said. It then
+// schedules another run of dispatchQueued. The caller holds the lock.
 func (i *Instance) awaitLimit(now time.Time) bool {
-	wait := i.limiter.Wait(now, 0)
+	wait := i.sendWait(now, 0)
 	if wait == 0 {
 		return false
 	}
--- a/internal/back/instance/observe.go
+++ b/internal/back/instance/observe.go
@@ -63,6 +63,9 @@
 			i.stats.slowdown += w * (min(float64(elapsed)/float64(usual), maxLatencyRatio) - i.stats.slowdown)
 		}
 	}
+	if o != Refused {
+		i.endWait(now)
+	}
 	if i.stats.timeouts > 0 {
 		i.c.Events.Emit(event.SearcherReturned, i.s.ID, fmt.Sprintf("answers again after %d requests without an answer", i.stats.timeouts))
 	}
@@ -190,10 +193,13 @@
 		Cold:          now.Before(i.s.ColdUntil),
 		Suspect:       now.Before(i.stats.suspendedUntil) || i.stats.timeouts > 0 && len(i.calls) > 0,
 		NoConn:        len(i.idle) == 0,
-		LimitWait:     i.limiter.Wait(now, len(i.queue)),
+		LimitWait:     i.sendWait(now, len(i.queue)),
 		LimitSpare:    i.limiter.Spare(now, len(i.queue)),
+		NamedWait:     max(i.waitUntil.Sub(now), 0),
+	}
+	if _, c.Limited = i.limiter.Named(); i.resuming && c.LimitWait > 0 {
+		c.Limited, c.LimitSpare = true, 0
 	}
-	_, c.Limited = i.limiter.Named()
 	c.SlowdownFactor, c.FailureRate = i.health(now)
 	if c.ReportAge < maxLoadReportAge {
 		c.Waiting = i.stats.load.Waiting
--- a/internal/observe/event/number.go
+++ b/internal/observe/event/number.go
@@ -37,6 +37,8 @@
 	SearcherLimited   Number = 314
 	SearcherUnlimited Number = 315
 	LimitUnreadable   Number = 316
+	SearcherWaiting   Number = 317
+	WaitUnreadable    Number = 318
 
 	PlatformDown      Number = 400
 	PlatformBack      Number = 401
@@ -107,6 +109,7 @@
 	EntryUnreadable: "entry_unreadable", LeaseLost: "lease_lost", VMsCounted: "vms_counted",
 	RelayChanged: "relay_changed", RelayLost: "relay_lost", SharingFailed: "sharing_failed", SnapshotTaken: "snapshot_taken",
 	SearcherLimited: "searcher_limited", SearcherUnlimited: "searcher_unlimited", LimitUnreadable: "limit_unreadable",
+	SearcherWaiting: "searcher_waiting", WaitUnreadable: "wait_unreadable",
 	CopyOutdated: "copy_outdated", CopyCurrent: "copy_current", StoreRestored: "store_restored", HandoverFailed: "handover_failed",
 
 	ConfigAdopted: "config_adopted", ConfigRefused: "config_refused", ConfigAccepted: "config_accepted",
--- a/internal/query/admission/admission.go
+++ b/internal/query/admission/admission.go
@@ -50,6 +50,9 @@
 	// and LimitSpare which share of a burst that of this one permits at once, 0 to 1.
 	Limited    bool
 	LimitSpare float64
+	// NamedWait is the part of Wait for which the searcher has said that it wants no
+	// request.
+	NamedWait time.Duration
 }
 
 // Request describes a request and the searchers available to it.
@@ -71,8 +74,10 @@
 	// searcher.
 	TooFewShards bool
 	// RetryAfter is the time after which a refused request could be served in
-	// time; 0 if TooFewShards is set.
+	// time; 0 if TooFewShards is set. NotBefore is the time before which it cannot be
+	// served, as the searchers have said.
 	RetryAfter time.Duration
+	NotBefore  time.Duration
 	// ExpectedTime is the expected time until MinShards shards have answered.
 	ExpectedTime time.Duration
 	// LeaveOut holds the indices of the shards to which an admitted request is not
@@ -93,6 +98,7 @@
 	d.Admit = late <= 0 || !last.Queued && d.ExpectedTime <= r.TimeLeft
 	if !d.Admit {
 		d.RetryAfter = min(max(late, minRetryAfter), maxRetryAfter)
+		d.NotBefore = last.NamedWait
 		return d
 	}
 	d.LeaveOut = leaveOut(r)
--- a/internal/query/forward/admit.go
+++ b/internal/query/forward/admit.go
@@ -52,7 +52,7 @@
 	}
 	jitter := minRetryJitter + (maxRetryJitter-minRetryJitter)*rand.Float64()
 	return Answer{Status: http.StatusServiceUnavailable, Reason: Overloaded,
-		RetryAfter: time.Duration(float64(d.RetryAfter) * jitter)}, false
+		RetryAfter: max(time.Duration(float64(d.RetryAfter)*jitter), d.NotBefore)}, false
 }
 
 // minShards returns the number of shards that have to answer; 1 for a plain request.
@@ -77,5 +77,5 @@
 	}
 	wait, service := placement.Predict(c)
 	return admission.Shard{ServiceTime: service, Wait: wait, Queued: c.Queued > 0 || c.Waiting >= c.Slots || c.LimitWait > 0,
-		Limited: limited, LimitSpare: c.LimitSpare}, true
+		Limited: limited, LimitSpare: c.LimitSpare, NamedWait: c.NamedWait}, true
 }
--- a/internal/query/forward/answer.go
+++ b/internal/query/forward/answer.go
@@ -81,6 +81,23 @@
 	return Answer{Status: a.Status, Header: a.Header, Body: a.Body, Reason: why}
 }
 
+// namedWait returns the time before which no searcher of some shard without an answer
+// wants a request; 0 if there is none.
+func (x *dispatch) namedWait(now time.Time) time.Duration {
+	longest := time.Duration(0)
+	for _, p := range x.subrequests {
+		if p.answer != nil || len(p.instances) == 0 {
+			continue
+		}
+		first := p.candidate(p.instances[0], now).NamedWait
+		for _, i := range p.instances[1:] {
+			first = min(first, p.candidate(i, now).NamedWait)
+		}
+		longest = max(longest, first)
+	}
+	return longest
+}
+
 // failureAnswer returns the answer to a request that was not served. Status 503
 // promises that the request has not run, so it is returned only if no searcher
 // can have run it.
@@ -100,7 +117,7 @@
 	late := !now.Before(x.deadline)
 	switch {
 	case !mayHaveRun && overloaded:
-		return Answer{Status: http.StatusServiceUnavailable, RetryAfter: retryAfterOverload, Reason: Overloaded}
+		return Answer{Status: http.StatusServiceUnavailable, RetryAfter: max(retryAfterOverload, x.namedWait(now)), Reason: Overloaded}
 	case !mayHaveRun:
 		return Answer{Status: http.StatusServiceUnavailable, RetryAfter: retryAfterUnknown, Reason: NoSearcher}
 	case late:
--- a/internal/query/forward/fake_test.go
+++ b/internal/query/forward/fake_test.go
@@ -40,6 +40,9 @@
 	if n, err := strconv.ParseFloat(h.Get("Limit"), 64); err == nil {
 		r.Limit, r.HasLimit = n, true
 	}
+	if d, err := time.ParseDuration(h.Get("Wait")); err == nil {
+		r.Wait, r.HasWait = d, true
+	}
 	return r
 }
 
@@ -59,6 +62,8 @@
 	// connection without an answer.
 	id               string
 	noID, disconnect bool
+	// wait names a time in which the searcher wants no request.
+	wait time.Duration
 }
 
 // fakeSearcher is a searcher served over in-memory connections.
@@ -171,6 +176,9 @@
 		if a.notRun {
 			out += "Not-Run: 1\r\n"
 		}
+		if a.wait > 0 {
+			out += fmt.Sprintf("Wait: %s\r\n", a.wait)
+		}
 		if _, err := io.WriteString(c, out+"\r\n"+a.body); err != nil {
 			s.mu.Lock()
 			s.unreadAnswers++
--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -127,6 +127,11 @@
 	Limit           float64
 	HasLimit        bool
 	UnreadableLimit string
+	// Wait is the time in which the searcher wants no request from this VM; valid if
+	// HasWait is set. UnreadableWait is the text of a time that could not be parsed.
+	Wait           time.Duration
+	HasWait        bool
+	UnreadableWait string
 }
 
 // Dialect encodes and parses the headers exchanged with searchers and clients.
--- a/internal/query/forward/subrequest.go
+++ b/internal/query/forward/subrequest.go
@@ -248,6 +248,7 @@
 		f.searcher.RecordLoad(a.Load)
 	}
 	f.recordLimit(a)
+	f.recordStatements(a)
 	switch {
 	case a.Misdirected:
 		f.searcher.RecordOutcome(instance.WrongSearcher, a.Elapsed, x.medianLatency)
@@ -275,6 +276,19 @@
 	}
 }
 
+// recordStatements passes on what the searcher said of itself: that it is leaving, or
+// wants no requests for a while.
+func (f *attempt) recordStatements(a *reply) {
+	switch {
+	case a.Misdirected:
+		return
+	case a.HasWait:
+		f.searcher.RecordWait(a.Wait)
+	case a.UnreadableWait != "":
+		f.searcher.RecordUnreadableWait(a.UnreadableWait)
+	}
+}
+
 // handleResult processes the result of an attempt.
 func (p *subrequest) handleResult(f *attempt, a *reply, now time.Time) {
 	f.handled = true
--- a/internal/query/placement/placement.go
+++ b/internal/query/placement/placement.go
@@ -76,11 +76,15 @@
 	// NoConn reports whether a request would have to wait for a connection.
 	NoConn bool
 	// Limited reports whether the searcher has named a limit on the requests that it
-	// accepts. LimitWait is the time until the limit permits a new request, and
+	// accepts, or a time in which it wants none. LimitWait is the time until a new
+	// request is permitted, and
 	// LimitSpare the share of a burst that it permits at once, 0 to 1.
 	Limited    bool
 	LimitWait  time.Duration
 	LimitSpare float64
+	// NamedWait is the time in which the searcher wants no request from this VM; it is
+	// part of LimitWait.
+	NamedWait time.Duration
 }
 
 // Predict returns the expected wait for a connection and for the searcher's limit,
