Send nothing to a searcher that says it is leaving

A searcher that leaves says so in all its answers (Server-Leaving), which nothing read: without the store, 108 requests reached one in the second after drain_ms (DRAIN).

Any answer of its own takes it out of use on this VM at once, as its entry in the store does: also one of a lost hedge, or one that is dropped. Queued sends go elsewhere, idle connections are closed, what is under way ends. It stays out for its process: whether the store still lists it as ready, a restored copy does, or its entry goes and returns.

--- a/internal/back/instance/instance.go
+++ b/internal/back/instance/instance.go
@@ -137,6 +137,9 @@
 	// Observe is called for each completed or overdue request with its latency
 	// divided by the usual service time, and whether it failed; may be nil.
 	Observe func(ratio float64, failed bool)
+	// OnLeaving is called once when the searcher says that it is about to stop; nil for
+	// none. The instance sends it nothing from then on.
+	OnLeaving func()
 	// LimitShare returns this VM's part of the requests a second that a searcher
 	// accepts from all VMs together; nil means all of them.
 	LimitShare func(searcher string, perSecond float64) float64
@@ -207,6 +210,8 @@
 	// until it has answered one, and allows one request at a time.
 	waitUntil time.Time
 	resuming  bool
+	// leaving is set once the searcher said that it is about to stop.
+	leaving bool
 }
 
 // stats holds what is known about the searcher from outcomes and shared scores.
@@ -246,6 +251,9 @@
 	if c.Observe == nil {
 		c.Observe = func(float64, bool) {}
 	}
+	if c.OnLeaving == nil {
+		c.OnLeaving = func() {}
+	}
 	if c.LimitShare == nil {
 		c.LimitShare = func(_ string, perSecond float64) float64 { return perSecond }
 	}
--- a/internal/back/instance/statement.go
+++ b/internal/back/instance/statement.go
@@ -18,6 +18,21 @@
 	maxLoggedText = 40
 )
 
+// RecordLeaving records that the searcher said that it is about to stop. It gets no new
+// requests and connections; requests under way end.
+func (i *Instance) RecordLeaving() {
+	i.mu.Lock()
+	known := i.leaving
+	i.leaving = true
+	i.mu.Unlock()
+	if known {
+		return
+	}
+	i.c.Events.Emit(event.SearcherDraining, i.s.ID, "says in an answer that it is leaving")
+	i.Drain()
+	i.c.OnLeaving()
+}
+
 // RecordWait records that the searcher wants no request from this VM for a while.
 func (i *Instance) RecordWait(d time.Duration) {
 	now := time.Now()
--- a/internal/node/gateway/storeview.go
+++ b/internal/node/gateway/storeview.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -55,6 +56,9 @@
 	// searcher takes some milliseconds for each new connection and refuses more
 	// while many wait.
 	openSpreadPerVM = 5 * time.Millisecond
+	// leavingMemory is how long a searcher that said that it is about to stop is
+	// remembered. Its process ends within seconds.
+	leavingMemory = 10 * time.Minute
 	// drainPollInterval is the time between two checks for the end of a drain.
 	drainPollInterval = 200 * time.Millisecond
 )
@@ -123,6 +127,9 @@
 	firstRead chan struct{}
 	// restored receives a value after a restore of the store.
 	restored chan struct{}
+	// leaving holds when searchers said that they are about to stop, by process. What the
+	// store says of them afterwards does not count.
+	leaving map[process]time.Time
 	// instances holds the searchers in use, by process.
 	instances    map[process]*instance.Instance
 	rebuildTimer *time.Timer
@@ -140,13 +147,16 @@
 	startedMs int64
 }
 
+// processOf returns the process of a registered searcher.
+func processOf(s registry.Searcher) process { return process{s.ID, s.Addr, s.StartedMs} }
+
 var _ follow.Handler = (*storeView)(nil)
 
 // newStoreView returns a view without entries.
 func newStoreView(c storeViewConfig) *storeView {
 	return &storeView{
 		c: c, registry: registry.New(registry.Config{Grace: c.EntryGrace}), vms: map[string]vmregistry.VM{},
-		instances: map[process]*instance.Instance{}, stop: make(chan struct{}), firstRead: make(chan struct{}),
+		leaving: map[process]time.Time{}, instances: map[process]*instance.Instance{}, stop: make(chan struct{}), firstRead: make(chan struct{}),
 		restored:  make(chan struct{}, 1),
 		startedAt: time.Now(), observeSearcher: func(healthscore.Process, float64, bool) {},
 	}
@@ -344,17 +354,17 @@
 	v.scheduleRebuild(now)
 	s := &forward.Snapshot{Config: v.config, Instances: map[string][]*instance.Instance{}, BuiltAt: now}
 	inUse := map[process]bool{}
-	ready := v.registry.Ready()
+	ready := slices.DeleteFunc(v.registry.Ready(), func(e registry.Searcher) bool { return !v.leaving[processOf(e)].IsZero() })
 	conns := v.connLimits(ready)
 	for _, e := range ready {
-		p := process{e.ID, e.Addr, e.StartedMs}
+		p := processOf(e)
 		inUse[p] = true
 		i := v.instances[p]
 		if i == nil {
 			v.c.Events.Emit(event.SearcherFound, e.ID, e.Service+" at "+e.Addr)
 			name := healthscore.Process{ID: e.ID, StartedMs: e.StartedMs}
 			i = instance.New(instance.Config{Searcher: e, Conns: conns[e.ID], Events: v.c.Events, AtConnLimit: v.oldConnsMayRemain, OpenDelay: rand.N(time.Duration(v.countedVMs) * openSpreadPerVM), LimitShare: v.limitShare,
-				Observe: func(ratio float64, failed bool) { v.observeSearcher(name, ratio, failed) }})
+				Observe: func(ratio float64, failed bool) { v.observeSearcher(name, ratio, failed) }, OnLeaving: func() { v.markLeaving(p) }})
 			v.instances[p] = i
 		} else {
 			i.Update(e, conns[e.ID])
@@ -428,6 +438,24 @@
 	}
 }
 
+// markLeaving takes a searcher out of use that said that it is about to stop.
+func (v *storeView) markLeaving(p process) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.closed {
+		return
+	}
+	// The goroutine of the connection is not held up.
+	v.wg.Go(func() {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		now := time.Now()
+		maps.DeleteFunc(v.leaving, func(_ process, at time.Time) bool { return now.Sub(at) > leavingMemory })
+		v.leaving[p] = now
+		v.rebuild(now)
+	})
+}
+
 // oldConnsMayRemain reports whether searchers may still hold connections of a
 // previous process, as after a power loss. The lock need not be held.
 func (v *storeView) oldConnsMayRemain(now time.Time) bool { return now.Sub(v.startedAt) < oldConnsTime }
--- a/internal/query/forward/fake_test.go
+++ b/internal/query/forward/fake_test.go
@@ -40,6 +40,7 @@
 	if n, err := strconv.ParseFloat(h.Get("Limit"), 64); err == nil {
 		r.Limit, r.HasLimit = n, true
 	}
+	r.Leaving = h.Get("Leaving") != ""
 	if d, err := time.ParseDuration(h.Get("Wait")); err == nil {
 		r.Wait, r.HasWait = d, true
 	}
@@ -62,8 +63,10 @@
 	// connection without an answer.
 	id               string
 	noID, disconnect bool
-	// wait names a time in which the searcher wants no request.
-	wait time.Duration
+	// leaving marks the answer of a searcher that is about to stop, and wait names a time
+	// in which it wants no request.
+	leaving bool
+	wait    time.Duration
 }
 
 // fakeSearcher is a searcher served over in-memory connections.
@@ -176,6 +179,9 @@
 		if a.notRun {
 			out += "Not-Run: 1\r\n"
 		}
+		if a.leaving {
+			out += "Leaving: 1\r\n"
+		}
 		if a.wait > 0 {
 			out += fmt.Sprintf("Wait: %s\r\n", a.wait)
 		}
--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -127,6 +127,8 @@
 	Limit           float64
 	HasLimit        bool
 	UnreadableLimit string
+	// Leaving reports that the searcher is about to stop.
+	Leaving bool
 	// Wait is the time in which the searcher wants no request from this VM; valid if
 	// HasWait is set. UnreadableWait is the text of a time that could not be parsed.
 	Wait           time.Duration
--- a/internal/query/forward/statement_test.go
+++ b/internal/query/forward/statement_test.go
@@ -103,3 +103,50 @@
 		})
 	}
 }
+
+// TestLeavingSearcherIsUsed: a searcher that had said in an answer that it is leaving got
+// further requests, also by hedges and retries, while the store listed it.
+func TestLeavingSearcherIsUsed(t *testing.T) {
+	for name, delay := range map[string]time.Duration{"answers in time": 10 * time.Millisecond, "loses against a hedge": 300 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &fakeSearcher{id: "s-1", answer: func(int, *http.Request) fakeAnswer {
+					return fakeAnswer{delay: delay, status: http.StatusOK, body: "good", leaving: true}
+				}}
+				other := &fakeSearcher{id: "s-2", answer: answerAfter(20*time.Millisecond, "good")}
+				fx := newFixture(t, []routing.Route{plainRoute(routing.Idempotent)}, map[string][]*fakeSearcher{"s": {s, other}})
+				synctest.Wait()
+				for s.requests() == 0 {
+					fx.burst(t, 15*time.Millisecond, 100*time.Millisecond)
+				}
+				time.Sleep(time.Second)
+				sent := s.requests()
+				if got := fx.burst(t, 15*time.Millisecond, 2*time.Second); got[http.StatusOK] < 133 || s.requests() != sent {
+					t.Errorf("%d requests arrived after the searcher's answer, answers %v", s.requests()-sent, got)
+				}
+			})
+		})
+	}
+}
+
+// TestAllSearchersLeave checks that a request is refused at once if all searchers of its
+// service are leaving, and that none gets it.
+func TestAllSearchersLeave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		leaving := func(int, *http.Request) fakeAnswer {
+			return fakeAnswer{status: http.StatusOK, body: "good", leaving: true}
+		}
+		ss := []*fakeSearcher{{id: "s-1", answer: leaving}, {id: "s-2", answer: leaving}}
+		fx := newFixture(t, []routing.Route{plainRoute(routing.AtMostOnce)}, map[string][]*fakeSearcher{"s": ss})
+		synctest.Wait()
+		for range 2 {
+			if a := fx.engine.Do(t.Context(), newRequest(500*time.Millisecond)); a.Status != http.StatusOK {
+				t.Fatalf("status %d", a.Status)
+			}
+		}
+		began := time.Now()
+		if a := fx.engine.Do(t.Context(), newRequest(500*time.Millisecond)); a.Reason != NoSearcher || time.Since(began) > 0 || ss[0].requests()+ss[1].requests() != 2 {
+			t.Errorf("%+v after %s", a, time.Since(began))
+		}
+	})
+}
--- a/internal/query/forward/subrequest.go
+++ b/internal/query/forward/subrequest.go
@@ -287,6 +287,9 @@
 	case a.UnreadableWait != "":
 		f.searcher.RecordUnreadableWait(a.UnreadableWait)
 	}
+	if a.Leaving {
+		f.searcher.RecordLeaving()
+	}
 }
 
 // handleResult processes the result of an attempt.
