--- a/internal/state/follow/follow.go
+++ b/internal/state/follow/follow.go
@@ -3,8 +3,8 @@
 // A Follower reads all entries under a prefix and then watches for changes. Each
 // watch starts at the revision where the previous one ended, so that no change is
 // missed. If the store has compacted the changes since that revision, or was restored
-// from a backup, all entries are read again. During an outage of the store the copy stays unchanged and the
-// handler is notified.
+// from a backup, all entries are read again. During an outage of the store the copy
+// stays unchanged and the handler is notified.
 //
 // # Usage
 //
