Read a restored store through a relay if it cannot be reached

A VM that learned of a restore from its relay, while its own path to the store was cut, read nothing more until the path healed, though the relay could tell it all: the decision knew only this VM's path. It takes the relay's entries now if they are of a later era than its own. TestRestoredStoreUnreachable got the store's error before.

--- a/internal/node/gateway/membership_test.go
+++ b/internal/node/gateway/membership_test.go
@@ -44,6 +44,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		go newMembership(membershipConfig{Store: s, Restored: restored, Events: event.Discard{}}).Run(ctx)
 		time.Sleep(20 * time.Second)
+		synctest.Wait()
 		if s.puts != 1 {
 			t.Fatalf("key written %d times before the restore", s.puts)
 		}
--- a/internal/peer/handover/sender_test.go
+++ b/internal/peer/handover/sender_test.go
@@ -35,6 +35,8 @@
 	unreachable bool
 	server      *takeover.Server
 	requests    atomic.Int64
+	// conn is the VM's end of the last connection.
+	conn atomic.Pointer[net.Conn]
 }
 
 // tier connects a Sender with VMs over in-memory connections.
@@ -49,6 +51,11 @@
 		// The first VMs are in the own failure domain, the last one is not.
 		peers = append(peers, peerchoice.Peer{Addr: addr, Domain: map[bool]string{true: "b", false: "a"}[n == len(vms)-1]})
 		t[addr] = v
+		v.server = takeover.New(takeover.Config{ConfigVersion: func() routing.Version { return v.version }, Isolated: func() bool { return v.isolated },
+			Do: func(ctx context.Context, q forward.Request) forward.Answer {
+				v.requests.Add(1)
+				return v.do(ctx, q, func() { _ = (*v.conn.Load()).Close() })
+			}})
 	}
 	return handover.New(handover.Config{Dialer: t, Domain: "a", Peers: func() []peerchoice.Peer { return peers }})
 }
@@ -60,13 +67,7 @@
 		return nil, errors.WithType(errors.New("refused"), rpc.ErrUnreachable)
 	}
 	client, server := net.Pipe()
-	if v.server == nil {
-		v.server = takeover.New(takeover.Config{ConfigVersion: func() routing.Version { return v.version }, Isolated: func() bool { return v.isolated },
-			Do: func(ctx context.Context, q forward.Request) forward.Answer {
-				v.requests.Add(1)
-				return v.do(ctx, q, func() { _ = server.Close() })
-			}})
-	}
+	v.conn.Store(&server)
 	m := drpcmux.New()
 	if err := handoverrpc.DRPCRegisterHandover(m, v.server); err != nil {
 		return nil, err
--- a/internal/peer/upstream/read.go
+++ b/internal/peer/upstream/read.go
@@ -16,7 +16,8 @@
 
 // Range reads all entries directly from the store. If no read has succeeded yet and
 // this one fails or takes longer than seedDelay, it returns the entries and the
-// position of the first seed that responds.
+// position of the first seed that responds. If the store was restored and this read of it
+// fails, it returns those of a relay that has read it since.
 func (u *Upstream) Range(ctx context.Context, prefix string) ([]follow.Change, follow.Position, error) {
 	u.setRelay("")
 	ctx, cancel := context.WithCancel(ctx)
@@ -35,27 +36,37 @@
 	case <-t.C:
 	}
 	if r.err != nil && !u.loaded {
-		if s, ok := u.readFromSeeds(ctx); ok {
-			u.loaded = true
-			u.notePosition(s.at, "a seed")
-			u.c.Log.ResetRelayed(s.entries, s.at)
-			return s.entries, s.at, nil
+		if s, ok := u.readFromVMs(ctx, u.c.Seeds); ok {
+			return u.takeSnapshot(s)
 		}
 	}
 	if errors.Is(r.err, errPending) {
 		r = <-fromStore
 	}
+	if r.err != nil && u.restored {
+		if s, ok := u.readFromVMs(ctx, u.c.Relays()); ok {
+			return u.takeSnapshot(s)
+		}
+	}
 	if r.err != nil {
 		u.c.Log.MarkUnreachable()
 		return nil, follow.Position{}, errors.Trace(r.err)
 	}
-	u.loaded = true
+	u.loaded, u.restored = true, false
 	u.notePosition(r.at, storeName)
 	u.c.Log.ReplaceEntries(r.entries, r.at, r.knownAt)
 	u.copyAge.Confirm(storeName, r.knownAt)
 	return r.entries, r.at, nil
 }
 
+// takeSnapshot returns the entries of another VM as the result of Range.
+func (u *Upstream) takeSnapshot(s readResult) ([]follow.Change, follow.Position, error) {
+	u.loaded, u.restored = true, false
+	u.notePosition(s.at, "another VM")
+	u.c.Log.ResetRelayed(s.entries, s.at)
+	return s.entries, s.at, nil
+}
+
 // readResult is the result of reading all entries.
 type readResult struct {
 	entries []follow.Change
@@ -86,12 +97,12 @@
 	return overlap.Config{First: late, Interval: repeatInterval, Attempts: maxAttempts, Limit: late + lateLimit}
 }
 
-// readFromSeeds returns the entries of the first seed that responds. It reports false
-// if none does.
-func (u *Upstream) readFromSeeds(ctx context.Context) (readResult, bool) {
-	for _, addr := range u.c.Seeds {
+// readFromVMs returns the entries of the first VM that responds, and that knows of the
+// store's restore if this one does. It reports false if there is none.
+func (u *Upstream) readFromVMs(ctx context.Context, addrs []string) (readResult, bool) {
+	for _, addr := range addrs {
 		r := u.snapshot(ctx, addr)
-		if r.err == nil {
+		if r.err == nil && (!u.restored || r.at.Era > u.last.Era) {
 			u.c.Events.Emit(event.SnapshotTaken, addr, fmt.Sprintf("%d entries at %s, because the store does not respond", len(r.entries), r.at))
 			return r, true
 		}
--- a/internal/peer/upstream/upstream.go
+++ b/internal/peer/upstream/upstream.go
@@ -102,8 +102,10 @@
 	copyAge *copyage.Tracker
 	// loaded is set once all entries have been read, from the store or a seed.
 	loaded bool
-	// last is the position of the last answer.
-	last follow.Position
+	// last is the position of the last answer, and restored is set from when the store is
+	// known to be of a later era until all entries have been read.
+	last     follow.Position
+	restored bool
 
 	mu sync.Mutex
 	// cooldowns holds the time until which a relay is not used, by address.
--- a/internal/peer/upstream/upstream_test.go
+++ b/internal/peer/upstream/upstream_test.go
@@ -244,3 +244,32 @@
 		t.Error("full read:", err)
 	}
 }
+
+// TestRestoredStoreUnreachable: a VM that heard of a restore from its relay, but does not
+// reach the store itself, learned nothing more until it did.
+func TestRestoredStoreUnreachable(t *testing.T) {
+	r, v := newVM(t), newVM(t)
+	v.relays = []string{r.server.Addr()}
+	r.read(t)
+	v.read(t)
+	v.store.update(func() { v.store.down = true })
+	if _, _, err := v.up.Range(t.Context(), ""); !errors.Is(err, errDown) {
+		t.Error("before the restore:", err)
+	}
+	r.store.update(func() { r.store.era, r.store.at = 1, 3 })
+	r.read(t)
+	if _, _, err := v.up.Watch(t.Context(), "", follow.Position{Revision: 1}, time.Second); !errors.Is(err, follow.ErrRestored) {
+		t.Fatal(err)
+	}
+	all, at, err := v.up.Range(t.Context(), "")
+	if err != nil || len(all) != 1 || at != (follow.Position{Era: 1, Revision: 3}) {
+		t.Fatalf("%+v at %s, %v", all, at, err)
+	}
+	r.store.update(func() { r.store.at = 4 })
+	if _, _, err := r.up.Watch(t.Context(), "", at, time.Second); err != nil {
+		t.Fatal(err)
+	}
+	if cs, at, err := v.up.Watch(t.Context(), "", at, time.Second); err != nil || len(cs) != 1 || at.Revision != 4 {
+		t.Errorf("%+v at %s, %v", cs, at, err)
+	}
+}
--- a/internal/peer/upstream/watch.go
+++ b/internal/peer/upstream/watch.go
@@ -45,6 +45,7 @@
 				return r.Changes, r.Position, nil
 			}
 			if mustReadAll(r.err) {
+				u.restored = errors.Is(r.err, follow.ErrRestored)
 				return nil, follow.Position{}, errors.Trace(r.err)
 			}
 			if r.err != errNoRelay {
