Show how many searchers leave or want no requests

The events tell of each; the gauges tell an operator at a glance whether a planned change is under way.

--- a/internal/back/instance/statement.go
+++ b/internal/back/instance/statement.go
@@ -47,6 +47,13 @@
 	}
 }
 
+// Waiting reports whether the searcher wants no request from this VM now.
+func (i *Instance) Waiting(now time.Time) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return now.Before(i.waitUntil)
+}
+
 // endWait records an answer that is no refusal: after the time in which the searcher
 // wanted no request, it takes more than one at a time again. The caller holds the lock.
 func (i *Instance) endWait(now time.Time) {
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -174,6 +174,8 @@
 		{"egrethaven_config_version", "{version}", "version of the configuration in force", g.storeView.configVersion},
 		{"egrethaven_store_age", "s", "age of the copy of the store: the time since it was known to have all changes", g.copyAge},
 		{"egrethaven_searchers", "{searcher}", "searchers in use", g.storeView.searcherCount},
+		{"egrethaven_searchers_leaving", "{searcher}", "searchers that said within ten minutes that they are about to stop", g.storeView.leavingCount},
+		{"egrethaven_searchers_waiting", "{searcher}", "searchers that want no request from this VM now", g.storeView.waitingCount},
 		{"egrethaven_vms", "{vm}", "VMs of the tier that are counted", g.storeView.registeredVMs},
 		{"egrethaven_log_lines_dropped", "{line}", "log lines that found no room", g.droppedLogLines},
 	} {
--- a/internal/node/gateway/storeview.go
+++ b/internal/node/gateway/storeview.go
@@ -515,6 +515,27 @@
 	return float64(len(v.instances))
 }
 
+// leavingCount returns the number of searchers that said that they are about to stop and
+// are remembered.
+func (v *storeView) leavingCount() float64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return float64(len(v.leaving))
+}
+
+// waitingCount returns the number of searchers that want no request from this VM now.
+func (v *storeView) waitingCount() float64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	n, now := 0.0, time.Now()
+	for _, i := range v.instances {
+		if i.Waiting(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // registeredVMs returns the number of registered VMs.
 func (v *storeView) registeredVMs() float64 {
 	v.mu.Lock()
