--- a/internal/back/instance/statement.go
+++ b/internal/back/instance/statement.go
@@ -28,7 +28,7 @@
 	if known {
 		return
 	}
-	i.c.Events.Emit(event.SearcherDraining, i.s.ID, "says in an answer that it is leaving")
+	i.c.Events.Emit(event.SearcherDraining, i.Searcher().ID, "says in an answer that it is leaving")
 	i.Drain()
 	i.c.OnLeaving()
 }
--- a/internal/front/ingress/ingress_test.go
+++ b/internal/front/ingress/ingress_test.go
@@ -51,12 +51,10 @@
 	}
 }
 
-// TestStopCutsRequests: requests that arrived on busy connections until the end of a
-// stop were cut off without an answer. The clients use their connections, and open new
-// ones, until the server is gone.
-func TestStopCutsRequests(t *testing.T) {
-	const work = 50 * time.Millisecond
-	var taken atomic.Int64
+// newServer starts a server that counts the requests that it takes and answers each after
+// some work.
+func newServer(t *testing.T, work time.Duration, taken *atomic.Int64) *ingress.Server {
+	t.Helper()
 	s, err := ingress.New(ingress.Config{Addr: "127.0.0.1:0", Dialect: dialect{}, Limits: func() routing.Limits { return routing.Limits{} },
 		Do: func(context.Context, forward.Request) forward.Answer {
 			taken.Add(1)
@@ -67,6 +65,16 @@
 		t.Fatal(err)
 	}
 	s.Serve()
+	return s
+}
+
+// TestStopCutsRequests: requests that arrived on busy connections until the end of a
+// stop were cut off without an answer. The clients use their connections, and open new
+// ones, until the server is gone.
+func TestStopCutsRequests(t *testing.T) {
+	const work = 50 * time.Millisecond
+	var taken atomic.Int64
+	s := newServer(t, work, &taken)
 	var answered atomic.Int64
 	var wg sync.WaitGroup
 	gone := make(chan struct{})
@@ -108,16 +116,7 @@
 func TestStopTakesLateRequests(t *testing.T) {
 	const work = 400 * time.Millisecond
 	var taken atomic.Int64
-	s, err := ingress.New(ingress.Config{Addr: "127.0.0.1:0", Dialect: dialect{}, Limits: func() routing.Limits { return routing.Limits{} },
-		Do: func(context.Context, forward.Request) forward.Answer {
-			taken.Add(1)
-			time.Sleep(work)
-			return forward.Answer{Status: http.StatusOK}
-		}})
-	if err != nil {
-		t.Fatal(err)
-	}
-	s.Serve()
+	s := newServer(t, work, &taken)
 	c, err := net.Dial("tcp", s.Addr())
 	if err != nil {
 		t.Fatal(err)
--- a/internal/node/gateway/storeview.go
+++ b/internal/node/gateway/storeview.go
@@ -56,9 +56,6 @@
 	// searcher takes some milliseconds for each new connection and refuses more
 	// while many wait.
 	openSpreadPerVM = 5 * time.Millisecond
-	// leavingMemory is how long a searcher that said that it is about to stop is
-	// remembered. Its process ends within seconds.
-	leavingMemory = 10 * time.Minute
 	// drainPollInterval is the time between two checks for the end of a drain.
 	drainPollInterval = 200 * time.Millisecond
 )
@@ -354,7 +351,7 @@
 	v.scheduleRebuild(now)
 	s := &forward.Snapshot{Config: v.config, Instances: map[string][]*instance.Instance{}, BuiltAt: now}
 	inUse := map[process]bool{}
-	ready := slices.DeleteFunc(v.registry.Ready(), func(e registry.Searcher) bool { return !v.leaving[processOf(e)].IsZero() })
+	ready := slices.DeleteFunc(v.registry.Ready(), v.isLeaving)
 	conns := v.connLimits(ready)
 	for _, e := range ready {
 		p := processOf(e)
@@ -438,24 +435,6 @@
 	}
 }
 
-// markLeaving takes a searcher out of use that said that it is about to stop.
-func (v *storeView) markLeaving(p process) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if v.closed {
-		return
-	}
-	// The goroutine of the connection is not held up.
-	v.wg.Go(func() {
-		v.mu.Lock()
-		defer v.mu.Unlock()
-		now := time.Now()
-		maps.DeleteFunc(v.leaving, func(_ process, at time.Time) bool { return now.Sub(at) > leavingMemory })
-		v.leaving[p] = now
-		v.rebuild(now)
-	})
-}
-
 // oldConnsMayRemain reports whether searchers may still hold connections of a
 // previous process, as after a power loss. The lock need not be held.
 func (v *storeView) oldConnsMayRemain(now time.Time) bool { return now.Sub(v.startedAt) < oldConnsTime }
@@ -515,14 +494,6 @@
 	return float64(len(v.instances))
 }
 
-// leavingCount returns the number of searchers that said that they are about to stop and
-// are remembered.
-func (v *storeView) leavingCount() float64 {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return float64(len(v.leaving))
-}
-
 // waitingCount returns the number of searchers that want no request from this VM now.
 func (v *storeView) waitingCount() float64 {
 	v.mu.Lock()
--- a/internal/query/forward/handover.go
+++ b/internal/query/forward/handover.go
@@ -89,7 +89,8 @@
 }
 
 // handOver hands the request over to another VM. It reports false if the request may not
-// be handed over or no other VM can serve it.
+// be handed over or no other VM can serve it. mayHaveRun tells that a searcher may have
+// run what this VM has sent.
 func (x *dispatch) handOver(ctx context.Context, mayHaveRun bool) (Answer, bool) {
 	e := x.engine
 	if e.c.HandOver == nil || x.req.HandedOver || time.Until(x.deadline) < minHandoverTime {
