Ask a relay that did not know this VM again after a second

Cause, from the logs: a relay accepts calls of VMs that its copy of the store lists.

A connection that the peer closes instead of accepting it is an error of its own, and costs the cooldown of a relay that declines.

--- a/internal/peer/rpc/dialer.go
+++ b/internal/peer/rpc/dialer.go
@@ -42,6 +42,11 @@
 // opened, so no part of the call was sent.
 const ErrUnreachable = errors.ConstError("no connection to the peer")
 
+// ErrRefused marks the error of a call whose connection the peer closed instead of
+// accepting it. The peer is alive, but does not know this VM: one that has just
+// registered is known within a moment.
+const ErrRefused = errors.ConstError("the peer does not know this VM")
+
 // Dialer opens and pools connections to other entry VMs.
 type Dialer struct {
 	c    DialerConfig
--- a/internal/peer/rpc/handshake.go
+++ b/internal/peer/rpc/handshake.go
@@ -96,7 +96,11 @@
 	if _, err := c.Write(proof(key, n)); err != nil {
 		return errors.Trace(err)
 	}
-	if _, err := io.ReadFull(c, b[:1]); err != nil {
+	_, err = io.ReadFull(c, b[:1])
+	if err == io.EOF {
+		err = errors.WithType(err, ErrRefused)
+	}
+	if err != nil {
 		return errors.Annotate(err, "no acceptance from peer")
 	}
 	if b[0] != accepted {
--- a/internal/peer/upstream/known_test.go
+++ b/internal/peer/upstream/known_test.go
@@ -1,11 +1,15 @@
 package upstream
 
 import (
+	"context"
 	"math"
+	"net/netip"
 	"testing"
 	"time"
 
 	"egrethaven/internal/infra/boottime"
+	"egrethaven/internal/peer/rpc"
+	"egrethaven/internal/state/follow"
 )
 
 // TestRelayClaimsTheFuture: a relay that says to know the changes of the future, or
@@ -22,3 +26,28 @@
 		}
 	}
 }
+
+// TestRelayThatDoesNotKnowThisVMYet: a VM whose relay had not heard of it, as in the first
+// moments after a start or a restore of the store, left it alone for up to 7.5 s.
+func TestRelayThatDoesNotKnowThisVMYet(t *testing.T) {
+	server, err := rpc.NewServer(rpc.ServerConfig{Listen: "127.0.0.1:0", IsKnownAddr: func(netip.Addr) bool { return false }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	server.Serve()
+	d := rpc.NewDialer(rpc.DialerConfig{})
+	u := New(Config{Dialer: d})
+	defer func() {
+		u.Close()
+		_ = d.Close()
+		_ = server.Close()
+	}()
+	_, err = u.watchRelay(context.Background(), server.Addr(), follow.Position{})
+	if err == nil {
+		t.Fatal("the relay accepted the call")
+	}
+	u.startCooldown(server.Addr(), err)
+	if left := time.Until(u.cooldowns[server.Addr()]); left > declinedCooldown*3/2 {
+		t.Errorf("left alone for %s after %v", left, err)
+	}
+}
--- a/internal/peer/upstream/upstream.go
+++ b/internal/peer/upstream/upstream.go
@@ -24,6 +24,7 @@
 	"storj.io/drpc"
 
 	"egrethaven/internal/observe/event"
+	"egrethaven/internal/peer/rpc"
 	"egrethaven/internal/state/changelog"
 	"egrethaven/internal/state/copyage"
 	"egrethaven/internal/state/follow"
@@ -62,7 +63,8 @@
 	maxAttempts    = 3
 	lateLimit      = 1700 * time.Millisecond
 	// unresponsiveCooldown is how long a relay is not used after a failed call, and
-	// declinedCooldown after it declined one. Up to half of it is added as jitter.
+	// declinedCooldown after it declined one or did not know this VM yet. Up to half of it
+	// is added as jitter.
 	unresponsiveCooldown = 5 * time.Second
 	declinedCooldown     = time.Second
 )
@@ -165,7 +167,7 @@
 // returning to it at the same time.
 func (u *Upstream) startCooldown(addr string, err error) {
 	d := unresponsiveCooldown
-	if errors.Is(err, errDeclined) {
+	if errors.Is(err, errDeclined) || errors.Is(err, rpc.ErrRefused) {
 		d = declinedCooldown
 	}
 	d += rand.N(d / 2)
