Use a searcher again at the end of the time that it named

From the log: two shards' searchers answered 503, their slots were full; the third searcher of each was idle. It had rejected requests and named a time, which was over for 1.5 s. Cause: each of its rejections counted as a failure, for which a searcher is avoided for seconds, though it had said when it is available again.

A rejection with a time is neither a failure nor told to other VMs as one.

--- a/internal/back/instance/observe.go
+++ b/internal/back/instance/observe.go
@@ -23,6 +23,9 @@
 	Failed
 	// Refused means that the searcher declined to run the request.
 	Refused
+	// Postponed means that it declined and named a time in which it wants none. Afterwards
+	// it is as good as before.
+	Postponed
 	// TimedOut means that no answer arrived before the deadline.
 	TimedOut
 	// WrongSearcher means that another searcher answered at the address.
@@ -55,6 +58,7 @@
 		i.c.Events.Emit(event.LinkSilent, i.s.ID,
 			fmt.Sprintf("no answer for %s, %s; left alone for %s", elapsed.Round(time.Millisecond), formatLastAnswer(now, i.stats.lastAnswer), i.stats.suspension))
 		return
+	case Postponed:
 	case Failed, Refused:
 		i.stats.failureRate += w * (1 - i.stats.failureRate)
 	case Served:
@@ -63,7 +67,7 @@
 			i.stats.slowdown += w * (min(float64(elapsed)/float64(usual), maxLatencyRatio) - i.stats.slowdown)
 		}
 	}
-	if o != Refused {
+	if o != Refused && o != Postponed {
 		i.endWait(now)
 	}
 	if i.stats.timeouts > 0 {
@@ -95,7 +99,7 @@
 // reportOutcome passes the outcome of a request to Config.Observe.
 func (i *Instance) reportOutcome(o Outcome, elapsed, usual time.Duration) {
 	switch {
-	case o == WrongSearcher || usual <= 0:
+	case o == WrongSearcher || o == Postponed || usual <= 0:
 	case o == TimedOut:
 		i.c.Observe(maxLatencyRatio, true)
 	default:
--- a/internal/query/forward/statement_test.go
+++ b/internal/query/forward/statement_test.go
@@ -69,6 +69,26 @@
 	})
 }
 
+// TestSearcherIsAvoidedAfterItsTime: a searcher that had rejected requests for a named time
+// was avoided for seconds after it, like one that fails, while the others were full.
+func TestSearcherIsAvoidedAfterItsTime(t *testing.T) {
+	const wait = time.Second
+	synctest.Test(t, func(t *testing.T) {
+		s := rejecting("s-1", time.Now().Add(wait), wait)
+		other := &fakeSearcher{id: "s-2", answer: answerAfter(20*time.Millisecond, "good")}
+		fx := newFixture(t, []routing.Route{plainRoute(routing.Idempotent)}, map[string][]*fakeSearcher{"s": {s, other}})
+		synctest.Wait()
+		for s.requests() == 0 {
+			fx.burst(t, 30*time.Millisecond, 50*time.Millisecond)
+		}
+		time.Sleep(wait)
+		before := s.requests()
+		if fx.burst(t, 30*time.Millisecond, 2*time.Second); s.requests()-before < 20 {
+			t.Errorf("%d of 67 requests went to the searcher in the two seconds after its time", s.requests()-before)
+		}
+	})
+}
+
 // TestAllSearchersWantNoRequests: a request that no searcher took waited or was sent, and
 // was refused with a time at which none would take it.
 func TestAllSearchersWantNoRequests(t *testing.T) {
--- a/internal/query/forward/subrequest.go
+++ b/internal/query/forward/subrequest.go
@@ -252,6 +252,8 @@
 	switch {
 	case a.Misdirected:
 		f.searcher.RecordOutcome(instance.WrongSearcher, a.Elapsed, x.medianLatency)
+	case a.NotRun && a.HasWait:
+		f.searcher.RecordOutcome(instance.Postponed, a.Elapsed, x.medianLatency)
 	case a.NotRun:
 		f.searcher.RecordOutcome(instance.Refused, a.Elapsed, x.medianLatency)
 	case a.Status >= http.StatusInternalServerError || a.Stamp == "":
