--- a/internal/query/forward/statement_test.go
+++ b/internal/query/forward/statement_test.go
@@ -170,3 +170,20 @@
 		}
 	})
 }
+
+// TestLeavingSearcherNamesLimit checks that a searcher that is leaving gets no request, also
+// when the limit that it names as well would permit one.
+func TestLeavingSearcherNamesLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeSearcher{id: "s-1", answer: func(n int, _ *http.Request) fakeAnswer {
+			return fakeAnswer{delay: 10 * time.Millisecond, status: http.StatusOK, body: "good", leaving: n > 5}
+		}}
+		s.limit.Store(20)
+		fx := newFixture(t, []routing.Route{plainRoute(routing.Idempotent)}, map[string][]*fakeSearcher{"s": {s}})
+		synctest.Wait()
+		got := fx.burst(t, 50*time.Millisecond, 3*time.Second)
+		if s.requests() != 6 || got[http.StatusOK] != 6 {
+			t.Errorf("%d requests arrived, want the six up to the one that said it; answers %v", s.requests(), got)
+		}
+	})
+}
