Do not refuse a request after another VM's answer was lost

A repeatable request was handed over, the first VM's answer was lost, and the next VM refused it as overloaded: the VM that hands over then ended it with its own 503, which promises that it has not run, though the first VM may have run it. The refusal now ends the tries like a lost answer, with 502 or 504. TestRefusalAfterLostAnswer got no answer (false) before. Requests that may run once only were never handed over a second time and are not concerned.

--- a/internal/peer/handover/sender.go
+++ b/internal/peer/handover/sender.go
@@ -85,9 +85,12 @@
 		}
 		tried = append(tried, p)
 		a, outcome, err := s.try(ctx, p, h)
-		if outcome == peerchoice.Served {
+		if outcome == peerchoice.Served && mayHaveRun && a.Reason == forward.Overloaded {
 			// A refusal promises that the request has not run.
-			return a, !mayHaveRun || a.Reason != forward.Overloaded
+			break
+		}
+		if outcome == peerchoice.Served {
+			return a, true
 		}
 		if outcome == peerchoice.Failed && !errors.Is(err, rpc.ErrUnreachable) {
 			mayHaveRun = true
--- a/internal/peer/handover/sender_test.go
+++ b/internal/peer/handover/sender_test.go
@@ -171,6 +171,26 @@
 	}
 }
 
+// TestRefusalAfterLostAnswer: after one VM's answer was lost, the refusal of the next one
+// ended as this VM's own, which says that the request has not run.
+func TestRefusalAfterLostAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		asked := 0
+		do := func(_ context.Context, _ forward.Request, hangUp func()) forward.Answer {
+			if asked++; asked == 1 {
+				hangUp()
+			}
+			return forward.Answer{Status: http.StatusServiceUnavailable, Reason: forward.Overloaded}
+		}
+		s, h := newTier(&vm{version: 3, do: do}, &vm{version: 3, do: do}), request()
+		h.Repeatable = true
+		if a, ok := s.HandOver(t.Context(), h); !ok || a.Status != http.StatusBadGateway || asked != 2 {
+			t.Errorf("%+v, %t after %d VMs were asked", a, ok, asked)
+		}
+		time.Sleep(time.Second)
+	})
+}
+
 // TestClientLeavesOrDeadlinePasses checks that the other VM is told to stop, and that no
 // answer says that the request has not run.
 func TestClientLeavesOrDeadlinePasses(t *testing.T) {
