--- a/internal/query/forward/limit_test.go
+++ b/internal/query/forward/limit_test.go
@@ -1,8 +1,3 @@
-//go:build !race
-
-// The race detector itself crashes in long runs on a fake clock (KNOWN-RED.txt).
-// TestPlainRequestsAtLimit runs the same code with it.
-
 package forward
 
 import (
