Find silent connections while a query can still be repeated

TestScripts/fail_silent stood in KNOWN-RED.txt with a "timeout" of some ranges after all open connections had gone silent; not traced.

Cause: a call counted as silent after 40 times the usual service time, at most 2 s, whatever the deadline of its query. On busy processors a service time of 50 ms is usual, so of a deadline of 3 s less than one was left for the probe, the new connections and the repeats of all queries at once. Steps of the failed queries (written for the purpose): calls at 0.3 s, hedges over connections that are silent too, the first answer at 2.2 s, "shed" and "timeout" from 2.9 s.

Now a call also counts as late after a quarter of the time up to its deadline, but not before ten times the usual service time, and calls are checked each 100 ms at the latest. A late call is still aborted only if a later one, or a probe, was answered.

Ruled out: the budget (41 of its reserve were left), the ejection of searchers (one event in all logs).

--- a/internal/back/pool/maintain.go
+++ b/internal/back/pool/maintain.go
@@ -17,7 +17,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	busy := len(p.inUse)+len(p.waiting) > 0
-	if p.closed || now.Before(p.nextRun) && (!busy || now.Before(p.lastSilenceCheck.Add(SilenceTimeout(p.typicalService)/2))) {
+	if p.closed || now.Before(p.nextRun) && (!busy || now.Before(p.lastSilenceCheck.Add(checkInterval(p.typicalService)))) {
 		return
 	}
 	p.sweep(now)
@@ -59,16 +59,15 @@
 // call is late. p.mu must be held.
 func (p *Pool) closeSilent(now time.Time) {
 	var oldest *link.Link
-	for l, start := range p.inUse {
+	for l, u := range p.inUse {
 		if _, calling := l.CallStartedAt(); !calling {
 			continue
 		}
-		e := CallTiming{Elapsed: now.Sub(start), TypicalService: p.typicalService, Overtaken: p.progressAt.After(start)}
-		switch Classify(e) {
+		switch Classify(p.timing(u, now)) {
 		case Silent:
-			p.abortSilent(l, start)
+			p.abortSilent(l, u.since)
 		case Late:
-			if oldest == nil || start.Before(p.inUse[oldest]) {
+			if oldest == nil || u.since.Before(p.inUse[oldest].since) {
 				oldest = l
 			}
 		}
@@ -78,6 +77,12 @@
 	}
 }
 
+// timing returns the times by which the call of a use is classified. p.mu must be
+// held.
+func (p *Pool) timing(u use, now time.Time) CallTiming {
+	return CallTiming{Elapsed: now.Sub(u.since), Allowed: u.allowed, TypicalService: p.typicalService, Overtaken: p.progressAt.After(u.since)}
+}
+
 // abortSilent aborts the call on a silent connection and closes the idle links
 // last used before start, since the same fault may affect them. p.mu must be
 // held.
@@ -99,10 +104,11 @@
 // recordCall records a completed call on l, and its duration if timed. p.mu must
 // be held.
 func (p *Pool) recordCall(l *link.Link, timed bool) {
-	start, ok := p.inUse[l]
+	u, ok := p.inUse[l]
 	if !ok || !l.Reusable() || l.Calls() == 0 {
 		return
 	}
+	start := u.since
 	if start.After(p.progressAt) {
 		p.progressAt = start
 	}
@@ -124,7 +130,7 @@
 // once its call has taken twice the silence timeout. p.mu must be held.
 func (p *Pool) startProbe(late *link.Link, now time.Time) {
 	if p.open() >= p.c.Max && !p.closeOldestIdle() {
-		if now.Sub(p.inUse[late]) < 2*SilenceTimeout(p.typicalService) {
+		if t := p.timing(p.inUse[late], now); t.Elapsed < 2*t.SilenceTimeout() {
 			return
 		}
 		p.stats.Silent++
@@ -197,8 +203,8 @@
 	if p.progressAt.After(start) {
 		return
 	}
-	for l, since := range p.inUse {
-		if since.Before(start) {
+	for l, u := range p.inUse {
+		if u.since.Before(start) {
 			p.abortSilent(l, start)
 		}
 	}
--- a/internal/back/pool/pool.go
+++ b/internal/back/pool/pool.go
@@ -47,16 +47,15 @@
 
 // Pool holds the links of one searcher.
 type Pool struct {
-	ctx  context.Context
-	stop context.CancelFunc
-	wg   sync.WaitGroup
-	mu   sync.Mutex
-	c    Config
-	idle []*link.Link
-	// inUse maps the links in use to the time when they were taken.
-	inUse        map[*link.Link]time.Time
+	ctx          context.Context
+	stop         context.CancelFunc
+	wg           sync.WaitGroup
+	mu           sync.Mutex
+	c            Config
+	idle         []*link.Link
+	inUse        map[*link.Link]use
 	dialing      int
-	waiting      []chan waitResult
+	waiting      []waiter
 	backoff      backoff
 	estimatedMax int
 	// dialFailing is true from a failed dial without open links to the next
@@ -75,6 +74,31 @@
 	stats            Stats
 }
 
+// use describes the use of a link by one call.
+type use struct {
+	// since is the time when the link was taken.
+	since time.Time
+	// allowed is the time from then to the deadline of the call, or 0.
+	allowed time.Duration
+}
+
+// newUse returns the use of a link that is taken now by a call with the given
+// deadline, zero if it has none.
+func newUse(deadline time.Time) use {
+	u := use{since: time.Now()}
+	if !deadline.IsZero() {
+		u.allowed = max(deadline.Sub(u.since), 1)
+	}
+	return u
+}
+
+// waiter is a caller that waits for a link.
+type waiter struct {
+	result chan waitResult
+	// deadline is that of the caller's call, zero if it has none.
+	deadline time.Time
+}
+
 // waitResult is the result that a waiting caller receives.
 type waitResult struct {
 	l   *link.Link
@@ -100,7 +124,7 @@
 func New(c Config) *Pool {
 	c.Max = max(c.Max, 1)
 	c.Warm = max(c.Warm, 1)
-	p := &Pool{c: c, estimatedMax: c.Max, inUse: map[*link.Link]time.Time{}}
+	p := &Pool{c: c, estimatedMax: c.Max, inUse: map[*link.Link]use{}}
 	p.ctx, p.stop = context.WithCancel(context.Background())
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -116,12 +140,13 @@
 // Get returns a link for one call, to be given back with Put, PutUntimed or
 // PutRefused. It waits while all links are in use.
 func (p *Pool) Get(ctx context.Context) (*link.Link, error) {
+	deadline, _ := ctx.Deadline()
 	p.mu.Lock()
 	if p.closed {
 		p.mu.Unlock()
 		return nil, ErrClosed
 	}
-	if l := p.popIdle(); l != nil {
+	if l := p.popIdle(deadline); l != nil {
 		p.mu.Unlock()
 		return l, nil
 	}
@@ -129,15 +154,15 @@
 		p.mu.Unlock()
 		return nil, ErrRefused
 	}
-	w := make(chan waitResult, 1)
+	w := waiter{result: make(chan waitResult, 1), deadline: deadline}
 	p.waiting = append(p.waiting, w)
 	p.dialMissing()
 	p.mu.Unlock()
 	select {
-	case g := <-w:
+	case g := <-w.result:
 		return g.l, g.err
 	case <-ctx.Done():
-		p.cancelWait(w)
+		p.cancelWait(w.result)
 		return nil, ctx.Err()
 	}
 }
@@ -241,14 +266,14 @@
 }
 
 // popIdle returns the most recently used idle link, so that surplus links stay
-// idle, or nil if none is idle. Links that the searcher closed are dropped. p.mu
-// must be held.
-func (p *Pool) popIdle() *link.Link {
+// idle, for a call with the given deadline, or nil if none is idle. Links that the
+// searcher closed are dropped. p.mu must be held.
+func (p *Pool) popIdle(deadline time.Time) *link.Link {
 	for len(p.idle) > 0 {
 		l := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
 		if l.Alive() {
-			p.inUse[l] = time.Now()
+			p.inUse[l] = newUse(deadline)
 			return l
 		}
 		p.dropDead(l)
@@ -274,15 +299,15 @@
 	}
 	w := p.waiting[0]
 	p.waiting = slices.Delete(p.waiting, 0, 1)
-	p.inUse[l] = time.Now()
-	w <- waitResult{l: l}
+	p.inUse[l] = newUse(w.deadline)
+	w.result <- waitResult{l: l}
 }
 
 // cancelWait cancels the wait of a caller. A link that was already handed to the
 // caller is given back.
 func (p *Pool) cancelWait(w chan waitResult) {
 	p.mu.Lock()
-	if i := slices.Index(p.waiting, w); i >= 0 {
+	if i := slices.IndexFunc(p.waiting, func(o waiter) bool { return o.result == w }); i >= 0 {
 		p.waiting = slices.Delete(p.waiting, i, i+1)
 		p.mu.Unlock()
 		return
@@ -296,7 +321,7 @@
 // failWaiting returns err to all waiting callers. p.mu must be held.
 func (p *Pool) failWaiting(err error) {
 	for _, w := range p.waiting {
-		w <- waitResult{err: err}
+		w.result <- waitResult{err: err}
 	}
 	p.waiting = nil
 }
