Heed an answer to another request that says its searcher is leaving

The rule counts every answer that was read. An answer whose ID is not that of the request, a late second copy for instance, was dropped with all that its header says, so the searcher went on getting requests until an answer of its own.

TestLeavingSearcherIsUsed has the two cases: two requests each arrived after such an answer before, none now. A time that such an answer names is still left out: it is told to the request that was rejected.

--- a/internal/query/forward/statement_test.go
+++ b/internal/query/forward/statement_test.go
@@ -127,12 +127,16 @@
 // TestLeavingSearcherIsUsed: a searcher that had said in an answer that it is leaving got
 // further requests, also by hedges and retries, while the store listed it.
 func TestLeavingSearcherIsUsed(t *testing.T) {
-	for name, delay := range map[string]time.Duration{"answers in time": 10 * time.Millisecond, "loses against a hedge": 300 * time.Millisecond} {
+	for name, answer := range map[string]fakeAnswer{
+		"answers in time":         {delay: 10 * time.Millisecond},
+		"loses against a hedge":   {delay: 300 * time.Millisecond},
+		"answers another request": {delay: 10 * time.Millisecond, id: "other"},
+		"answers without an ID":   {delay: 10 * time.Millisecond, noID: true},
+	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				s := &fakeSearcher{id: "s-1", answer: func(int, *http.Request) fakeAnswer {
-					return fakeAnswer{delay: delay, status: http.StatusOK, body: "good", leaving: true}
-				}}
+				answer.status, answer.body, answer.leaving = http.StatusOK, "good", true
+				s := &fakeSearcher{id: "s-1", answer: func(int, *http.Request) fakeAnswer { return answer }}
 				other := &fakeSearcher{id: "s-2", answer: answerAfter(20*time.Millisecond, "good")}
 				fx := newFixture(t, []routing.Route{plainRoute(routing.Idempotent)}, map[string][]*fakeSearcher{"s": {s, other}})
 				synctest.Wait()
--- a/internal/query/forward/subrequest.go
+++ b/internal/query/forward/subrequest.go
@@ -217,9 +217,17 @@
 	return append(b, x.req.Body...)
 }
 
-// matches reports whether an answer's header carries the ID of this request.
+// matches reports whether an answer's header carries the ID of this request. An answer
+// to another one is dropped, but also tells whether the searcher is leaving.
 func (f *attempt) matches(h http.Header) bool {
-	return f.subrequest.dispatch.engine.c.Dialect.AttemptID(h) == f.subrequest.dispatch.req.ID
+	x := f.subrequest.dispatch
+	if x.engine.c.Dialect.AttemptID(h) == x.req.ID {
+		return true
+	}
+	if x.engine.c.Dialect.ParseReply(http.StatusOK, h).Leaving {
+		f.searcher.RecordLeaving()
+	}
+	return false
 }
 
 // onDone passes the result to the request's goroutine. It runs on the
