Decide late on a restart that the budget does not cover

Cause: when a version is gone from all replicas of a shard, the query restarts on a newer one and pays for each call with an answer or in flight. Shortly after the start of a process the budget does not cover that, and the query was given up with nearly all of its deadline left. Steps of a failed query: one shard answered, refusals of four others in flight that cost nothing, 4 tokens left, 5 asked for.

The decision now waits for the calls in flight, which are mostly refused as well, and then, with backoff up to the deadline, for other queries to earn tokens. What is paid for and the bound on extra load stay.

Ruled out: the searchers' steps (every version was complete on a replica set when asked), the trial call (decided at once, as before).

TestRestartCostsOnlyAnswers and TestRestartWaitsForBudget fail on the code before, TestUnaffordableRestart checks the end.

--- a/internal/query/scatter/engine_test.go
+++ b/internal/query/scatter/engine_test.go
@@ -265,3 +265,71 @@
 		})
 	})
 }
+
+// TestRestartCostsOnlyAnswers: the version goes while a query calls all shards, and
+// the first refusal arrives while the other calls are in flight. They are refused
+// too and have cost nothing, but the query was given up as they counted as calls to
+// repeat, which a new process has no budget for.
+func TestRestartCostsOnlyAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newIndex(40, 2, func(shard, _ int, q searcher.Query) behaviour {
+			if shard > 0 && q.Version == 1 {
+				return behaviour{delay: time.Duration(shard) * ms, outcome: outcome.NotRun(outcome.VersionGone)}
+			}
+			return ok(ms)
+		})
+		e := engine(t, x, DefaultPolicy(), nil, search.Definition{ExtraLoad: 0.02})
+		time.AfterFunc(100*ms, func() { x.publish(2) })
+		a := e.Ask(context.Background(), testQuery(false))
+		checkComplete(t, a, 40)
+		if a.Coverage.Version != 2 || a.Cost.Restarts != 1 || a.Cost.Retries > 4 {
+			t.Fatalf("version %d, cost %+v", a.Coverage.Version, a.Cost)
+		}
+	})
+}
+
+// TestUnaffordableRestart checks that a query which the budget does not let restart
+// tries again for less than its deadline. The call that a hedge made superfluous is not
+// waited for.
+func TestUnaffordableRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newIndex(40, 2, goneShard)
+		e := engine(t, x, DefaultPolicy(), nil, search.Definition{ExtraLoad: 0.02})
+		a := e.Ask(context.Background(), testQuery(false))
+		if a.Outcome.OK() || a.Cost.Hedges == 0 || a.Cost.Restarts != 0 || a.ElapsedMS > 700 {
+			t.Fatalf("outcome %v, cost %+v, %v ms", a.Outcome, a.Cost, a.ElapsedMS)
+		}
+	})
+}
+
+// TestRestartWaitsForBudget: the budget of a restart was spent, and the query was given
+// up though other queries earned tokens long before its deadline.
+func TestRestartWaitsForBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newIndex(40, 2, goneShard)
+		e := engine(t, x, DefaultPolicy(), nil, search.Definition{ExtraLoad: 0.5})
+		time.AfterFunc(310*ms, func() {
+			x.publish(2)
+			q := testQuery(false)
+			q.QueryID = "q2"
+			e.Ask(context.Background(), q)
+		})
+		a := e.Ask(context.Background(), testQuery(false))
+		checkComplete(t, a, 40)
+		if a.Coverage.Version != 2 || a.Cost.Restarts != 1 {
+			t.Fatalf("version %d, cost %+v", a.Coverage.Version, a.Cost)
+		}
+	})
+}
+
+// goneShard is the behaviour of an index whose version 1 is gone from shard 1. The
+// first call of shard 0 is slow.
+func goneShard(shard, _ int, q searcher.Query) behaviour {
+	switch {
+	case shard == 1 && q.Version == 1:
+		return behaviour{delay: 150 * ms, outcome: outcome.NotRun(outcome.VersionGone)}
+	case q.AttemptID == "q1.0.0.1":
+		return ok(900 * ms)
+	}
+	return ok(ms)
+}
--- a/internal/query/scatter/retry.go
+++ b/internal/query/scatter/retry.go
@@ -1,6 +1,7 @@
 package scatter
 
 import (
+	"slices"
 	"time"
 
 	"egrethaven/internal/query/outcome"
@@ -84,8 +85,7 @@
 		return
 	}
 	s.rounds++
-	backoff := max(minBackoff, r.hedgeDelay/4) << s.rounds
-	next := time.Now().Add(backoff)
+	next := time.Now().Add(r.backoff(s.rounds))
 	if s.rounds >= maxRounds || !next.Before(r.query.Deadline) {
 		r.giveUp(i, s.failureReason())
 		return
@@ -111,15 +111,74 @@
 	r.schedule(i, time.Now())
 }
 
-// versionGone restarts the query on a newer version if the budget covers the
-// calls that have to be repeated, and gives shard i up otherwise.
+// versionGone restarts the query on a newer version, or gives shard i up if that is
+// not possible.
 func (r *run) versionGone(i int) {
-	if r.isPart || r.restarts >= r.e.c.Policy.MaxRestarts || !r.search.budget.SpendReserve(r.startedShards()) {
+	if r.isPart || r.restarts >= r.e.c.Policy.MaxRestarts {
 		r.giveUp(i, outcome.VersionGone)
 		return
 	}
-	r.cost.Retries += r.startedShards()
+	r.gone = append(r.gone, i)
+	r.settleGone()
+}
+
+// settleGone restarts the query if the budget covers the calls that have to be
+// repeated. If it does not, the decision waits for the calls in flight, as those
+// whose version is gone too have cost nothing, and then for other queries to earn
+// tokens. The shards in r.gone are given up after that.
+func (r *run) settleGone() {
+	if len(r.gone) == 0 || r.restart || r.payRestart() || r.hasOpenCalls() || r.awaitBudget() {
+		return
+	}
+	for _, i := range r.gone {
+		r.giveUp(i, outcome.VersionGone)
+	}
+	r.gone = nil
+}
+
+// awaitBudget schedules another try to pay for a restart, with exponential backoff.
+// It returns false if the try would be after the deadline.
+func (r *run) awaitBudget() bool {
+	switch {
+	case !r.fannedOut:
+		return false
+	case r.restartDue:
+		return true
+	}
+	r.restartRounds++
+	next := time.Now().Add(r.backoff(r.restartRounds))
+	if !next.Before(r.query.Deadline) {
+		return false
+	}
+	r.restartDue = true
+	r.addTimer(timer{at: next, shard: noShard, restart: true})
+	return true
+}
+
+// backoff returns the wait before the given round, 1 for the first.
+func (r *run) backoff(round int) time.Duration { return max(minBackoff, r.hedgeDelay/4) << round }
+
+// payRestart marks the query for a restart if the budget covers the calls that
+// have to be repeated.
+func (r *run) payRestart() bool {
+	n := r.startedShards()
+	if !r.search.budget.SpendReserve(n) {
+		return false
+	}
+	r.cost.Retries += n
 	r.restart = true
+	return true
+}
+
+// hasOpenCalls reports whether the result of a call is still wanted. Canceled
+// calls of shards that are done do not count.
+func (r *run) hasOpenCalls() bool {
+	for i := range r.shards {
+		if s := &r.shards[i]; !s.done() && len(s.inFlight) > 0 {
+			return true
+		}
+	}
+	return slices.ContainsFunc(r.groups, func(g group) bool { return g.inFlight > 0 })
 }
 
 // startedShards returns the number of shards with an answer or a call in flight.
--- a/internal/query/scatter/run.go
+++ b/internal/query/scatter/run.go
@@ -54,6 +54,13 @@
 	gaveUp     bool
 	// restart is set when the version is gone and a newer one has to be used.
 	restart bool
+	// gone are the shards whose version is gone from all replicas, while a restart
+	// is not decided.
+	gone []int
+	// fannedOut is set when all shards are called, restartDue while a timer for
+	// another try to pay for a restart is set, and restartRounds counts the tries.
+	fannedOut, restartDue bool
+	restartRounds         int
 	// isPart is set when this node runs a part as a holder for a coordinator.
 	isPart   bool
 	partHits [][]ask.Hit
@@ -126,7 +133,8 @@
 	r.ctx = c
 	defer r.cancelCalls()
 	r.results = make(chan result, resultBuffer)
-	r.timers = r.timers[:0]
+	r.timers, r.gone = r.timers[:0], nil
+	r.fannedOut, r.restartDue = false, false
 	r.partHits = nil
 	r.groupShards()
 	if v != quarantine.Trusted && !r.e.c.Policy.DisableTrial && !r.trial(v) {
@@ -156,6 +164,7 @@
 			r.firstCall(i, now)
 		}
 	}
+	r.fannedOut = true
 	r.creditBudget()
 	r.delegate(now)
 }
@@ -200,8 +209,10 @@
 		select {
 		case res := <-r.results:
 			r.handleResult(res)
+			r.settleGone()
 		case res := <-r.parts:
 			r.handlePartResult(res)
+			r.settleGone()
 		case <-t.C:
 			r.runTimers(time.Now())
 		case <-r.ctx.Done():
--- a/internal/query/scatter/timer.go
+++ b/internal/query/scatter/timer.go
@@ -14,6 +14,8 @@
 	at    time.Time
 	shard int
 	retry bool
+	// restart is set for another try to pay for a restart of the query.
+	restart bool
 	// group is the index of the group to hedge, plus one, or 0.
 	group int
 }
@@ -33,6 +35,9 @@
 		switch {
 		case t.group > 0:
 			r.hedgeGroup(t.group-1, now)
+		case t.restart:
+			r.restartDue = false
+			r.settleGone()
 		case t.shard == noShard:
 		case t.retry:
 			r.startRound(t.shard)
