Leave half of what the first queries earn to retries

The second cause of TestScripts/fail_repartition: in a new process nothing reached the reserve before the bucket was full, and hedges on busy processors took every token from the bucket. A restart or retry then found none, and all queries of the node waited for each other.

Until the reserve holds as much as a full bucket, half of what is earned goes there. In the steady state the reserve is full and hedges get all, as before; what may be spent in all is unchanged (TestBound).

TestHedgesLeaveReserve: 0 of 24 earned tokens were left before.

--- a/internal/query/budget/budget.go
+++ b/internal/query/budget/budget.go
@@ -4,11 +4,12 @@
 // It is a token bucket with a reserve. Each primary call earns a fraction of a
 // token; each hedge, retry or repeated call after a restart spends a token. The
 // bucket is as large as the largest query; its overflow goes to the larger
-// reserve. Hedges and retries of shed calls spend from the bucket only, so that
-// they follow the current load. Calls that failed for another reason may also
-// spend from the reserve, so that answers stay complete when many calls fail at
-// once. Only primary calls add tokens. Over any period, extra calls are
-// therefore limited to the fraction of primary calls plus the saved tokens.
+// reserve. Until the reserve holds as much as a full bucket, half of what is earned
+// goes there at once. Hedges and retries of shed calls spend from the bucket only,
+// so that they follow the current load. Calls that failed for another reason may
+// also spend from the reserve, so that answers stay complete when many calls fail at
+// once. Only primary calls add tokens. Over any period, extra calls are therefore
+// limited to the fraction of primary calls plus the saved tokens.
 //
 // # Usage
 //
@@ -26,6 +27,9 @@
 	minBucketSize = 16
 	// reserveSize is the size of the reserve, in tokens.
 	reserveSize = 400
+	// reserveShare is the share of the earned tokens that goes to a reserve with
+	// less than the bucket's size, so that hedges leave something for retries.
+	reserveShare = 0.5
 )
 
 // Config describes a Budget.
@@ -58,7 +62,12 @@
 	b.m.Lock()
 	defer b.m.Unlock()
 	b.bucketSize = max(b.bucketSize, float64(n))
-	b.bucket += float64(n) * b.fraction
+	earned := float64(n) * b.fraction
+	if b.reserve < min(b.bucketSize, reserveSize) {
+		b.reserve += reserveShare * earned
+		earned -= reserveShare * earned
+	}
+	b.bucket += earned
 	if overflow := b.bucket - b.bucketSize; overflow > 0 {
 		b.bucket = b.bucketSize
 		b.reserve = min(b.reserve+overflow, reserveSize)
--- a/internal/query/budget/budget_test.go
+++ b/internal/query/budget/budget_test.go
@@ -54,3 +54,18 @@
 		t.Fatal("bucket and reserve can't be spent exactly once")
 	}
 }
+
+// TestHedgesLeaveReserve: hedges spent all that the first queries of a process earned,
+// and nothing was left to restart a query whose version went.
+func TestHedgesLeaveReserve(t *testing.T) {
+	b := New(Config{Fraction: 0.5})
+	for range 8 {
+		b.Earn(6)
+		for b.Spend(1) {
+		}
+	}
+	if !b.SpendReserve(12) {
+		_, reserve := b.Level()
+		t.Errorf("%v of 24 earned tokens are left to repeat calls, want half", reserve)
+	}
+}
