Restart a query whose version is gone from the replica that is left

Cause, found by reading: a query restarts on a newer version only if the last replica that it asked no longer holds its version. With one replica of two crashed and asked last, the reason was connection_refused: both were asked again on the old version, four times, and the shard was given up.

Now the query restarts if any replica of the shard no longer holds the version, the others failed, a newer one is complete and the budget covers it.

TestVersionGoneBesideCrash: "missing [... connection_refused]" before, complete now.

--- a/internal/query/scatter/call.go
+++ b/internal/query/scatter/call.go
@@ -139,6 +139,8 @@
 	case outcome.Shed:
 		s.shed = true
 		r.shedCalls++
+	case outcome.VersionGone:
+		s.missed = true
 	}
 	if len(s.inFlight) > 0 || r.ctx.Err() != nil {
 		return
--- a/internal/query/scatter/engine_test.go
+++ b/internal/query/scatter/engine_test.go
@@ -333,3 +333,28 @@
 	}
 	return ok(ms)
 }
+
+// TestVersionGoneBesideCrash: one replica of a shard has crashed and the other one holds
+// only the newer version. The query asked both again on the old version until it gave
+// the shard up, if the crashed one was asked last.
+func TestVersionGoneBesideCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newIndex(4, 2, func(shard, replica int, q searcher.Query) behaviour {
+			switch {
+			case shard == 1 && replica == 1:
+				return behaviour{delay: ms, outcome: outcome.NotRun(outcome.ConnectionRefused)}
+			case shard == 1 && q.Version == 1:
+				return behaviour{delay: ms, outcome: outcome.NotRun(outcome.VersionGone)}
+			}
+			return ok(ms)
+		})
+		x.shards[1].Replicas[1].(*fakeReplica).domain = "other"
+		e := engine(t, x, DefaultPolicy(), nil, search.Definition{ExtraLoad: 0.5})
+		time.AfterFunc(ms, func() { x.publish(2) })
+		a := e.Ask(context.Background(), testQuery(false))
+		checkComplete(t, a, 4)
+		if a.Coverage.Version != 2 || a.Cost.Restarts != 1 {
+			t.Fatalf("version %d, cost %+v", a.Coverage.Version, a.Cost)
+		}
+	})
+}
--- a/internal/query/scatter/pin.go
+++ b/internal/query/scatter/pin.go
@@ -59,3 +59,9 @@
 	r.restart = false
 	return true
 }
+
+// hasNewerVersion reports whether a complete version is newer than that of the query.
+func (r *run) hasNewerVersion() bool {
+	vs := r.e.c.Source.Index(r.def.Service).Versions()
+	return len(vs) > 0 && vs[0] > r.version
+}
--- a/internal/query/scatter/retry.go
+++ b/internal/query/scatter/retry.go
@@ -77,13 +77,17 @@
 
 // scheduleRound schedules another round over the replicas of shard i, with
 // exponential backoff. It gives the shard up after maxRounds or if the round
-// would begin after the deadline.
+// would begin after the deadline. If the version is gone from a replica and the
+// others failed, the query restarts on a newer version.
 func (r *run) scheduleRound(i int) {
 	s := &r.shards[i]
 	if s.lastReason == outcome.VersionGone {
 		r.versionGone(i)
 		return
 	}
+	if s.missed && r.mayRestart() && r.hasNewerVersion() && r.payRestart() {
+		return
+	}
 	s.rounds++
 	next := time.Now().Add(r.backoff(s.rounds))
 	if s.rounds >= maxRounds || !next.Before(r.query.Deadline) {
@@ -114,7 +118,7 @@
 // versionGone restarts the query on a newer version, or gives shard i up if that is
 // not possible.
 func (r *run) versionGone(i int) {
-	if r.isPart || r.restarts >= r.e.c.Policy.MaxRestarts {
+	if !r.mayRestart() {
 		r.giveUp(i, outcome.VersionGone)
 		return
 	}
@@ -122,6 +126,9 @@
 	r.settleGone()
 }
 
+// mayRestart reports whether the query may restart once more.
+func (r *run) mayRestart() bool { return !r.isPart && r.restarts < r.e.c.Policy.MaxRestarts }
+
 // settleGone restarts the query if the budget covers the calls that have to be
 // repeated. If it does not, the decision waits for the calls in flight, as those
 // whose version is gone too have cost nothing, and then for other queries to earn
--- a/internal/query/scatter/shard.go
+++ b/internal/query/scatter/shard.go
@@ -27,7 +27,9 @@
 	rounds   int
 	inFlight []inFlightCall
 	// shed is set when a searcher shed a call in this round; it stops hedges.
-	shed        bool
+	shed bool
+	// missed is set when a replica did not hold the version.
+	missed      bool
 	lostCalls   int
 	firstLostOn Replica
 	// lastReason is the reason of the last failed call.
