Bound a probe by the deadline of the call that is late

A probe of a link opened after a failure has the bound of before.

TestFrozenSearcherIsFoundInTime checks the sum, and the bounds of before.

--- a/internal/back/pool/dial.go
+++ b/internal/back/pool/dial.go
@@ -62,8 +62,9 @@
 	l, err := link.Dial(p.ctx, p.c.Link)
 	p.mu.Lock()
 	needsProbe := err == nil && p.backoff.failing() && p.c.Probe != nil
+	timeout := CallTiming{TypicalService: p.typicalService}.ProbeTimeout()
 	p.mu.Unlock()
-	if needsProbe && !p.probeSearcher(l) {
+	if needsProbe && !p.probeSearcher(l, timeout) {
 		err = ErrRefused
 	}
 	p.mu.Lock()
@@ -80,16 +81,8 @@
 	}
 }
 
-// probeSearcher returns true if a probe over a new link succeeds. With a known
-// typical service time the timeout is short, because queries wait for the probe
-// as well.
-func (p *Pool) probeSearcher(l *link.Link) bool {
-	p.mu.Lock()
-	timeout := maxSilenceTimeout
-	if p.typicalService > 0 {
-		timeout = max(SilenceTimeout(p.typicalService), minProbeTimeout)
-	}
-	p.mu.Unlock()
+// probeSearcher returns true if a probe over a new link succeeds.
+func (p *Pool) probeSearcher(l *link.Link, timeout time.Duration) bool {
 	ctx, cancel := context.WithTimeout(p.ctx, timeout)
 	defer cancel()
 	return p.c.Probe(ctx, l)
--- a/internal/back/pool/maintain.go
+++ b/internal/back/pool/maintain.go
@@ -139,7 +139,8 @@
 	}
 	p.probing = true
 	p.dialing++
-	p.wg.Go(p.runProbe)
+	timeout := p.timing(p.inUse[late], now).ProbeTimeout()
+	p.wg.Go(func() { p.runProbe(timeout) })
 }
 
 // closeOldestIdle closes the link that has been idle longest. It returns false
@@ -155,10 +156,10 @@
 
 // runProbe opens a link and probes the searcher over it. If that fails, all
 // connections without progress since the start of the probe are closed.
-func (p *Pool) runProbe() {
+func (p *Pool) runProbe(timeout time.Duration) {
 	start := time.Now()
 	l, err := link.Dial(p.ctx, p.c.Link)
-	alive := err == nil && p.probeSearcher(l)
+	alive := err == nil && p.probeSearcher(l, timeout)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.probing = false
--- a/internal/back/pool/silence.go
+++ b/internal/back/pool/silence.go
@@ -70,6 +70,12 @@
 	return min(d, max(inTime, minSilenceFactor*e.TypicalService, minSilenceTimeout))
 }
 
+// ProbeTimeout returns how long a probe may take that is started as the call is late.
+// Queries wait for it as well.
+func (e CallTiming) ProbeTimeout() time.Duration {
+	return max(e.SilenceTimeout(), minProbeTimeout)
+}
+
 // SilenceTimeout returns how long a call without a deadline may take before it
 // counts as late, given the searcher's typical service time. If that is 0
 // (unknown), it returns the longest timeout.
--- a/internal/back/pool/silence_test.go
+++ b/internal/back/pool/silence_test.go
@@ -52,3 +52,21 @@
 		}
 	})
 }
+
+// TestFrozenSearcherIsFoundInTime: a searcher that accepts connections but answers
+// nothing is found by a probe that fails, which could last until the deadline of the
+// calls that wait for it. A call that is late, and a probe after it, take half of the
+// time allowed.
+func TestFrozenSearcherIsFoundInTime(t *testing.T) {
+	e := CallTiming{Allowed: 3 * time.Second, TypicalService: 60 * time.Millisecond}
+	if d := e.SilenceTimeout() + e.ProbeTimeout(); d > e.Allowed/2 {
+		t.Errorf("found after %s of %s", d, e.Allowed)
+	}
+	for _, c := range []struct{ typical, want time.Duration }{
+		{0, maxSilenceTimeout}, {time.Millisecond, minProbeTimeout}, {10 * time.Millisecond, 400 * time.Millisecond}, {time.Second, maxSilenceTimeout},
+	} {
+		if got := (CallTiming{TypicalService: c.typical}).ProbeTimeout(); got != c.want {
+			t.Errorf("probe of a new link with a service time of %s: %s, want %s", c.typical, got, c.want)
+		}
+	}
+}
