Treat a malformed reply of another VM as a lost answer

Found by reading, for "one message taking a process down": a VM passed the status of a handed-over request's reply to net/http, which panics below 100 and above 999, and took a reply of an unknown kind for a promise that the request has not run, so that it could have been sent twice. Neither is sent by a VM of ours today.

Such a reply is a failed try now: the request may have run. TestMalformedReply, 4 of 4 cases failed before.

--- a/internal/peer/handover/sender.go
+++ b/internal/peer/handover/sender.go
@@ -33,6 +33,8 @@
 	// returnMargin is the time for the answer's way back, by which another VM has to
 	// answer earlier.
 	returnMargin = 5 * time.Millisecond
+	// net/http panics when it is to send a status outside of minStatus to maxStatus.
+	minStatus, maxStatus = 100, 999
 )
 
 // Dialer opens connections to other VMs. *rpc.Dialer implements it.
@@ -147,7 +149,24 @@
 	}
 	defer func() { _ = c.Close() }()
 	out, err := handoverrpc.NewDRPCHandoverClient(c).Answer(ctx, encode(time.Now(), h))
-	return out, errors.Trace(err)
+	if err != nil {
+		return out, errors.Trace(err)
+	}
+	return out, errors.Trace(check(out))
+}
+
+// check returns an error if a reply is none that a VM sends. Such a VM may have run the
+// request, whatever else the reply says.
+func check(out *handoverrpc.AnswerReply) error {
+	switch o, status := out.GetOutcome(), out.GetStatus(); {
+	case o == handoverrpc.AnswerReply_DECLINED:
+		return nil
+	case o != handoverrpc.AnswerReply_ANSWERED:
+		return errors.Errorf("a reply with the unknown outcome %d", o)
+	case status < minStatus || status > maxStatus:
+		return errors.Errorf("an answer with the status %d", status)
+	}
+	return nil
 }
 
 // encode converts a request to a message.
--- a/internal/peer/handover/sender_test.go
+++ b/internal/peer/handover/sender_test.go
@@ -34,7 +34,9 @@
 	// unreachable VMs accept no connection.
 	unreachable bool
 	server      *takeover.Server
-	requests    atomic.Int64
+	// reply, if not nil, is sent instead of the server's.
+	reply    *handoverrpc.AnswerReply
+	requests atomic.Int64
 	// conn is the VM's end of the last connection.
 	conn atomic.Pointer[net.Conn]
 }
@@ -66,16 +68,26 @@
 	if v.unreachable {
 		return nil, errors.WithType(errors.New("refused"), rpc.ErrUnreachable)
 	}
-	client, server := net.Pipe()
-	v.conn.Store(&server)
+	client, conn := net.Pipe()
+	v.conn.Store(&conn)
 	m := drpcmux.New()
-	if err := handoverrpc.DRPCRegisterHandover(m, v.server); err != nil {
+	var server handoverrpc.DRPCHandoverServer = v.server
+	if v.reply != nil {
+		server = v
+	}
+	if err := handoverrpc.DRPCRegisterHandover(m, server); err != nil {
 		return nil, err
 	}
-	go func() { _ = drpcserver.New(m).ServeOne(ctx, server) }()
+	go func() { _ = drpcserver.New(m).ServeOne(ctx, conn) }()
 	return drpcconn.New(client), nil
 }
 
+// Answer sends the VM's reply.
+func (v *vm) Answer(context.Context, *handoverrpc.AnswerRequest) (*handoverrpc.AnswerReply, error) {
+	v.requests.Add(1)
+	return v.reply, nil
+}
+
 // answer answers a request with its own body.
 func answer(_ context.Context, q forward.Request, _ func()) forward.Answer {
 	return forward.Answer{Status: http.StatusOK, Body: append([]byte(q.ID+" "), q.Body...), Header: http.Header{"Stamp": {"s"}}}
@@ -246,3 +258,30 @@
 		}
 	})
 }
+
+// TestMalformedReply: a status that net/http cannot send reached the client's handler, where
+// it panics, and a reply of an unknown kind passed for a promise that the request has not
+// run.
+func TestMalformedReply(t *testing.T) {
+	for name, reply := range map[string]*handoverrpc.AnswerReply{
+		"no status":       {},
+		"negative status": {Status: -200},
+		"great status":    {Status: 1 << 40},
+		"unknown outcome": {Outcome: 7, Status: http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				malformed, next := &vm{reply: reply}, &vm{version: 3, do: answer}
+				h := request()
+				a, ok := newTier(malformed, next).HandOver(t.Context(), h)
+				if !ok || a.Status != http.StatusBadGateway || a.Reason != forward.AnswerLost || next.requests.Load() != 0 {
+					t.Errorf("status %d, reason %s, %v; the next VM got %d requests", a.Status, a.Reason, ok, next.requests.Load())
+				}
+				h.Repeatable = true
+				if a, ok := newTier(&vm{reply: reply}, &vm{version: 3, do: answer}).HandOver(t.Context(), h); !ok || a.Status != http.StatusOK {
+					t.Errorf("repeatable: status %d, %v", a.Status, ok)
+				}
+			})
+		})
+	}
+}
