Handle SIGHUP from the start of a gateway's process on

SIGHUP ends a process that does not handle it, and the handler was installed after the packages had been initialized and the settings read.

Ruled out: its port taken by another process (connections were refused), the settings (the same as before), the stop before (node_stopped, code 0).

Other commands restore the default.

--- a/internal/cli/command/cmd_gateway.go
+++ b/internal/cli/command/cmd_gateway.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
@@ -11,6 +10,7 @@
 
 	"github.com/spf13/cobra"
 
+	"egrethaven/internal/infra/hangup"
 	"egrethaven/internal/node/gateway"
 	"egrethaven/internal/state/gatewaysettings"
 	"egrethaven/platform/boot"
@@ -23,8 +23,11 @@
 // Go runtime's soft memory limit. Stacks and kernel buffers need the rest.
 const memoryLimitRatio = 0.6
 
+// gatewayCommand is the name of the command that handles SIGHUP.
+const gatewayCommand = "gateway"
+
 var cmdGateway = command{
-	use:     "gateway [-c FILE]",
+	use:     gatewayCommand + " [-c FILE]",
 	help:    "Run one entry VM on the users' platform; SIGTERM begins a graceful shutdown",
 	example: "  egrethaven gateway -c gateway.ini",
 	setup: func(c *cobra.Command) action {
@@ -54,9 +57,6 @@
 	debug.SetMemoryLimit(int64(memoryLimitRatio * float64(v.MemoryMB) * (1 << 20)))
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	st := store.New(store.Config{Addr: v.StoreAddr})
 	defer st.Close()
 	g, err := gateway.New(gateway.Config{
@@ -69,7 +69,7 @@
 	}
 	if file != "-" {
 		w := gatewaysettings.NewWatcher(gatewaysettings.WatcherConfig{
-			File: file, CurrentContent: b, Signal: hup, OnChange: g.Reload, OnInvalid: g.RefuseReload,
+			File: file, CurrentContent: b, Signal: hangup.C(), OnChange: g.Reload, OnInvalid: g.RefuseReload,
 		})
 		var wg sync.WaitGroup
 		wg.Go(func() { w.Run(ctx) })
--- a/internal/cli/command/main.go
+++ b/internal/cli/command/main.go
@@ -11,6 +11,7 @@
 	"github.com/spf13/cobra"
 
 	"egrethaven/internal/cli/adminclient"
+	"egrethaven/internal/infra/hangup"
 )
 
 // Environment variables read by the program.
@@ -44,6 +45,9 @@
 // Main runs the program with args and returns its exit code.
 func Main(args []string, in io.Reader, out, errOut io.Writer) int {
 	s := &session{in: in, out: out, errOut: errOut}
+	if len(args) == 0 || args[0] != gatewayCommand {
+		hangup.Restore()
+	}
 	r := newRootCommand(s)
 	r.SetArgs(args)
 	r.SetIn(in)
