--- a/review/_harness/latebeat.go
+++ b/review/_harness/latebeat.go
@@ -21,9 +21,9 @@
 		beat         = 1200 * time.Millisecond
 		lostAt       = 6400 * time.Millisecond
 		late         = 6 * time.Second
-		leavesAt     = 10800 * time.Millisecond
+		leavesAt     = 10500 * time.Millisecond
 		drainTime    = 3 * time.Second
-		exitsAt      = 17 * time.Second
+		exitsAt      = 14050 * time.Millisecond // drain_ms and a little longer after leavesAt
 		end          = 20 * time.Second
 		batchEvery   = 5 * time.Second
 		firstBatchAt = 4 * time.Second
@@ -51,6 +51,7 @@
 	leaver := workers[0]
 	var mu sync.Mutex
 	sentAt := map[string]time.Time{}
+	status := map[string]int{}
 	var wg sync.WaitGroup
 	at := func(d time.Duration, f func()) {
 		wg.Go(func() {
@@ -103,19 +104,25 @@
 					rec.addf("client sends %s to gateway %d", id, n)
 					a := send(&http.Client{}, g.clientAddr, id, http.MethodPost, "/one/x", "work "+id, timeout)
 					rec.addf("client got for %s: status %d, stamp %q, error %v", id, a.status, a.stamp, a.err)
+					mu.Lock()
+					defer mu.Unlock()
+					status[id] = a.status
 				})
 			}
 		}
 	}
 	wg.Wait()
-	broken := 0
+	broken, lost := 0, 0
 	for _, r := range leaver.runsSince(removedAt) {
 		if late := sentAt[r.attempt].Sub(removedAt); late > drainTime {
 			broken++
-			rec.addf("DRAIN: %s was sent %s after the acknowledgement and has reached %s", r.attempt, late.Round(time.Millisecond), leaver.id)
+			rec.addf("DRAIN: %s was sent %s after the acknowledgement and has reached %s; its client got status %d", r.attempt, late.Round(time.Millisecond), leaver.id, status[r.attempt])
+			if status[r.attempt] != http.StatusOK {
+				lost++
+			}
 		}
 	}
-	verdict := fmt.Sprintf("%d requests, %d reached the searcher more than %s after its entry was removed", len(sentAt), broken, drainTime)
+	verdict := fmt.Sprintf("%d requests, %d reached the searcher more than %s after its entry was removed, %d of them were lost as it exited", len(sentAt), broken, drainTime, lost)
 	rec.addf("%s", verdict)
 	fmt.Println(verdict)
 	return broken > 0
