--- a/review/_harness/deployment.go
+++ b/review/_harness/deployment.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -240,6 +241,6 @@
 		return reply{elapsed: time.Since(began), err: err}
 	}
 	defer r.Body.Close()
-	b, err := readAll(r)
+	b, err := io.ReadAll(r.Body)
 	return reply{status: r.StatusCode, stamp: r.Header.Get(dialect.ServerStamp), body: b, elapsed: time.Since(began), err: err}
 }
--- a/review/_harness/main.go
+++ b/review/_harness/main.go
@@ -22,16 +22,13 @@
 const maxTime = 118 * time.Second
 
 var cases = map[string]func(rec *record, dir string, trouble bool) (broken bool){
-	"failed-run":    failedRun,
-	"broken-extra":  brokenExtra,
-	"late-beat":     lateBeat,
-	"dark-searcher": darkSearcher,
+	"failed-run":   failedRun,
+	"broken-extra": brokenExtra,
+	"late-beat":    lateBeat,
+	"early-reject": earlyReject,
 }
 
 func main() {
-	if len(os.Args) == 5 && os.Args[1] == "searcher" {
-		runSearcher(os.Args[2], os.Args[3], os.Args[4])
-	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: harness CASE RECORD-FILE")
 		os.Exit(2)
