--- a/review/_harness/brokenextra.go
+++ b/review/_harness/brokenextra.go
@@ -33,19 +33,12 @@
 	defer st.Close()
 	putConfig(st, timeout, sheetBodyBytes)
 	var searchers []*rawSearcher
-	for i := range 8 {
-		s := newRawSearcher(workerName(i), fmt.Sprintf("zone%d", i%3), 20*time.Millisecond, rec)
+	for i := range searcherCount {
+		s := newRawSearcher(workerName(i), zoneName(i), 20*time.Millisecond, rec)
 		putSearcher(st, s.id, s.addr(), s.zone, 1, time.Now().UnixMilli())
 		searchers = append(searchers, s)
 	}
-	var gateways []*gateway
-	for i := range 3 {
-		gateways = append(gateways, startGateway(i, st.Addr(), dir))
-	}
-	for _, g := range gateways {
-		g.awaitReady()
-	}
-	time.Sleep(3 * time.Second)
+	gateways := startGateways(st, dir)
 
 	var sent, served, mixed atomic.Int64
 	stop := make(chan struct{})
--- a/review/_harness/deployment.go
+++ b/review/_harness/deployment.go
@@ -21,6 +21,10 @@
 
 const (
 	host = "search.example"
+	// searcherCount searchers and gatewayCount gateways are in zoneCount zones.
+	searcherCount, gatewayCount, zoneCount = 8, 3, 3
+	// settleTime is how long gateways take to learn how many they are, and to connect.
+	settleTime = 3 * time.Second
 	// gatewayProgram is built by the command of deploy/system.toml.
 	gatewayProgram = "target/egrethaven"
 )
@@ -126,8 +130,8 @@
 func startGateway(i int, storeAddr, dir string) *gateway {
 	g := &gateway{clientAddr: freeAddr(), readyAddr: freeAddr()}
 	settings := fmt.Sprintf(`[gateway]
-vm = front-zone%[1]d-1
-domain = zone%[1]d
+vm = front-%[1]s-1
+domain = %[1]s
 
 [listen]
 clients = %[2]s
@@ -154,7 +158,7 @@
 memory_mb = 284
 cores = 1
 link_mbps = 1000.0
-`, i, g.clientAddr, g.readyAddr, freeAddr(), freeAddr(), storeAddr)
+`, zoneName(i), g.clientAddr, g.readyAddr, freeAddr(), freeAddr(), storeAddr)
 	file := filepath.Join(dir, fmt.Sprintf("gateway-%d.ini", i))
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 		cannotRun("writing settings: %v", err)
@@ -170,6 +174,22 @@
 	return g
 }
 
+// startGateways starts the gateways of a small deployment and waits until they are settled.
+func startGateways(st *standin.Store, dir string) []*gateway {
+	var gs []*gateway
+	for i := range gatewayCount {
+		gs = append(gs, startGateway(i, st.Addr(), dir))
+	}
+	for _, g := range gs {
+		g.awaitReady()
+	}
+	time.Sleep(settleTime)
+	return gs
+}
+
+// zoneName returns the zone of gateway or searcher i.
+func zoneName(i int) string { return fmt.Sprintf("zone%d", i%zoneCount) }
+
 // awaitReady waits until the gateway accepts requests.
 func (g *gateway) awaitReady() {
 	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
--- a/review/_harness/earlyreject.go
+++ b/review/_harness/earlyreject.go
@@ -113,8 +113,8 @@
 	defer st.Close()
 	putConfig(st, routeTimeout, longBodyBytes)
 	var searchers []*longSearcher
-	for i := range 8 {
-		s := &longSearcher{id: workerName(i), zone: fmt.Sprintf("zone%d", i%3), l: listenEthernet(), rec: rec}
+	for i := range searcherCount {
+		s := &longSearcher{id: workerName(i), zone: zoneName(i), l: listenEthernet(), rec: rec}
 		go func() {
 			for {
 				c, err := s.l.Accept()
@@ -127,14 +127,7 @@
 		putSearcher(st, s.id, s.l.Addr().String(), s.zone, 1, time.Now().UnixMilli())
 		searchers = append(searchers, s)
 	}
-	var gateways []*gateway
-	for i := range 3 {
-		gateways = append(gateways, startGateway(i, st.Addr(), dir))
-	}
-	for _, g := range gateways {
-		g.awaitReady()
-	}
-	time.Sleep(3 * time.Second)
+	gateways := startGateways(st, dir)
 
 	body := strings.Repeat("x", bodyBytes)
 	stop := make(chan struct{})
--- a/review/_harness/failedrun.go
+++ b/review/_harness/failedrun.go
@@ -28,20 +28,9 @@
 	st := standin.NewStore()
 	defer st.Close()
 	putConfig(st, timeout, sheetBodyBytes)
-	var workers []*worker
-	for i := range 8 {
-		k := newWorker(workerName(i), fmt.Sprintf("zone%d", i%3), 30*time.Millisecond, rec)
-		putSearcher(st, k.id, k.addr(), k.zone, 1, time.Now().UnixMilli())
-		workers = append(workers, k)
-	}
-	var gateways []*gateway
-	for i := range 3 {
-		gateways = append(gateways, startGateway(i, st.Addr(), dir))
-	}
-	for _, g := range gateways {
-		g.awaitReady()
-	}
-	time.Sleep(3 * time.Second)
+	born := time.Now().UnixMilli()
+	workers := startWorkers(st, born, 30*time.Millisecond, rec)
+	gateways := startGateways(st, dir)
 	began := time.Now()
 
 	var mu sync.Mutex
--- a/review/_harness/latebeat.go
+++ b/review/_harness/latebeat.go
@@ -32,21 +32,9 @@
 	st := standin.NewStore()
 	defer st.Close()
 	putConfig(st, timeout, sheetBodyBytes)
-	var workers []*worker
 	born := time.Now().UnixMilli()
-	for i := range 8 {
-		k := newWorker(workerName(i), fmt.Sprintf("zone%d", i%3), 60*time.Millisecond, rec)
-		putSearcher(st, k.id, k.addr(), k.zone, 1, born)
-		workers = append(workers, k)
-	}
-	var gateways []*gateway
-	for i := range 3 {
-		gateways = append(gateways, startGateway(i, st.Addr(), dir))
-	}
-	for _, g := range gateways {
-		g.awaitReady()
-	}
-	time.Sleep(3 * time.Second)
+	workers := startWorkers(st, born, 60*time.Millisecond, rec)
+	gateways := startGateways(st, dir)
 	began := time.Now()
 	leaver := workers[0]
 	var mu sync.Mutex
--- a/review/_harness/worker.go
+++ b/review/_harness/worker.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"egrethaven/platform/dialect"
+	"egrethaven/platform/standin"
 )
 
 // run is one execution of a request by a searcher.
@@ -99,5 +100,16 @@
 	return out
 }
 
+// startWorkers starts and registers the searchers of a small service, in three zones.
+func startWorkers(st *standin.Store, born int64, work time.Duration, rec *record) []*worker {
+	var all []*worker
+	for i := range searcherCount {
+		k := newWorker(workerName(i), zoneName(i), work, rec)
+		putSearcher(st, k.id, k.addr(), k.zone, 1, born)
+		all = append(all, k)
+	}
+	return all
+}
+
 // workerName returns the ID of worker i.
 func workerName(i int) string { return fmt.Sprintf("i-%d", i) }
