--- a/review/_harness/brokenextra.go
+++ b/review/_harness/brokenextra.go
@@ -31,11 +31,11 @@
 	)
 	st := standin.NewStore()
 	defer st.Close()
-	putConfig(st, timeout, sheetBodyBytes)
+	putConfig(st, 1, "p", timeout, sheetBodyBytes)
 	var searchers []*rawSearcher
 	for i := range searcherCount {
-		s := newRawSearcher(workerName(i), zoneName(i), 20*time.Millisecond, rec)
-		putSearcher(st, s.id, s.addr(), s.zone, 1, time.Now().UnixMilli())
+		s := newRawSearcher(workerName("p", i), zoneName(i), 20*time.Millisecond, rec)
+		putSearcher(st, "p", s.id, s.addr(), s.zone, 1, time.Now().UnixMilli())
 		searchers = append(searchers, s)
 	}
 	gateways := startGateways(st, dir)
--- a/review/_harness/deployment.go
+++ b/review/_harness/deployment.go
@@ -211,13 +211,13 @@
 	longBodyBytes  = 4 << 20
 )
 
-// putConfig writes the operator's configuration: one route, whose requests may run once
-// only, to the service p.
-func putConfig(st *standin.Store, timeout time.Duration, maxBodyBytes int) {
-	b, err := json.Marshal(map[string]any{"version": 1,
-		"services": []map[string]any{{"name": "p", "health_path": "/health", "max_conns": 45, "protocol": "h1", "tls": false}},
+// putConfig writes a version of the operator's configuration: one route, whose requests may
+// run once only, to the service.
+func putConfig(st *standin.Store, version int, service string, timeout time.Duration, maxBodyBytes int) {
+	b, err := json.Marshal(map[string]any{"version": version,
+		"services": []map[string]any{{"name": "p", "health_path": "/health", "max_conns": 45, "protocol": "h1", "tls": false}, {"name": "q", "health_path": "/health", "max_conns": 45, "protocol": "h1", "tls": false}},
 		"routes": []map[string]any{{"name": "r-p", "host": host, "prefix": "/one/", "kind": "non_idempotent", "timeout_ms": timeout.Milliseconds(),
-			"latency_goal_ms": 250, "priority": 2, "service": "p", "max_attempts": 2}},
+			"latency_goal_ms": 250, "priority": 2, "service": service, "max_attempts": 2}},
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": maxBodyBytes, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}})
 	if err != nil {
 		cannotRun("encoding the configuration: %v", err)
@@ -226,8 +226,8 @@
 }
 
 // putSearcher writes a searcher's entry.
-func putSearcher(st *standin.Store, id, addr, zone string, seq int, born int64) {
-	b, err := json.Marshal(map[string]any{"service": "p", "address": addr, "zone": zone, "version": "v1", "slots": 4,
+func putSearcher(st *standin.Store, service, id, addr, zone string, seq int, born int64) {
+	b, err := json.Marshal(map[string]any{"service": service, "address": addr, "zone": zone, "version": "v1", "slots": 4,
 		"state": "ready", "cold_left_ms": 0, "seq": seq, "born": born})
 	if err != nil {
 		cannotRun("encoding an entry: %v", err)
--- a/review/_harness/earlyreject.go
+++ b/review/_harness/earlyreject.go
@@ -111,10 +111,10 @@
 	)
 	st := standin.NewStore()
 	defer st.Close()
-	putConfig(st, routeTimeout, longBodyBytes)
+	putConfig(st, 1, "p", routeTimeout, longBodyBytes)
 	var searchers []*longSearcher
 	for i := range searcherCount {
-		s := &longSearcher{id: workerName(i), zone: zoneName(i), l: listenEthernet(), rec: rec}
+		s := &longSearcher{id: workerName("p", i), zone: zoneName(i), l: listenEthernet(), rec: rec}
 		go func() {
 			for {
 				c, err := s.l.Accept()
@@ -124,7 +124,7 @@
 				go s.serve(c)
 			}
 		}()
-		putSearcher(st, s.id, s.l.Addr().String(), s.zone, 1, time.Now().UnixMilli())
+		putSearcher(st, "p", s.id, s.l.Addr().String(), s.zone, 1, time.Now().UnixMilli())
 		searchers = append(searchers, s)
 	}
 	gateways := startGateways(st, dir)
--- a/review/_harness/failedrun.go
+++ b/review/_harness/failedrun.go
@@ -27,9 +27,9 @@
 	)
 	st := standin.NewStore()
 	defer st.Close()
-	putConfig(st, timeout, sheetBodyBytes)
+	putConfig(st, 1, "p", timeout, sheetBodyBytes)
 	born := time.Now().UnixMilli()
-	workers := startWorkers(st, born, 30*time.Millisecond, rec)
+	workers := startWorkers(st, "p", born, 30*time.Millisecond, rec)
 	gateways := startGateways(st, dir)
 	began := time.Now()
 
--- a/review/_harness/latebeat.go
+++ b/review/_harness/latebeat.go
@@ -31,9 +31,9 @@
 	)
 	st := standin.NewStore()
 	defer st.Close()
-	putConfig(st, timeout, sheetBodyBytes)
+	putConfig(st, 1, "p", timeout, sheetBodyBytes)
 	born := time.Now().UnixMilli()
-	workers := startWorkers(st, born, 60*time.Millisecond, rec)
+	workers := startWorkers(st, "p", born, 60*time.Millisecond, rec)
 	gateways := startGateways(st, dir)
 	began := time.Now()
 	leaver := workers[0]
@@ -59,14 +59,14 @@
 				at(d, func() { rec.addf("the store loses the write %d of %s", n, k.id) })
 				at(d+late, func() {
 					rec.addf("the store makes the write %d of %s", n, k.id)
-					putSearcher(st, k.id, k.addr(), k.zone, n, born)
+					putSearcher(st, "p", k.id, k.addr(), k.zone, n, born)
 				})
 				at(d+late+3*beat, func() {
 					rec.addf("the entry of %s is removed after three intervals of silence", k.id)
 					st.Delete(decode.SearcherPrefix + k.id)
 				})
 			default:
-				at(d, func() { putSearcher(st, k.id, k.addr(), k.zone, n, born) })
+				at(d, func() { putSearcher(st, "p", k.id, k.addr(), k.zone, n, born) })
 			}
 		}
 	}
--- a/review/_harness/main.go
+++ b/review/_harness/main.go
@@ -26,6 +26,7 @@
 	"broken-extra": brokenExtra,
 	"late-beat":    lateBeat,
 	"early-reject": earlyReject,
+	"odd-entries":  oddEntries,
 }
 
 func main() {
--- a/review/_harness/worker.go
+++ b/review/_harness/worker.go
@@ -101,15 +101,15 @@
 }
 
 // startWorkers starts and registers the searchers of a small service, in three zones.
-func startWorkers(st *standin.Store, born int64, work time.Duration, rec *record) []*worker {
+func startWorkers(st *standin.Store, service string, born int64, work time.Duration, rec *record) []*worker {
 	var all []*worker
 	for i := range searcherCount {
-		k := newWorker(workerName(i), zoneName(i), work, rec)
-		putSearcher(st, k.id, k.addr(), k.zone, 1, born)
+		k := newWorker(workerName(service, i), zoneName(i), work, rec)
+		putSearcher(st, service, k.id, k.addr(), k.zone, 1, born)
 		all = append(all, k)
 	}
 	return all
 }
 
-// workerName returns the ID of worker i.
-func workerName(i int) string { return fmt.Sprintf("i-%d", i) }
+// workerName returns the ID of searcher i of a service.
+func workerName(service string, i int) string { return fmt.Sprintf("%s-%d", service, i) }
