REFUSED: do not pass on a searcher's failure as a promise that nothing has run

Cause: 408, 421, 429 and 503 mean 'not run' from a gateway, and nothing from a searcher unless its answer says so. The gateway passed the failure of a searcher on with its status, also when it knew that the request may have run. The same held for 408 and 429, which counted as final, for answers of VMs of an earlier build, and for a second VM's 503 after this one had sent the request.

Ruled out: a second send by the gateway (one send in each log line), and a 503 of the gateway's own (each bears a signature). The log line now tells a refusal from a failure with the same status.

Such a failure is now one of the searcher: retried if the request may be repeated, else answered with an unsigned 502, which promises nothing.

--- a/internal/back/backend/backend_test.go
+++ b/internal/back/backend/backend_test.go
@@ -91,6 +91,31 @@
 	}
 }
 
+// TestWriteFailureWithoutRefusal checks that a write which failed with the status of a
+// refusal counts as run, unless the body says that it has not.
+func TestWriteFailureWithoutRefusal(t *testing.T) {
+	for name, c := range map[string]struct {
+		status int
+		body   any
+		want   outcome.Outcome
+	}{
+		"no statement":           {http.StatusServiceUnavailable, "failed", outcome.Unknown(outcome.BadAnswer)},
+		"too many requests":      {http.StatusTooManyRequests, "failed", outcome.Unknown(outcome.BadAnswer)},
+		"another call's refusal": {http.StatusServiceUnavailable, searcher.Refusal{AttemptID: "b", Reason: outcome.Shed}, outcome.Unknown(outcome.BadAnswer)},
+		"refusal without a call": {http.StatusServiceUnavailable, searcher.Refusal{Reason: outcome.Shed}, outcome.Unknown(outcome.BadAnswer)},
+		"refusal":                {http.StatusServiceUnavailable, searcher.Refusal{AttemptID: "a", Reason: outcome.Shed}, outcome.NotRun(outcome.Shed)},
+	} {
+		b := newBackend(t, func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == searcher.WritePath {
+				writeJSON(w, c.status, c.body)
+			}
+		})
+		if r := b.Write(testContext(t), searcher.Write{AttemptID: "a"}); r.Outcome != c.want {
+			t.Errorf("%s: %v, want %v", name, r.Outcome, c.want)
+		}
+	}
+}
+
 func TestCancelClosesConnection(t *testing.T) {
 	arrived, canceled := make(chan bool, 1), make(chan bool, 1)
 	b := newBackend(t, func(_ http.ResponseWriter, r *http.Request) {
--- a/internal/peer/handover/sender.go
+++ b/internal/peer/handover/sender.go
@@ -87,8 +87,7 @@
 		}
 		tried = append(tried, p)
 		a, outcome, err := s.try(ctx, p, h)
-		if outcome == peerchoice.Served && mayHaveRun && a.Reason == forward.Overloaded {
-			// A refusal promises that the request has not run.
+		if outcome == peerchoice.Served && mayHaveRun && forward.PromisesNotRun(a.Status) {
 			break
 		}
 		if outcome == peerchoice.Served {
@@ -193,8 +192,13 @@
 	return in
 }
 
-// decode converts the reply of a VM to an answer.
+// decode converts the reply of a VM to an answer. A VM of an earlier build passes on what a
+// searcher answers after it has run a request, also with a status that promises that it has
+// not.
 func decode(addr string, out *handoverrpc.AnswerReply) forward.Answer {
+	if r := forward.Reason(out.GetReason()); forward.PromisesNotRun(int(out.GetStatus())) && !r.IsRefusal() {
+		return forward.Answer{Status: http.StatusBadGateway, Reason: forward.SearcherFailed, AnsweredBy: addr}
+	}
 	a := forward.Answer{Status: int(out.GetStatus()), Body: out.GetBody(), RetryAfter: time.Duration(out.GetRetryAfterUs()) * time.Microsecond,
 		Reason: forward.Reason(out.GetReason()), AnsweredBy: addr, Header: http.Header{}}
 	for _, h := range out.GetHeaders() {
--- a/internal/peer/handover/sender_test.go
+++ b/internal/peer/handover/sender_test.go
@@ -285,3 +285,36 @@
 		})
 	}
 }
+
+// TestPromiseOfAnotherVM: a VM of an earlier build passes a searcher's 503 on, which
+// became a promise to the client that the request had not run.
+func TestPromiseOfAnotherVM(t *testing.T) {
+	for name, c := range map[string]struct {
+		reason     forward.Reason
+		status     int
+		mayHaveRun bool
+		want       int
+	}{
+		"a searcher's failure":         {forward.SearcherFailed, http.StatusServiceUnavailable, false, http.StatusBadGateway},
+		"a searcher's answer":          {forward.Served, http.StatusTooManyRequests, false, http.StatusBadGateway},
+		"a reason of a later build":    {"something_new", http.StatusRequestTimeout, false, http.StatusBadGateway},
+		"a refusal":                    {forward.Overloaded, http.StatusServiceUnavailable, false, http.StatusServiceUnavailable},
+		"a suspect that did not run":   {forward.DeadlineReached, http.StatusServiceUnavailable, false, http.StatusServiceUnavailable},
+		"a refusal after a send":       {forward.Overloaded, http.StatusServiceUnavailable, true, 0},
+		"a suspect sent before":        {forward.DeadlineReached, http.StatusServiceUnavailable, true, 0},
+		"a failure that promises none": {forward.SearcherFailed, http.StatusInternalServerError, true, http.StatusInternalServerError},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := request()
+				h.MayHaveRun = c.mayHaveRun
+				v := &vm{reply: &handoverrpc.AnswerReply{Status: int64(c.status), Reason: string(c.reason), RetryAfterUs: 1000,
+					Headers: []*handoverrpc.Header{{Name: "Stamp", Values: []string{"s"}}}}}
+				a, _ := newTier(v).HandOver(t.Context(), h)
+				if a.Status != c.want || a.Status == http.StatusBadGateway && (a.RetryAfter != 0 || len(a.Header) > 0) {
+					t.Errorf("got %+v, want the status %d", a, c.want)
+				}
+			})
+		})
+	}
+}
--- a/internal/query/forward/answer.go
+++ b/internal/query/forward/answer.go
@@ -76,6 +76,16 @@
 	return Answer{Status: http.StatusOK, Header: h, Body: topk.Merge(bodies, x.route.TopK)}
 }
 
+// PromisesNotRun reports whether a status promises the client that the request has not run
+// and never will. Searchers also fail with such a status after they have run a request.
+func PromisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // passThrough returns a searcher's answer unchanged.
 func passThrough(a *reply, why Reason) Answer {
 	return Answer{Status: a.Status, Header: a.Header, Body: a.Body, Reason: why}
@@ -124,8 +134,13 @@
 		return Answer{Status: http.StatusGatewayTimeout, Reason: DeadlineReached}
 	case x.route.IsFanOut():
 		return Answer{Status: http.StatusBadGateway, Reason: TooFewShards}
-	case x.subrequests[0].firstFailure != nil:
-		return passThrough(x.subrequests[0].firstFailure, SearcherFailed)
 	}
-	return Answer{Status: http.StatusBadGateway, Reason: AnswerLost}
+	f := x.subrequests[0].firstFailure
+	switch {
+	case f == nil:
+		return Answer{Status: http.StatusBadGateway, Reason: AnswerLost}
+	case PromisesNotRun(f.Status):
+		return Answer{Status: http.StatusBadGateway, Reason: SearcherFailed}
+	}
+	return passThrough(f, SearcherFailed)
 }
--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -109,6 +109,16 @@
 	ClientGone      Reason = "client_gone"
 )
 
+// IsRefusal reports whether an engine that gives this reason with a status that promises so
+// has not run the request.
+func (r Reason) IsRefusal() bool {
+	switch r {
+	case NoConfig, NoSearcher, Overloaded, Quarantined, DeadlineReached:
+		return true
+	}
+	return false
+}
+
 // SendHeader holds the header fields added to a request to a searcher.
 type SendHeader struct {
 	ID string
--- a/internal/query/forward/report.go
+++ b/internal/query/forward/report.go
@@ -6,7 +6,6 @@
 
 	"github.com/phuslu/log"
 
-	"egrethaven/internal/back/conn"
 	"egrethaven/internal/back/quarantine"
 	"egrethaven/internal/observe/event"
 	"egrethaven/internal/state/routing"
@@ -147,7 +146,7 @@
 	for _, f := range p.attempts {
 		state := "under way for " + time.Since(f.startedAt).Round(time.Millisecond).String()
 		if f.handled {
-			state = describeResult(f.result)
+			state = f.describeResult()
 		}
 		if d := f.startedAt.Sub(p.dispatch.req.Arrived).Round(time.Millisecond); d > 0 {
 			state += ", sent at " + d.String()
@@ -169,9 +168,12 @@
 }
 
 // describeResult returns a text for the result of an attempt.
-func describeResult(r conn.Result) string {
+func (f *attempt) describeResult() string {
+	r := f.result
 	took := r.Elapsed.Round(time.Millisecond)
 	switch {
+	case f.refused:
+		return fmt.Sprintf("refused with %d after %s", r.Status, took)
 	case r.Err != nil && !r.Sent:
 		return fmt.Sprintf("not sent: %v", r.Err)
 	case r.Err != nil:
--- a/internal/query/forward/subrequest.go
+++ b/internal/query/forward/subrequest.go
@@ -43,8 +43,8 @@
 	mayHaveRun bool
 	// overloaded reports whether a searcher or its queue refused an attempt.
 	overloaded bool
-	// answer is the final answer, firstFailure the first error response; nil
-	// before they arrive.
+	// answer is the final answer, firstFailure the first error response, or the first one
+	// that may be passed on; nil before they arrive.
 	answer       *reply
 	firstFailure *reply
 	// answeredAt is when the final answer arrived.
@@ -87,8 +87,10 @@
 	// handled is set once the result was received or the send was withdrawn.
 	// Only the request's goroutine uses it.
 	handled bool
-	// result is the result of the send; valid once handled is set.
-	result conn.Result
+	// result is the result of the send, and refused reports that the searcher did not run
+	// the request; valid once handled is set.
+	result  conn.Result
+	refused bool
 }
 
 // finished reports whether the subrequest has an answer or has failed.
@@ -272,7 +274,7 @@
 		f.searcher.RecordOutcome(instance.Postponed, a.Elapsed, x.medianLatency)
 	case a.NotRun:
 		f.searcher.RecordOutcome(instance.Refused, a.Elapsed, x.medianLatency)
-	case a.Status >= http.StatusInternalServerError || a.Stamp == "":
+	case a.Status >= http.StatusInternalServerError || PromisesNotRun(a.Status) || a.Stamp == "":
 		f.searcher.RecordOutcome(instance.Failed, a.Elapsed, x.medianLatency)
 	default:
 		x.stats.histogram.Add(a.Elapsed)
@@ -316,7 +318,7 @@
 // handleResult processes the result of an attempt.
 func (p *subrequest) handleResult(f *attempt, a *reply, now time.Time) {
 	f.handled = true
-	f.result = a.Result
+	f.result, f.refused = a.Result, a.NotRun || a.Misdirected
 	p.inFlight--
 	if p.finished() {
 		return
@@ -334,9 +336,7 @@
 		p.answer, p.answeredAt = a, now
 	default:
 		p.mayHaveRun = true
-		if a.Err == nil && a.Stamp != "" && a.Status >= http.StatusMultipleChoices && p.firstFailure == nil {
-			p.firstFailure = a
-		}
+		p.recordFailure(a)
 		allowed := p.dispatch.route.Idempotency == routing.Idempotent
 		if a.Lost() {
 			p.retryLost(now, allowed && !p.alone)
@@ -346,9 +346,19 @@
 	}
 }
 
+// recordFailure keeps the first error response, rather one whose status may be passed on.
+func (p *subrequest) recordFailure(a *reply) {
+	if a.Err != nil || a.Stamp == "" || a.Status < http.StatusMultipleChoices {
+		return
+	}
+	if p.firstFailure == nil || PromisesNotRun(p.firstFailure.Status) && !PromisesNotRun(a.Status) {
+		p.firstFailure = a
+	}
+}
+
 // isFinal reports whether an answer needs no retry. A fan-out accepts only
-// 2xx; a plain request accepts any status below 500. Unsigned and
-// content-encoded answers are never final.
+// 2xx; a plain request accepts any status below 500 that does not promise that the
+// request has not run. Unsigned and content-encoded answers are never final.
 func (p *subrequest) isFinal(a *reply) bool {
 	switch {
 	case a.Stamp == "" || a.Header.Get("Content-Encoding") != "":
@@ -356,7 +366,7 @@
 	case a.Status/100 == 2:
 		return true
 	}
-	return !p.dispatch.route.IsFanOut() && a.Status < http.StatusInternalServerError
+	return !p.dispatch.route.IsFanOut() && a.Status < http.StatusInternalServerError && !PromisesNotRun(a.Status)
 }
 
 // resendUnsent gives an attempt that failed before it was sent to another
