DRAIN: do not use a searcher again that had left because of a late write

Cause: the store makes a write whose answer it has lost seconds later. The registry compared an entry with the last one known of its process only while the entry was there, and with one that had left only after a restore of the store; otherwise it forgot that the process had left.

Ruled out: gateways that did not know of the departure (none restarted), changes delivered out of order (revisions rise).

Entries of a process are now always ordered by its start and its count of writes. One that is back writes a later entry and is used at once; an older entry is held back, and used after ten seconds if the store still lists it.

--- a/internal/node/gateway/storeview.go
+++ b/internal/node/gateway/storeview.go
@@ -248,16 +248,23 @@
 		case v.isRumor(c):
 			v.rumors.apply(c)
 		case strings.HasPrefix(c.Key, v.c.Decode.SearcherPrefix):
-			if s, ok := v.decodeSearcher(c, now); ok {
-				v.registry.Put(now, s)
-			} else {
-				v.registry.Remove(now, strings.TrimPrefix(c.Key, v.c.Decode.SearcherPrefix))
-			}
+			v.applySearcher(now, c)
 		}
 	}
 	v.rebuild(now)
 }
 
+// applySearcher applies a change to the entry of a searcher. The lock is held.
+func (v *storeView) applySearcher(now time.Time, c follow.Change) {
+	s, ok := v.decodeSearcher(c, now)
+	switch {
+	case !ok:
+		v.registry.Remove(now, strings.TrimPrefix(c.Key, v.c.Decode.SearcherPrefix))
+	case !v.registry.Put(now, s):
+		v.c.Events.Emit(event.EntryOutdated, s.ID, fmt.Sprintf("revision %d, started at %d, write %d", c.Revision, s.StartedMs, s.Seq))
+	}
+}
+
 // isRumor reports whether an entry holds rumors of another VM.
 func (v *storeView) isRumor(c follow.Change) bool {
 	return v.rumors != nil && strings.HasPrefix(c.Key, v.c.Decode.RumorPrefix)
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -4,9 +4,10 @@
 // keeps the last known searchers. Entries that are missing after the outage are
 // kept for a grace period, in which searchers can register again.
 //
-// A store that was restored from a backup shows searchers as they were some time ago.
-// An entry that is older than what is known of its process changes nothing, and a
-// process that has left is not taken back because of it.
+// The store may show an older entry after a newer one: it makes a write whose answer was
+// lost seconds later, and a store that was restored from a backup shows searchers as they
+// were some time ago. Such an entry changes nothing, and a process that has left is not
+// taken back because of it.
 //
 // # Usage
 //
@@ -76,9 +77,8 @@
 	// departureMemory is how long a process that has left is remembered. It exceeds the
 	// age of the backups that a store is restored from.
 	departureMemory = 5 * time.Minute
-	// holdTime is how long an entry of a process that had left without a notice is held
-	// back in a restored store. If the process is dead, the store deletes the entry
-	// meanwhile.
+	// holdTime is how long an older entry of a process that had left without a notice is
+	// held back. If the process is dead, the store deletes the entry meanwhile.
 	holdTime = 10 * time.Second
 )
 
@@ -99,8 +99,6 @@
 type departure struct {
 	Searcher
 	at time.Time
-	// restores is the number of restores of the store that were known at that time.
-	restores int
 }
 
 // Registry holds the known searchers. It is not safe for concurrent use.
@@ -112,8 +110,6 @@
 	// held are entries of processes that had left, with the time at which they are used
 	// nevertheless.
 	held map[string]entry
-	// restores is the number of restores of the store.
-	restores int
 	// graceEnd is when the grace period after the last outage ends.
 	graceEnd time.Time
 }
@@ -141,7 +137,6 @@
 // MarkRestored records that the store was restored from a backup. Entries may be older
 // than what is known, or missing until they are written again.
 func (r *Registry) MarkRestored(now time.Time) {
-	r.restores++
 	r.MarkOutage(now)
 }
 
@@ -161,23 +156,27 @@
 }
 
 // Put adds or updates one entry. It ignores an entry that is older than the known one of
-// the same ID, as in a restored store.
-func (r *Registry) Put(now time.Time, s Searcher) {
+// the same ID, as in a restored store, or if the store makes a write seconds after it was
+// sent. It reports whether the entry is used.
+func (r *Registry) Put(now time.Time, s Searcher) bool {
 	delete(r.held, s.ID)
 	if old, ok := r.entries[s.ID]; ok && s.isOlder(old.Searcher) {
 		// The entry is there, so the searcher is not missing.
 		old.expiresAt = time.Time{}
 		r.entries[s.ID] = old
-		return
+		return false
 	}
-	if d, ok := r.departures[s.ID]; ok && d.StartedMs != 0 && d.restores < r.restores && !d.isOlder(s) {
+	if d, ok := r.departures[s.ID]; ok && d.StartedMs != 0 && !d.isOlder(s) {
+		// The entry was written before the process left. If that lives nevertheless, it
+		// writes the entry again, or the store goes on listing it.
 		if d.State != Draining {
 			r.held[s.ID] = entry{Searcher: s, expiresAt: now.Add(holdTime)}
 		}
-		return
+		return false
 	}
 	delete(r.departures, s.ID)
 	r.entries[s.ID] = entry{Searcher: s}
+	return true
 }
 
 // Remove removes one entry. During a grace period, the entry is kept until the
@@ -201,7 +200,7 @@
 // depart removes the entry of a process that has left, and remembers it.
 func (r *Registry) depart(now time.Time, s Searcher) {
 	delete(r.entries, s.ID)
-	r.departures[s.ID] = departure{Searcher: s, at: now, restores: r.restores}
+	r.departures[s.ID] = departure{Searcher: s, at: now}
 }
 
 // Expire removes the entries whose grace period is over, and uses those that were held
--- a/internal/state/registry/registry_test.go
+++ b/internal/state/registry/registry_test.go
@@ -156,3 +156,46 @@
 		t.Errorf("after the grace period: %q", ready(r))
 	}
 }
+
+// TestLateWriteOfSearcherThatLeft: a write that the store made seconds late brought a
+// searcher that had left into use again.
+func TestLateWriteOfSearcherThatLeft(t *testing.T) {
+	now := time.Now()
+	last := Searcher{ID: "a", StartedMs: 5, Seq: 9, State: Ready}
+	drained := last
+	drained.State = Draining
+	for name, c := range map[string]struct {
+		last  Searcher
+		after func(r *Registry)
+		at    time.Duration
+		want  string
+	}{
+		"earlier write":               {last, func(r *Registry) { r.Put(now, Searcher{ID: "a", StartedMs: 5, Seq: 6, State: Ready}) }, holdTime - 1, ""},
+		"last write once more":        {last, func(r *Registry) { r.Put(now, last) }, holdTime - 1, ""},
+		"earlier write, read anew":    {last, func(r *Registry) { r.Replace(now, []Searcher{{ID: "a", StartedMs: 5, Seq: 6, State: Ready}}) }, holdTime - 1, ""},
+		"earlier process":             {last, func(r *Registry) { r.Put(now, Searcher{ID: "a", StartedMs: 4, Seq: 99, State: Ready}) }, holdTime - 1, ""},
+		"earlier write after a drain": {drained, func(r *Registry) { r.Put(now, Searcher{ID: "a", StartedMs: 5, Seq: 6, State: Ready}) }, time.Minute, ""},
+		"earlier write, still listed": {last, func(r *Registry) { r.Put(now, Searcher{ID: "a", StartedMs: 5, Seq: 6, State: Ready}) }, holdTime, "a "},
+		"later write":                 {last, func(r *Registry) { r.Put(now, Searcher{ID: "a", StartedMs: 5, Seq: 10, State: Ready}) }, 0, "a "},
+		"later write after an earlier": {last, func(r *Registry) {
+			r.Put(now, Searcher{ID: "a", StartedMs: 5, Seq: 6, State: Ready})
+			r.Put(now, Searcher{ID: "a", StartedMs: 5, Seq: 10, State: Ready})
+		}, 0, "a "},
+		"later process": {last, func(r *Registry) { r.Put(now, Searcher{ID: "a", StartedMs: 6, Seq: 1, State: Ready}) }, 0, "a "},
+		"earlier write after its process": {last, func(r *Registry) {
+			r.Put(now, Searcher{ID: "a", StartedMs: 6, Seq: 1, State: Draining})
+			r.Put(now, Searcher{ID: "a", StartedMs: 5, Seq: 6, State: Ready})
+		}, time.Minute, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := New(Config{Grace: 2 * time.Second})
+			r.Put(now, c.last)
+			r.Remove(now, "a")
+			c.after(r)
+			r.Expire(now.Add(c.at))
+			if got := ready(r); got != c.want {
+				t.Errorf("in use: %q, want %q", got, c.want)
+			}
+		})
+	}
+}
