Membership: keep a VM's key when the store makes one of its writes late

A VM whose first write of its key lost its answer wrote it again under a new lease. The store then made the first write, the key went with the first lease after 30 s, and the VM renewed the second one for good: it was not counted, and relays refused it.

Evidence: TestLateWriteOfKey (key gone after 30 s) and TestKeyDeleted (never written again) failed before.

A write without an answer is now repeated under the same lease, and a VM that sees its own key deleted writes it again within two seconds.

--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -342,7 +342,7 @@
 	}
 	v := vmRecord(g.c.Settings)
 	newMembership(membershipConfig{
-		Store: g.c.Store, Key: g.c.Decode.VMPrefix + v.ID, Value: v.Encode(), PreviousLease: g.storeView.Lease(), Restored: g.storeView.restored, Events: g.log,
+		Store: g.c.Store, Key: g.c.Decode.VMPrefix + v.ID, Value: v.Encode(), PreviousLease: g.storeView.Lease(), Restored: g.storeView.restored, KeyLost: g.storeView.keyLost, Events: g.log,
 	}).Run(ctx)
 }
 
--- a/internal/node/gateway/membership.go
+++ b/internal/node/gateway/membership.go
@@ -22,6 +22,9 @@
 	// restoredSpread is the time over which VMs register again after the store was
 	// restored. VMs whose keys are missing are refused by their relays until then.
 	restoredSpread = 500 * time.Millisecond
+	// keyLostSpread is the time over which VMs register again after the store has deleted
+	// their keys. All leases may have ended at once, and the store limits writes.
+	keyLostSpread = 2 * time.Second
 )
 
 // membershipConfig holds the settings and dependencies of a membership.
@@ -35,7 +38,9 @@
 	PreviousLease follow.Lease
 	// Restored receives a value after the store was restored, which loses leases.
 	Restored <-chan struct{}
-	Events   event.Sink
+	// KeyLost receives a value after the store has deleted the key.
+	KeyLost <-chan struct{}
+	Events  event.Sink
 }
 
 // membership keeps this VM's key in the store. VMs count each other by these keys
@@ -43,10 +48,14 @@
 type membership struct {
 	c     membershipConfig
 	lease follow.Lease
+	// registered is set once the key was written under the lease.
+	registered bool
 }
 
 // newMembership returns a membership that does nothing before Run.
-func newMembership(c membershipConfig) *membership { return &membership{c: c, lease: c.PreviousLease} }
+func newMembership(c membershipConfig) *membership {
+	return &membership{c: c, lease: c.PreviousLease, registered: c.PreviousLease.ID != 0}
+}
 
 // Run registers the VM and renews its lease until ctx is canceled.
 func (m *membership) Run(ctx context.Context) {
@@ -60,36 +69,55 @@
 	}
 }
 
-// wait returns after d, or soon after a restore of the store, whose leases are lost.
+// wait returns after d, or soon after a restore of the store, whose leases are lost, or the
+// loss of the key.
 func (m *membership) wait(ctx context.Context, d time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, d)
 	defer cancel()
 	select {
 	case <-m.c.Restored:
 		m.c.Events.Emit(event.LeaseLost, m.c.Key, "the store was restored; registering again")
-		m.lease = follow.Lease{}
+		m.lease, m.registered = follow.Lease{}, false
 		pause.Sleep(ctx, rand.N(restoredSpread))
+	case <-m.c.KeyLost:
+		m.c.Events.Emit(event.LeaseLost, m.c.Key, "the key was deleted; registering again")
+		m.registered = false
+		pause.Sleep(ctx, rand.N(keyLostSpread))
 	case <-ctx.Done():
 	}
 }
 
-// step renews the lease. If there is none, or it has expired, it registers the VM
-// with a new lease.
+// step renews the lease, or writes the key if that is not known to be there. If there is no
+// lease, or it has expired, it requests a new one first.
 func (m *membership) step(ctx context.Context) error {
 	if m.lease.ID != 0 {
-		err := m.c.Store.KeepAlive(ctx, m.lease)
+		err := m.renew(ctx)
 		if !errors.Is(err, follow.ErrNotFound) {
-			return errors.Annotate(err, "renewing the lease of the VM's key")
+			return err
 		}
-		m.lease = follow.Lease{}
+		m.lease, m.registered = follow.Lease{}, false
 	}
 	l, err := m.c.Store.Grant(ctx, leaseTTL)
 	if err != nil {
 		return errors.Annotate(err, "requesting a lease for the VM's key")
 	}
-	if err := m.c.Store.Put(ctx, m.c.Key, m.c.Value, l); err != nil {
-		return errors.Annotate(err, "writing the VM's key")
-	}
 	m.lease = l
-	return nil
+	return m.write(ctx)
+}
+
+// renew renews the lease, or writes the key under it. The error is follow.ErrNotFound if the
+// lease has expired.
+func (m *membership) renew(ctx context.Context) error {
+	if !m.registered {
+		return m.write(ctx)
+	}
+	return errors.Annotate(m.c.Store.KeepAlive(ctx, m.lease), "renewing the lease of the VM's key")
+}
+
+// write writes the key under the lease. If the answer is lost, the store may make the write
+// later, so it has to be repeated under the same lease.
+func (m *membership) write(ctx context.Context) error {
+	err := m.c.Store.Put(ctx, m.c.Key, m.c.Value, m.lease)
+	m.registered = err == nil
+	return errors.Annotate(err, "writing the VM's key")
 }
--- a/internal/node/gateway/membership_test.go
+++ b/internal/node/gateway/membership_test.go
@@ -6,6 +6,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/juju/errors"
+
 	"egrethaven/internal/observe/event"
 	"egrethaven/internal/state/follow"
 )
@@ -63,3 +65,108 @@
 		}
 	})
 }
+
+// keyStore is a store with one key, which is deleted when the lease of its last write ends.
+type keyStore struct {
+	follow.Source
+	// ends holds when each lease ends, key the lease of the key, 0 if there is no key.
+	ends map[int64]time.Time
+	key  int64
+	// lateBy is how much later than they were sent the first writes are made, whose answers
+	// are lost; lostWrites is their number.
+	lateBy     time.Duration
+	lostWrites int
+	deleted    chan struct{}
+}
+
+// errLost means that the answer of the store was lost.
+const errLost = errors.ConstError("answer lost")
+
+func (s *keyStore) Grant(_ context.Context, ttl time.Duration) (follow.Lease, error) {
+	l := follow.Lease{Era: 1, ID: int64(len(s.ends)) + 1}
+	s.extend(l, ttl)
+	return l, nil
+}
+
+func (s *keyStore) KeepAlive(_ context.Context, l follow.Lease) error {
+	if !time.Now().Before(s.ends[l.ID]) {
+		return follow.ErrNotFound
+	}
+	s.extend(l, leaseTTL)
+	return nil
+}
+
+func (s *keyStore) Put(_ context.Context, _ string, _ []byte, l follow.Lease) error {
+	if s.lostWrites > 0 {
+		s.lostWrites--
+		time.AfterFunc(s.lateBy, func() { _ = s.put(l) })
+		return errLost
+	}
+	return s.put(l)
+}
+
+// put writes the key.
+func (s *keyStore) put(l follow.Lease) error {
+	if !time.Now().Before(s.ends[l.ID]) {
+		return follow.ErrNotFound
+	}
+	s.key = l.ID
+	return nil
+}
+
+// extend lets a lease run for ttl from now on.
+func (s *keyStore) extend(l follow.Lease, ttl time.Duration) {
+	s.ends[l.ID] = time.Now().Add(ttl)
+	time.AfterFunc(ttl, func() {
+		if s.key == l.ID && !time.Now().Before(s.ends[l.ID]) {
+			s.key = 0
+			select {
+			case s.deleted <- struct{}{}:
+			default:
+			}
+		}
+	})
+}
+
+// TestLateWriteOfKey: a write of the VM's key that the store made late, under a lease that
+// was not renewed any more, took the VM out of the tier for good.
+func TestLateWriteOfKey(t *testing.T) {
+	for _, lostWrites := range []int{1, 2} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &keyStore{ends: map[int64]time.Time{}, lateBy: 6 * time.Second, lostWrites: lostWrites}
+			ctx, cancel := context.WithCancel(t.Context())
+			go newMembership(membershipConfig{Store: s, Events: event.Discard{}}).Run(ctx)
+			for n := range 100 {
+				time.Sleep(time.Second)
+				synctest.Wait()
+				if n >= 10 && s.key == 0 {
+					t.Fatalf("%d writes made late: the key is gone after %d s", lostWrites, n+1)
+				}
+			}
+			cancel()
+			synctest.Wait()
+		})
+	}
+}
+
+// TestKeyDeleted: a VM whose key was deleted under a lease that it did not renew, such as
+// that of its process before, went on renewing its own lease.
+func TestKeyDeleted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &keyStore{ends: map[int64]time.Time{}, deleted: make(chan struct{}, 1)}
+		old, _ := s.Grant(t.Context(), leaseTTL)
+		ctx, cancel := context.WithCancel(t.Context())
+		go newMembership(membershipConfig{Store: s, KeyLost: s.deleted, Events: event.Discard{}}).Run(ctx)
+		time.Sleep(5 * time.Second)
+		if err := s.put(old); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(leaseTTL)
+		synctest.Wait()
+		if s.key == 0 {
+			t.Error("the key was not written again")
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/node/gateway/storeview.go
+++ b/internal/node/gateway/storeview.go
@@ -130,6 +130,8 @@
 	firstRead chan struct{}
 	// restored receives a value after a restore of the store.
 	restored chan struct{}
+	// keyLost receives a value after the store has deleted this VM's key.
+	keyLost chan struct{}
 	// leaving holds when searchers said that they are about to stop, by process. What the
 	// store says of them afterwards does not count.
 	leaving map[process]time.Time
@@ -161,6 +163,7 @@
 		c: c, registry: registry.New(registry.Config{Grace: c.EntryGrace}), vms: map[string]vmregistry.VM{},
 		leaving: map[process]time.Time{}, instances: map[process]*instance.Instance{}, stop: make(chan struct{}), firstRead: make(chan struct{}),
 		restored:  make(chan struct{}, 1),
+		keyLost:   make(chan struct{}, 1),
 		startedAt: time.Now(), observeSearcher: func(healthscore.Process, float64, bool) {}, onSearcherEnded: func(string) {},
 	}
 }
--- a/internal/node/gateway/vms.go
+++ b/internal/node/gateway/vms.go
@@ -16,6 +16,12 @@
 	id := strings.TrimPrefix(c.Key, v.c.Decode.VMPrefix)
 	if c.Deleted {
 		delete(v.vms, id)
+		if id == v.c.Self.ID {
+			select {
+			case v.keyLost <- struct{}{}:
+			default:
+			}
+		}
 		return
 	}
 	r, err := vmregistry.Decode(id, c.Value)
