--- a/internal/back/conn/conn.go
+++ b/internal/back/conn/conn.go
@@ -29,6 +29,7 @@
 
 	"github.com/juju/errors"
 
+	"egrethaven/internal/infra/readbudget"
 	"egrethaven/internal/infra/readlimit"
 	"egrethaven/internal/infra/tcpdial"
 )
@@ -78,6 +79,8 @@
 	Addr string
 	// Dial opens the network connection; nil means DialTCP.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
+	// Budget bounds the memory for the answers of all connections; nil means no bound.
+	Budget *readbudget.Budget
 	// OnClosed is called once when the connection is closed and no exchange is in
 	// progress; may be nil.
 	OnClosed func(*Conn)
@@ -169,7 +172,8 @@
 // New returns a Conn that uses an open network connection, and starts its reader.
 func New(nc net.Conn, c Config) *Conn {
 	l := readlimit.New(nc)
-	l.Allow(maxHeadSize)
+	l.Account(c.Budget.Open(func() { _ = nc.Close() }))
+	l.Allow(maxHeadSize, readlimit.HeadCost)
 	k := &Conn{c: c, conn: nc, limit: l, r: bufio.NewReaderSize(l, readBufferSize), done: make(chan struct{}), idleSince: time.Now()}
 	go k.readAnswers()
 	return k
@@ -284,11 +288,27 @@
 	}
 }
 
-// readAnswer reads one answer, skipping 1xx responses. reusable reports whether
-// another answer may follow on the connection.
+// readAnswer reads one answer. reusable reports whether another answer may follow on the
+// connection.
 func (k *Conn) readAnswer(x *exchange) (r Result, reusable bool) {
+	r, reusable = k.parseAnswer(x)
+	if r.Err != nil {
+		// The caller keeps the result for longer than the reader needs what it has read.
+		r.Body = nil
+	}
+	if aborted := k.limit.Keep(r.Body); aborted {
+		reusable = false
+		if r.Err != nil {
+			r.Err = errors.Annotate(readbudget.ErrExhausted, "reading the answer")
+		}
+	}
+	return r, reusable
+}
+
+// parseAnswer reads one answer, skipping 1xx responses.
+func (k *Conn) parseAnswer(x *exchange) (r Result, reusable bool) {
 	r.Sent = true
-	k.limit.Allow(maxHeadSize)
+	k.limit.Allow(maxHeadSize, readlimit.HeadCost)
 	q := &http.Request{Method: x.Method}
 	resp, err := http.ReadResponse(k.r, q)
 	for err == nil && resp.StatusCode/100 == 1 && resp.StatusCode != http.StatusSwitchingProtocols {
@@ -299,8 +319,8 @@
 		return r, false
 	}
 	r.Status, r.Header = resp.StatusCode, resp.Header
-	k.limit.Allow(maxBodySize + maxHeadSize)
-	if r.Body, err = readBody(resp); err != nil {
+	k.limit.Allow(maxBodySize+maxHeadSize, readlimit.BodyCost)
+	if r.Body, err = readBody(resp, k.limit.Cover); err != nil {
 		r.Err = errors.Annotate(err, "reading the answer's body")
 		return r, false
 	}
@@ -326,12 +346,16 @@
 	return time.Time{}
 }
 
-// readBody reads an answer's body, or returns ErrTooLarge.
-func readBody(resp *http.Response) ([]byte, error) {
+// readBody reads an answer's body, or returns ErrTooLarge. cover accounts for the memory of
+// a body of a known size.
+func readBody(resp *http.Response, cover func(n int) error) ([]byte, error) {
 	if resp.ContentLength > maxBodySize {
 		return nil, ErrTooLarge
 	}
 	if resp.ContentLength >= 0 && resp.ContentLength <= bodyBufferSize {
+		if err := cover(int(resp.ContentLength)); err != nil {
+			return nil, err
+		}
 		b := make([]byte, resp.ContentLength)
 		_, err := io.ReadFull(resp.Body, b)
 		return b, err
--- a/internal/back/conn/endless_test.go
+++ b/internal/back/conn/endless_test.go
@@ -5,10 +5,15 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/juju/errors"
+
+	"egrethaven/internal/infra/readbudget"
 )
 
 // endlessLimit is the number of bytes after which the simulated searcher gives up
@@ -79,7 +84,7 @@
 	allocated := testing.Benchmark(func(b *testing.B) {
 		for range b.N {
 			resp.Body = io.NopCloser(strings.NewReader("short"))
-			if _, err := readBody(resp); err != nil && !errors.Is(err, io.ErrUnexpectedEOF) {
+			if _, err := readBody(resp, func(int) error { return nil }); err != nil && !errors.Is(err, io.ErrUnexpectedEOF) {
 				b.Fatal(err)
 			}
 		}
@@ -88,3 +93,68 @@
 		t.Errorf("%d bytes allocated for five bytes of a body", allocated)
 	}
 }
+
+// TestEndlessAnswersTogether: each answer without an end was bounded, but the sum of many
+// at a time was not. Ordinary ones have to be served meanwhile.
+func TestEndlessAnswersTogether(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nId: mine\r\n"
+	const good = head + "Content-Length: 2\r\n\r\nhi"
+	const limit, connections, ordinary = 4 << 20, 200, 50
+	for name, c := range map[string]struct{ start, repeated string }{
+		"no protocol":     {"", "a"},
+		"header line":     {head + "X: ", "a"},
+		"header lines":    {head, "X: y\r\n"},
+		"body":            {head + "\r\n", "a"},
+		"announced":       {head + "Content-Length: 60000\r\n\r\n", ""},
+		"chunk extension": {head + "Transfer-Encoding: chunked\r\n\r\n2;", "a"},
+		"chunks":          {head + "Transfer-Encoding: chunked\r\n\r\n", "1000\r\n" + strings.Repeat("a", 4096) + "\r\n"},
+		"trailer":         {head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := readbudget.New(readbudget.Config{Limit: limit})
+				var ended, served atomic.Int64
+				var wg sync.WaitGroup
+				for i := range connections + ordinary {
+					client, server := net.Pipe()
+					k := New(client, Config{Budget: b})
+					endless := i < connections
+					wg.Go(func() {
+						_, _ = server.Read(make([]byte, 1024))
+						if !endless {
+							// The others have used up the budget by then.
+							time.Sleep(time.Second)
+							_, _ = io.WriteString(server, good)
+							return
+						}
+						_, err := io.WriteString(server, c.start)
+						block := strings.Repeat(c.repeated, 4096/max(len(c.repeated), 1)+1)
+						for sent := 0; err == nil && c.repeated != "" && sent < endlessLimit; sent += len(block) {
+							_, err = io.WriteString(server, block)
+							if used := b.Used(); used > limit {
+								t.Errorf("%d bytes in use, limit %d", used, limit)
+							}
+							time.Sleep(time.Millisecond)
+						}
+					})
+					k.Start(Request{Method: http.MethodGet, Bytes: []byte("GET / HTTP/1.1\r\n\r\n"), Matches: matchesMine, Done: func(r Result) {
+						if r.Body != nil && r.Err != nil {
+							t.Error("the result of a failed exchange holds what was read")
+						}
+						ended.Add(1)
+						if r.Err == nil && !endless {
+							served.Add(1)
+						}
+					}})
+					time.AfterFunc(time.Minute, func() { k.Close(); k.Wait(); _ = server.Close() })
+				}
+				wg.Wait()
+				time.Sleep(2 * time.Minute)
+				synctest.Wait()
+				if served.Load() != ordinary || ended.Load() != connections+ordinary || b.Used() != 0 {
+					t.Errorf("%d of %d ordinary answers, %d of %d exchanges ended, %d bytes in use", served.Load(), ordinary, ended.Load(), connections+ordinary, b.Used())
+				}
+			})
+		})
+	}
+}
--- a/internal/back/instance/instance.go
+++ b/internal/back/instance/instance.go
@@ -26,6 +26,7 @@
 	"egrethaven/internal/back/conn"
 	"egrethaven/internal/back/healthscore"
 	"egrethaven/internal/back/sendlimit"
+	"egrethaven/internal/infra/readbudget"
 	"egrethaven/internal/observe/event"
 	"egrethaven/internal/platform/pause"
 	"egrethaven/internal/state/registry"
@@ -146,6 +147,8 @@
 	// LimitShare returns this VM's part of the requests a second that a searcher
 	// accepts from all VMs together; nil means all of them.
 	LimitShare func(searcher string, perSecond float64) float64
+	// Budget bounds the memory for the answers of all searchers; nil means no bound.
+	Budget *readbudget.Budget
 	// Events receives connection events; nil discards them.
 	Events event.Sink
 	// Dial opens network connections; nil means conn.DialTCP.
--- a/internal/back/link/config.go
+++ b/internal/back/link/config.go
@@ -1,6 +1,10 @@
 package link
 
-import "time"
+import (
+	"time"
+
+	"egrethaven/internal/infra/readbudget"
+)
 
 // Defaults for the fields of Config.
 const (
@@ -20,6 +24,8 @@
 	Addr string
 	// MaxBody is the largest accepted response body, in bytes.
 	MaxBody int
+	// Budget bounds the memory for the responses of all links; nil means no bound.
+	Budget *readbudget.Budget
 	// ConnectTimeout is the timeout for opening the connection.
 	ConnectTimeout time.Duration
 	// UserTimeout is the TCP_USER_TIMEOUT: how long sent bytes may stay
--- a/internal/back/link/link.go
+++ b/internal/back/link/link.go
@@ -14,6 +14,7 @@
 
 	"github.com/juju/errors"
 
+	"egrethaven/internal/infra/readbudget"
 	"egrethaven/internal/infra/readlimit"
 )
 
@@ -23,6 +24,9 @@
 	maxHeadBytes = 64 << 10
 	// readBufferBytes is the size of a link's read buffer.
 	readBufferBytes = 4 << 10
+	// maxKeptBodyBytes is the largest body buffer that a link keeps between calls. A longer
+	// body gets memory only as its bytes arrive, whatever length it announces.
+	maxKeptBodyBytes = 64 << 10
 	// writeBufferBytes is the size of a link's write buffer. A request that fits
 	// is sent with one write.
 	writeBufferBytes = 4 << 10
@@ -99,6 +103,7 @@
 	l := &Link{conn: conn, maxBody: c.MaxBody, idleSince: time.Now()}
 	l.sent.w = conn
 	l.limit = readlimit.New(conn)
+	l.limit.Account(c.Budget.Open(func() { _ = conn.Close() }))
 	l.r = bufio.NewReaderSize(l.limit, readBufferBytes)
 	l.w = bufio.NewWriterSize(&l.sent, writeBufferBytes)
 	var raw syscall.RawConn
@@ -148,16 +153,31 @@
 // roundTrip writes the request and reads the response. reusable is true if the
 // connection can carry another request.
 func (l *Link) roundTrip(method, path string, body []byte) (r Result, reusable bool) {
+	r, reusable = l.exchange(method, path, body)
+	if cap(l.body) > maxKeptBodyBytes {
+		l.body = nil
+	}
+	if aborted := l.limit.Keep(r.Body); aborted {
+		reusable = false
+		if r.Err != nil {
+			r.Err = errors.Annotate(readbudget.ErrExhausted, "read answer")
+		}
+	}
+	return r, reusable
+}
+
+// exchange writes the request and reads the response.
+func (l *Link) exchange(method, path string, body []byte) (r Result, reusable bool) {
 	if err := l.writeRequest(method, path, body); err != nil {
 		return Result{Err: errors.Annotate(err, "write request")}, false
 	}
-	l.limit.Allow(maxHeadBytes)
+	l.limit.Allow(maxHeadBytes, readlimit.HeadCost)
 	resp, err := http.ReadResponse(l.r, nil)
 	if err != nil {
 		return Result{Err: errors.Annotate(readlimit.ShortError(err), "read answer")}, false
 	}
 	r.Status = resp.StatusCode
-	l.limit.Allow(l.maxBody + maxHeadBytes)
+	l.limit.Allow(l.maxBody+maxHeadBytes, readlimit.BodyCost)
 	if r.Body, err = l.readBody(resp); err != nil {
 		return Result{Err: errors.Annotate(err, "read answer body")}, false
 	}
@@ -182,9 +202,11 @@
 	if resp.ContentLength > int64(l.maxBody) {
 		return nil, ErrTooLarge
 	}
-	if resp.ContentLength >= 0 {
-		n := int(resp.ContentLength)
+	if n := int(resp.ContentLength); n >= 0 && n <= maxKeptBodyBytes {
 		if cap(l.body) < n {
+			if err := l.limit.Cover(n + n/4); err != nil {
+				return nil, err
+			}
 			l.body = make([]byte, n+n/4)
 		}
 		_, err := io.ReadFull(resp.Body, l.body[:n])
--- a/internal/back/link/link_test.go
+++ b/internal/back/link/link_test.go
@@ -8,12 +8,15 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/juju/errors"
 	"go.uber.org/goleak"
+
+	"egrethaven/internal/infra/readbudget"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -244,3 +247,45 @@
 		})
 	}
 }
+
+// TestEndlessResponsesTogether: the response of each link was bounded, but the sum of many
+// at a time was not, and a link kept the memory of its longest one.
+func TestEndlessResponsesTogether(t *testing.T) {
+	const limit, links = 4 << 20, 32
+	b := readbudget.New(readbudget.Config{Limit: limit})
+	for name, start := range map[string]string{
+		"until close": "HTTP/1.1 200 OK\r\n\r\n",
+		"announced":   "HTTP/1.1 200 OK\r\nContent-Length: 4000000\r\n\r\n",
+		"header":      "HTTP/1.1 200 OK\r\nX: ",
+	} {
+		t.Run(name, func(t *testing.T) {
+			var wg sync.WaitGroup
+			for range links {
+				near, far := net.Pipe()
+				l := New(near, Config{Budget: b})
+				wg.Go(func() {
+					defer far.Close()
+					_, _ = far.Read(make([]byte, 1024))
+					_, err := io.WriteString(far, start)
+					block := bytes.Repeat([]byte("a"), 64<<10)
+					for err == nil {
+						_, err = far.Write(block)
+						if used := b.Used(); used > limit {
+							t.Errorf("%d bytes in use, limit %d", used, limit)
+						}
+					}
+				})
+				wg.Go(func() {
+					defer l.Close()
+					if r := l.Call(t.Context(), http.MethodGet, "/", nil); r.Err == nil && len(r.Body) != 4000000 {
+						t.Errorf("a response of %d bytes without an error", len(r.Body))
+					}
+					if cap(l.body) > maxKeptBodyBytes {
+						t.Errorf("the link keeps %d bytes", cap(l.body))
+					}
+				})
+			}
+			wg.Wait()
+		})
+	}
+}
--- a/internal/cli/command/cmd_gateway.go
+++ b/internal/cli/command/cmd_gateway.go
@@ -12,6 +12,7 @@
 	"github.com/spf13/cobra"
 
 	"egrethaven/internal/infra/hangup"
+	"egrethaven/internal/infra/readbudget"
 	"egrethaven/internal/node/gateway"
 	"egrethaven/internal/state/gatewaysettings"
 	"egrethaven/platform/boot"
@@ -24,6 +25,10 @@
 // Go runtime's soft memory limit. Stacks and kernel buffers need the rest.
 const memoryLimitRatio = 0.6
 
+// responseMemoryRatio is the fraction of the process's memory that responses of searchers,
+// the store and other VMs may take at a time, until they are garbage.
+const responseMemoryRatio = 0.125
+
 // gatewayCommand is the name of the command that handles SIGHUP.
 const gatewayCommand = "gateway"
 
@@ -58,10 +63,11 @@
 	debug.SetMemoryLimit(int64(memoryLimitRatio * float64(v.MemoryMB) * (1 << 20)))
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	st := store.New(store.Config{Addr: v.StoreAddr, MaxValueBytes: maxValueBytes})
+	budget := readbudget.New(readbudget.Config{Limit: int64(responseMemoryRatio * float64(v.MemoryMB) * (1 << 20))})
+	st := store.New(store.Config{Addr: v.StoreAddr, Budget: budget, MaxValueBytes: maxValueBytes})
 	defer st.Close()
 	g, err := gateway.New(gateway.Config{
-		Settings: v, Store: st, Dialect: dialect.Dialect{}, ReadyPath: dialect.ReadyPath, LogOutput: s.out, Version: Version(),
+		Settings: v, Store: st, Budget: budget, Dialect: dialect.Dialect{}, ReadyPath: dialect.ReadyPath, LogOutput: s.out, Version: Version(),
 		Decode: gateway.Decoder{ConfigKey: decode.ConfigKey, SearcherPrefix: decode.SearcherPrefix, VMPrefix: decode.VMPrefix, RumorPrefix: decode.RumorPrefix,
 			Config: decode.Config, Searcher: decode.Searcher},
 	})
--- a/internal/front/ingress/ingress.go
+++ b/internal/front/ingress/ingress.go
@@ -15,6 +15,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -26,6 +27,8 @@
 	"github.com/juju/errors"
 
 	"egrethaven/internal/front/httpserver"
+	"egrethaven/internal/infra/readbudget"
+	"egrethaven/internal/infra/readlimit"
 	"egrethaven/internal/infra/tcprtt"
 	"egrethaven/internal/observe/event"
 	"egrethaven/internal/query/forward"
@@ -40,6 +43,9 @@
 	defaultMaxHeaderBytes = 64 << 10
 	// defaultIdleTimeout applies if the configuration sets no idle timeout.
 	defaultIdleTimeout = 15 * time.Second
+	// retryAfterNoMemory is the Retry-After if there is no memory for a request's body: the
+	// time in which most requests end.
+	retryAfterNoMemory = 100 * time.Millisecond
 )
 
 // Dialect parses the headers of clients.
@@ -62,7 +68,10 @@
 	// CloseConns reports whether each answer closes its connection, so that
 	// clients connect anew through the balancer; nil means never.
 	CloseConns func() bool
-	Events     event.Sink
+	// Budget bounds the memory for the bodies of all requests, beside responses; nil means
+	// no bound.
+	Budget *readbudget.Budget
+	Events event.Sink
 }
 
 // Server is the HTTP server for clients.
@@ -238,7 +247,7 @@
 	q := forward.Request{Method: r.Method, Target: target(r), Host: r.Host, Header: r.Header, Client: r.RemoteAddr, Arrived: arrived, NetworkTime: networkTime}
 	q.ID, q.Timeout = s.c.Dialect.ExtractAttempt(r.Header)
 	dropHopHeaders(r.Header)
-	body, status := readBody(w, r, limits, q.Timeout)
+	body, status := s.readBody(w, r, limits, q.Timeout)
 	if status != 0 {
 		refuse(w, status)
 		return
@@ -255,6 +264,9 @@
 // refuse answers with the status and closes the connection.
 func refuse(w http.ResponseWriter, status int) {
 	w.Header().Set("Connection", "close")
+	if status == http.StatusServiceUnavailable {
+		setRetryAfter(w.Header(), retryAfterNoMemory)
+	}
 	w.WriteHeader(status)
 }
 
@@ -286,12 +298,12 @@
 
 // readBody reads a request's body. If it can't be read, it returns the status
 // to refuse the request with, otherwise 0.
-func readBody(w http.ResponseWriter, r *http.Request, limits routing.Limits, timeout time.Duration) ([]byte, int) {
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, limits routing.Limits, timeout time.Duration) ([]byte, int) {
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		return nil, 0
 	}
+	c := http.NewResponseController(w)
 	if timeout > 0 {
-		c := http.NewResponseController(w)
 		if err := c.SetReadDeadline(time.Now().Add(timeout)); err == nil {
 			defer func() { _ = c.SetReadDeadline(time.Time{}) }()
 		}
@@ -300,9 +312,14 @@
 	if limits.MaxBodyBytes > 0 {
 		body = http.MaxBytesReader(w, r.Body, limits.MaxBodyBytes)
 	}
-	b, err := io.ReadAll(body)
+	l := readlimit.New(body)
+	l.Account(s.c.Budget.Open(func() { _ = c.SetReadDeadline(time.Now()) }))
+	l.Allow(math.MaxInt, readlimit.BodyCost)
+	b, err := io.ReadAll(l)
 	var large *http.MaxBytesError
-	switch {
+	switch aborted := l.Keep(b); {
+	case aborted:
+		return nil, http.StatusServiceUnavailable
 	case errors.As(err, &large):
 		return nil, http.StatusRequestEntityTooLarge
 	case err != nil:
@@ -329,6 +346,11 @@
 	}
 }
 
+// setRetryAfter sets the time after which a client may try again.
+func setRetryAfter(h http.Header, d time.Duration) {
+	h.Set("Retry-After", strconv.FormatFloat(d.Seconds(), 'f', 3, 64))
+}
+
 // writeAnswer writes an answer to the client.
 func writeAnswer(w http.ResponseWriter, a forward.Answer) {
 	h := w.Header()
@@ -342,7 +364,7 @@
 		h["Content-Type"] = nil
 	}
 	if a.RetryAfter > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', 3, 64))
+		setRetryAfter(h, a.RetryAfter)
 	}
 	h.Set("Content-Length", strconv.Itoa(len(a.Body)))
 	if a.Status == http.StatusNoContent || a.Status == http.StatusNotModified {
--- /dev/null
+++ b/internal/infra/readbudget/readbudget.go
@@ -0,0 +1,251 @@
+// Package readbudget bounds the memory for what peers send, summed over all connections.
+//
+// Each response has a limit of its own, but a peer in trouble may send many without an end at
+// a time. Once their sum reaches the budget, the largest one gives way: its connection is
+// aborted, and its memory is used for the others. A response that would become the largest
+// itself fails. So small responses go on being read, however many large ones there are.
+//
+// # Usage
+//
+//	b := readbudget.New(readbudget.Config{Limit: 32 << 20})
+//	c := b.Open(func() { _ = conn.Close() })
+//	if err := c.Grow(64 << 10); err != nil { ... } // before these bytes are read
+//	aborted := c.Keep(body)                        // or c.Release()
+package readbudget
+
+import (
+	"runtime"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+const (
+	// maxWait bounds the time for which Grow waits for memory of aborted responses. Their
+	// readers release it as soon as they run.
+	maxWait = time.Second
+	// minKept is the size in bytes above which a response that was read whole counts until
+	// it is garbage. Smaller ones are held for as long as a request takes.
+	minKept = 64 << 10
+	// collectInterval is the minimum time between two runs of the garbage collector for the
+	// memory of such responses.
+	collectInterval = 100 * time.Millisecond
+)
+
+// ErrExhausted is returned by Grow if a response gives way to others.
+const ErrExhausted = errors.ConstError("too much memory is in use for responses")
+
+// Config configures a Budget.
+type Config struct {
+	// Limit is the number of bytes.
+	Limit int64
+}
+
+// Budget is the memory for responses. It is safe for concurrent use. A nil Budget has no
+// limit.
+type Budget struct {
+	c  Config
+	mu sync.Mutex
+	// onAbort is called with the size of a response that gives way.
+	onAbort func(size int64)
+	// used is the sum of all claims and of kept, which is the memory of responses that were
+	// read whole and are not garbage yet.
+	used, kept  int64
+	claims      map[*Claim]struct{}
+	collectedAt time.Time
+	// changed is closed when memory is released or a claim is aborted; nil while nobody waits.
+	changed chan struct{}
+}
+
+// New returns a budget of which nothing is used.
+func New(c Config) *Budget {
+	return &Budget{c: c, claims: map[*Claim]struct{}{}, onAbort: func(int64) {}}
+}
+
+// OnAbort sets a function that is called with the size in bytes of each response that gives
+// way. It must not block.
+func (b *Budget) OnAbort(f func(size int64)) {
+	if b == nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.onAbort = f
+}
+
+// Claim is the memory for one response. Its methods are safe for concurrent use, and do
+// nothing on a nil Claim.
+type Claim struct {
+	b     *Budget
+	abort func()
+	// size is in bytes, and aborted is set once abort was called. Both are guarded by b.mu.
+	size    int64
+	aborted bool
+}
+
+// Open returns an empty claim. It may be used for one response after the other. abort ends
+// the response, so that its reader calls Release soon; it must not block or call the Budget.
+func (b *Budget) Open(abort func()) *Claim {
+	if b == nil {
+		return nil
+	}
+	return &Claim{b: b, abort: abort}
+}
+
+// Used returns the number of bytes in use.
+func (b *Budget) Used() int64 {
+	if b == nil {
+		return 0
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.used
+}
+
+// Grow adds n bytes. It aborts larger responses if there is no room, and waits for their
+// memory. The error is ErrExhausted if the response has to give way itself.
+func (c *Claim) Grow(n int64) error {
+	if c == nil {
+		return nil
+	}
+	b := c.b
+	var expired <-chan time.Time
+	var again *time.Ticker
+	for {
+		b.mu.Lock()
+		granted, wait := b.grow(c, n)
+		changed := b.changed
+		b.mu.Unlock()
+		switch {
+		case granted:
+			return nil
+		case !wait:
+			return ErrExhausted
+		}
+		if expired == nil {
+			t := time.NewTimer(maxWait)
+			defer t.Stop()
+			expired = t.C
+			again = time.NewTicker(collectInterval)
+			defer again.Stop()
+		}
+		select {
+		case <-changed:
+		case <-again.C:
+		case <-expired:
+			return ErrExhausted
+		}
+	}
+}
+
+// grow adds n bytes to a claim if there is room. Otherwise it makes room and reports whether
+// to wait for it. The lock is held.
+func (b *Budget) grow(c *Claim, n int64) (granted, wait bool) {
+	if c.aborted {
+		return false, false
+	}
+	if b.used+n <= b.c.Limit {
+		b.used += n
+		c.size += n
+		b.claims[c] = struct{}{}
+		return true, false
+	}
+	pending, largest := int64(0), (*Claim)(nil)
+	for o := range b.claims {
+		switch {
+		case o.aborted:
+			pending += o.size
+		case largest == nil || o.size > largest.size:
+			largest = o
+		}
+	}
+	switch {
+	case b.used-pending+n <= b.c.Limit:
+	case largest != nil && largest != c && largest.size > c.size+n:
+		b.abort(largest)
+	case b.kept > 0 && b.used-pending-b.kept+n <= b.c.Limit:
+		b.collect()
+	default:
+		b.abort(c)
+		return false, false
+	}
+	if b.changed == nil {
+		b.changed = make(chan struct{})
+	}
+	return false, true
+}
+
+// abort makes a response give way. The lock is held.
+func (b *Budget) abort(c *Claim) {
+	c.aborted = true
+	c.abort()
+	b.onAbort(c.size)
+	b.notify()
+}
+
+// collect starts the garbage collector, unless it ran just before. The lock is held.
+func (b *Budget) collect() {
+	now := time.Now()
+	if now.Sub(b.collectedAt) < collectInterval {
+		return
+	}
+	b.collectedAt = now
+	go runtime.GC()
+}
+
+// notify wakes those that wait. The lock is held.
+func (b *Budget) notify() {
+	if b.changed != nil {
+		close(b.changed)
+		b.changed = nil
+	}
+}
+
+// Release returns the memory of the claim, and reports whether the response was aborted.
+func (c *Claim) Release() (aborted bool) {
+	if c == nil {
+		return false
+	}
+	c.b.mu.Lock()
+	defer c.b.mu.Unlock()
+	return c.release()
+}
+
+// release returns the memory of the claim. The lock is held.
+func (c *Claim) release() (aborted bool) {
+	aborted = c.aborted
+	if c.size == 0 && !aborted {
+		return false
+	}
+	c.b.used -= c.size
+	c.size, c.aborted = 0, false
+	delete(c.b.claims, c)
+	c.b.notify()
+	return aborted
+}
+
+// Keep is like Release for a response that was read whole. Its body counts until nobody uses
+// it any more, unless the response was aborted.
+func (c *Claim) Keep(body []byte) (aborted bool) {
+	if c == nil {
+		return false
+	}
+	b := c.b
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if aborted = c.release(); aborted || len(body) < minKept {
+		return aborted
+	}
+	n := int64(cap(body))
+	b.used += n
+	b.kept += n
+	runtime.AddCleanup(&body[0], func(n int64) {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.used -= n
+		b.kept -= n
+		b.notify()
+	}, n)
+	return aborted
+}
--- a/internal/infra/readlimit/readlimit_test.go
+++ b/internal/infra/readlimit/readlimit_test.go
@@ -14,13 +14,13 @@
 func TestRead(t *testing.T) {
 	r := readlimit.New(strings.NewReader("abcdefgh"))
 	for _, want := range []string{"abc", "de"} {
-		r.Allow(len(want))
+		r.Allow(len(want), 1)
 		got, err := io.ReadAll(r)
 		if string(got) != want || !errors.Is(err, readlimit.ErrExceeded) {
 			t.Errorf("read %q, %v, want %q and ErrExceeded", got, err, want)
 		}
 	}
-	r.Allow(10)
+	r.Allow(10, 1)
 	if got, err := io.ReadAll(r); string(got) != "fgh" || err != nil {
 		t.Errorf("read %q, %v, want the rest", got, err)
 	}
--- a/internal/node/entry/node.go
+++ b/internal/node/entry/node.go
@@ -9,6 +9,7 @@
 package entry
 
 import (
+	"fmt"
 	"hash/maphash"
 	"io"
 
@@ -17,6 +18,7 @@
 	"egrethaven/internal/back/directory"
 	"egrethaven/internal/front/httpserver"
 	"egrethaven/internal/front/readiness"
+	"egrethaven/internal/infra/readbudget"
 	"egrethaven/internal/infra/vm"
 	"egrethaven/internal/node/contracts"
 	"egrethaven/internal/observe/clock"
@@ -64,6 +66,9 @@
 	vms     *vmlist.Poller
 	configs *config.Manager
 
+	// budget bounds the memory for responses; nil if the settings name none.
+	budget *readbudget.Budget
+
 	self       vm.VM
 	peerServer *rpc.Server
 	dialer     *rpc.Dialer
@@ -94,6 +99,10 @@
 	}
 	n := &Node{c: c, clock: clock.New(clock.Config{})}
 	n.log = n.newLog()
+	if mb := c.Settings.Limits.ResponseMemoryMB; mb > 0 {
+		n.budget = readbudget.New(readbudget.Config{Limit: int64(mb) << 20})
+	}
+	n.budget.OnAbort(func(size int64) { n.log.Emit(event.ResponseAborted, "", fmt.Sprintf("%d bytes", size)) })
 	n.gate = readiness.New(readiness.Config{MaxInFlight: c.Settings.Limits.MaxInFlight, Events: n.log})
 	if err := n.build(); err != nil {
 		n.Close()
--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -26,11 +26,12 @@
 		SharedKey:   s.Peer.SharedKey,
 		IsKnownAddr: n.isKnownAddr,
 		Events:      n.log,
+		Budget:      n.budget,
 	})
 	if err != nil {
 		return errors.Annotate(err, "peer port")
 	}
-	n.dialer = rpc.NewDialer(rpc.DialerConfig{SharedKey: s.Peer.SharedKey})
+	n.dialer = rpc.NewDialer(rpc.DialerConfig{SharedKey: s.Peer.SharedKey, Budget: n.budget})
 	n.self = vm.VM{ID: s.Node.ID, Role: vm.Entry, Domain: s.Node.FailureDomain, Addr: n.peerServer.Addr(), State: vm.Live}
 	n.rumors = rumor.New(rumor.Config{Node: s.Node.ID})
 	n.configSync = configsync.New(configsync.Config{Self: n.self, Manager: n.configs, Dialer: n.dialer, Events: n.log})
--- a/internal/node/entry/platform.go
+++ b/internal/node/entry/platform.go
@@ -21,7 +21,7 @@
 	p := n.c.Settings.Platform
 	callsPerSecond := float64(p.CallsPerSecond)
 	n.store = kv.New(kv.Config{
-		Transport: store.New(store.Config{Addr: p.Addr, Timeout: p.Timeout}),
+		Transport: store.New(store.Config{Addr: p.Addr, Timeout: p.Timeout, Budget: n.budget}),
 		Addr:      p.Addr,
 		Events:    n.log,
 		Budget:    kv.Budget{ReadsPerSecond: callsPerSecond * readShare, WritesPerSecond: callsPerSecond * writeShare},
--- a/internal/node/entry/query.go
+++ b/internal/node/entry/query.go
@@ -5,6 +5,7 @@
 
 	"egrethaven/internal/back/backend"
 	"egrethaven/internal/back/directory"
+	"egrethaven/internal/back/link"
 	"egrethaven/internal/node/contracts"
 	"egrethaven/internal/node/indexsource"
 	"egrethaven/internal/observe/health"
@@ -24,7 +25,7 @@
 		VMs:         n.vms.List,
 		LocalDomain: localDomain,
 		Events:      n.log,
-		Backend:     backend.Config{Events: n.log},
+		Backend:     backend.Config{Events: n.log, Link: link.Config{Budget: n.budget}},
 		OnDrain:     onDrain,
 		Seed:        n.c.Seed,
 	})
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"egrethaven/internal/back/quarantine"
 	"egrethaven/internal/front/httpserver"
 	"egrethaven/internal/front/ingress"
+	"egrethaven/internal/infra/readbudget"
 	"egrethaven/internal/observe/clock"
 	"egrethaven/internal/observe/event"
 	"egrethaven/internal/observe/gatewaymetric"
@@ -82,6 +83,8 @@
 	Store    follow.Store
 	Decode   Decoder
 	Dialect  Dialect
+	// Budget bounds the memory for what searchers and other VMs send; nil means no bound.
+	Budget *readbudget.Budget
 	// ReadyPath is the path of the readiness check.
 	ReadyPath string
 	// LogOutput receives the structured log; nil disables it.
@@ -124,8 +127,11 @@
 		e.Logger = logger.New(logger.Config{Out: g.pipe, Level: string(s.LogLevel), Node: s.ID})
 	}
 	g.log = event.New(e)
+	c.Budget.OnAbort(func(size int64) {
+		g.log.Emit(event.ResponseAborted, "", fmt.Sprintf("%d bytes", size))
+	})
 	g.storeView = newStoreView(storeViewConfig{
-		Self: vmRecord(s), Decode: c.Decode, EntryGrace: s.EntryGrace, CatchUp: s.CatchUp, Events: g.log, OnVMCount: g.setVMCount,
+		Self: vmRecord(s), Decode: c.Decode, EntryGrace: s.EntryGrace, CatchUp: s.CatchUp, Events: g.log, Budget: c.Budget, OnVMCount: g.setVMCount,
 	})
 	g.isolation = &isolationMonitor{domain: s.Domain, current: g.storeView.Current, events: g.log,
 		onChange: func(isolated bool) { g.engine.SetIsolated(isolated) }}
@@ -160,14 +166,14 @@
 		},
 	})
 	if g.ingress, err = ingress.New(ingress.Config{
-		Addr: s.ClientAddr, Dialect: g.c.Dialect, Do: g.engine.Do, Limits: g.clientLimits, Events: g.log,
+		Addr: s.ClientAddr, Dialect: g.c.Dialect, Do: g.engine.Do, Limits: g.clientLimits, Budget: g.c.Budget, Events: g.log,
 		CloseConns: g.isolation.isolated.Load,
 	}); err != nil {
 		return errors.Trace(err)
 	}
 	if g.peerComponents, err = newPeerComponents(peerConfig{ListenAddr: s.PeerAddr, Seeds: s.SeedAddrs, Store: g.c.Store, RumorStore: g.c.Store, ChangeTime: s.ChangeTime(), StoreView: g.storeView,
 		Engine: g.engine, Rumors: rumors, GroupLimit: g.groupLimit, Isolated: g.isolation.isolated.Load, ObserveHandover: g.metrics.RecordHandover,
-		Events: g.log}); err != nil {
+		Events: g.log, Budget: g.c.Budget}); err != nil {
 		return errors.Trace(err)
 	}
 	ready := http.NewServeMux()
@@ -198,6 +204,7 @@
 		{"egrethaven_requests_suspected", "{request}", "requests suspected of crashing searchers, which run alone", g.suspectCount},
 		{"egrethaven_requests_quarantined", "{request}", "requests that are refused because they crash searchers", g.quarantinedCount},
 		{"egrethaven_vms", "{vm}", "VMs of the tier that are counted", g.storeView.registeredVMs},
+		{"egrethaven_response_memory", "By", "memory in use for responses that are being read, and for long ones until they are passed on", g.responseMemory},
 		{"egrethaven_log_lines_dropped", "{line}", "log lines that found no room", g.droppedLogLines},
 	} {
 		if err := g.metrics.RegisterGauge(v.name, v.unit, v.help, v.read); err != nil {
@@ -222,6 +229,9 @@
 	return -1
 }
 
+// responseMemory returns the memory in use for responses, in bytes.
+func (g *Gateway) responseMemory() float64 { return float64(g.c.Budget.Used()) }
+
 // droppedLogLines returns the number of log lines dropped from a full buffer.
 func (g *Gateway) droppedLogLines() float64 {
 	if g.pipe == nil {
--- a/internal/node/gateway/peers.go
+++ b/internal/node/gateway/peers.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 
 	"egrethaven/internal/back/healthscore"
+	"egrethaven/internal/infra/readbudget"
 	"egrethaven/internal/observe/event"
 	"egrethaven/internal/peer/gossip"
 	"egrethaven/internal/peer/handover"
@@ -78,12 +79,14 @@
 	// ObserveHandover is called with the outcome of each try to hand a request over.
 	ObserveHandover func(outcome string)
 	Events          event.Sink
+	// Budget bounds the memory for messages of other VMs.
+	Budget *readbudget.Budget
 }
 
 // newPeerComponents creates the components and binds ListenAddr.
 func newPeerComponents(c peerConfig) (*peerComponents, error) {
 	v := c.StoreView
-	p := &peerComponents{dialer: rpc.NewDialer(rpc.DialerConfig{DialTimeout: peerDialTimeout, MaxMessageBytes: maxPeerMessageBytes})}
+	p := &peerComponents{dialer: rpc.NewDialer(rpc.DialerConfig{DialTimeout: peerDialTimeout, MaxMessageBytes: maxPeerMessageBytes, Budget: c.Budget})}
 	var log *changelog.Log
 	p.storeSource, log = newStoreSource(c, p.dialer)
 	board, pool := healthscore.New(), retrypool.New(retrypool.Config{Limit: c.GroupLimit})
@@ -98,7 +101,7 @@
 		return p, nil
 	}
 	var err error
-	if p.server, err = rpc.NewServer(rpc.ServerConfig{Listen: c.ListenAddr, IsKnownAddr: v.isKnownAddr, Events: c.Events, MaxMessageBytes: maxPeerMessageBytes}); err != nil {
+	if p.server, err = rpc.NewServer(rpc.ServerConfig{Listen: c.ListenAddr, IsKnownAddr: v.isKnownAddr, Events: c.Events, MaxMessageBytes: maxPeerMessageBytes, Budget: c.Budget}); err != nil {
 		return p, errors.Trace(err)
 	}
 	p.sender = handover.New(handover.Config{Dialer: p.dialer, Domain: v.c.Self.Domain, Peers: v.peers, Observe: c.ObserveHandover, Events: c.Events})
--- a/internal/node/gateway/storeview.go
+++ b/internal/node/gateway/storeview.go
@@ -15,6 +15,7 @@
 	"egrethaven/internal/back/instance"
 	"egrethaven/internal/back/limitshare"
 	"egrethaven/internal/back/subset"
+	"egrethaven/internal/infra/readbudget"
 	"egrethaven/internal/observe/event"
 	"egrethaven/internal/peer/peerchoice"
 	"egrethaven/internal/query/forward"
@@ -80,6 +81,8 @@
 	// known.
 	CatchUp time.Duration
 	Events  event.Sink
+	// Budget bounds the memory for the answers of searchers.
+	Budget *readbudget.Budget
 	// OnVMCount is called when the number of VMs changes.
 	OnVMCount func(int)
 }
@@ -388,7 +391,7 @@
 		if i == nil {
 			v.c.Events.Emit(event.SearcherFound, e.ID, e.Service+" at "+e.Addr)
 			name := healthscore.Process{ID: e.ID, StartedMs: e.StartedMs}
-			i = instance.New(instance.Config{Searcher: e, Conns: conns[e.ID], Events: v.c.Events, AtConnLimit: v.oldConnsMayRemain, OpenDelay: rand.N(time.Duration(v.countedVMs) * openSpreadPerVM), LimitShare: v.limitShare,
+			i = instance.New(instance.Config{Searcher: e, Conns: conns[e.ID], Budget: v.c.Budget, Events: v.c.Events, AtConnLimit: v.oldConnsMayRemain, OpenDelay: rand.N(time.Duration(v.countedVMs) * openSpreadPerVM), LimitShare: v.limitShare,
 				Observe: func(ratio float64, failed bool) { v.observeSearcher(name, ratio, failed) }, OnLeaving: func() { v.markLeaving(p) }, OnEnded: func() { v.onSearcherEnded(e.Process()) }})
 			v.instances[p] = i
 		} else {
--- a/internal/peer/rpc/conn.go
+++ b/internal/peer/rpc/conn.go
@@ -22,6 +22,7 @@
 func (c *conn) Invoke(ctx context.Context, rpc string, e drpc.Encoding, in, out drpc.Message) error {
 	w := c.watch()
 	err := c.Conn.Invoke(ctx, rpc, e, in, out)
+	c.transport.endMessage()
 	if err != nil {
 		w.closeIfSilent(ctx)
 	}
--- a/internal/peer/rpc/dialer.go
+++ b/internal/peer/rpc/dialer.go
@@ -11,6 +11,7 @@
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcpool"
 
+	"egrethaven/internal/infra/readbudget"
 	"egrethaven/internal/infra/tcpdial"
 )
 
@@ -36,6 +37,8 @@
 	IdleTimeout    time.Duration
 	// MaxMessageBytes limits the size of one message.
 	MaxMessageBytes int
+	// Budget bounds the memory for the messages of all connections; nil means no bound.
+	Budget *readbudget.Budget
 }
 
 // ErrUnreachable marks the error of a call for which no connection could be
@@ -127,7 +130,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	t := &countedConn{Conn: c, total: &d.counters}
+	t := newCountedConn(c, &d.counters, d.c.Budget)
 	if !d.track(t) {
 		c.Close()
 		return nil, errors.New("dialer is closed")
--- a/internal/peer/rpc/server.go
+++ b/internal/peer/rpc/server.go
@@ -13,6 +13,7 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"egrethaven/internal/infra/readbudget"
 	"egrethaven/internal/infra/tcpdial"
 	"egrethaven/internal/observe/event"
 )
@@ -42,6 +43,8 @@
 	// MaxMessageBytes limits the size of one message; 0 means
 	// DefaultMaxMessageBytes.
 	MaxMessageBytes int
+	// Budget bounds the memory for the messages of all connections; nil means no bound.
+	Budget *readbudget.Budget
 }
 
 // Server accepts connections and runs calls from other entry VMs.
@@ -133,7 +136,8 @@
 	defer c.Close()
 	stop := context.AfterFunc(s.ctx, func() { c.Close() })
 	defer stop()
-	t := &countedConn{Conn: c, total: &s.counters}
+	t := newCountedConn(c, &s.counters, s.c.Budget)
+	defer t.endMessage()
 	if err := serverHandshake(t, s.c.SharedKey, s.isKnownAddr(c), handshakeTimeout); err != nil {
 		s.refused.Add(1)
 		if s.ctx.Err() == nil {
--- a/internal/platform/vmlist/poller.go
+++ b/internal/platform/vmlist/poller.go
@@ -34,6 +34,8 @@
 	staleIntervals = 5
 	// maxListBytes limits the size of the response.
 	maxListBytes = 8 << 20
+	// maxHeadBytes limits the header of the response.
+	maxHeadBytes = 64 << 10
 )
 
 // Config configures a Poller.
@@ -82,7 +84,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &Poller{
 		config:    c,
-		transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second},
+		transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: maxHeadBytes},
 		random:    rand.New(rand.NewPCG(c.Seed, 3)),
 		cancel:    cancel,
 		ready:     make(chan struct{}),
--- a/internal/state/settings/settings.go
+++ b/internal/state/settings/settings.go
@@ -75,6 +75,8 @@
 	MaxBody int
 	// MaxInFlight is the maximum number of caller requests in flight.
 	MaxInFlight int
+	// ResponseMemoryMB is the memory for responses that are read at a time, in MiB.
+	ResponseMemoryMB int
 	// DrainLimit is how long a graceful shutdown waits for requests in flight.
 	DrainLimit time.Duration
 	// BalancerLag is how long listeners stay open after /ready starts to fail,
