MIXED: bytes behind a response never become part of the next one

Cause: a connection was handed to a queued request without a look at what was behind the answer, and an answer counted as the request's own if its ID was, whatever else its header held.

Looking at the buffer alone does not mend it, as the bytes may arrive later.

A connection with bytes behind an answer is not used again, and a header with a status line within it, or with two signatures or IDs, is no answer.

--- a/internal/back/conn/conn.go
+++ b/internal/back/conn/conn.go
@@ -94,6 +94,9 @@
 	Bytes []byte
 	// Matches reports whether an answer with this header belongs to the exchange.
 	Matches func(http.Header) bool
+	// Check returns an error if an answer with this header contradicts itself, so that the
+	// exchange fails; nil accepts all.
+	Check func(http.Header) error
 	// Done is called once with the result, from the reader goroutine or from
 	// Start.
 	Done func(Result)
@@ -282,7 +285,8 @@
 			}
 			r.Err = errors.New("the answer belongs to another request")
 		}
-		if !k.finish(x, r, reusable && r.Err == nil && mismatched == 0) {
+		//X	// Bytes behind the answer belong to no exchange.
+		if !k.finish(x, r, reusable && r.Err == nil && mismatched == 0 && k.r.Buffered() == 0) {
 			return
 		}
 	}
@@ -318,6 +322,9 @@
 		r.Err = errors.Annotate(readlimit.ShortError(err), "reading the answer's header")
 		return r, false
 	}
+	if r.Err = checkHead(resp, x.Check); r.Err != nil {
+		return r, false
+	}
 	r.Status, r.Header = resp.StatusCode, resp.Header
 	k.limit.Allow(maxBodySize+maxHeadSize, readlimit.BodyCost)
 	if r.Body, err = readBody(resp, k.limit.Cover); err != nil {
@@ -330,6 +337,48 @@
 	return r, !resp.Close && resp.StatusCode != http.StatusSwitchingProtocols
 }
 
+// checkHead returns an error if a header contradicts itself. After a response that breaks off
+// in its header, such as a second one to the exchange before, the next response continues
+// that header with its status line.
+func checkHead(resp *http.Response, check func(http.Header) error) error {
+	if containsStatusLine(resp.Status) {
+		return errTwoResponses
+	}
+	for _, vs := range resp.Header {
+		for _, v := range vs {
+			if containsStatusLine(v) {
+				return errTwoResponses
+			}
+		}
+	}
+	if check == nil {
+		return nil
+	}
+	return errors.Trace(check(resp.Header))
+}
+
+// errTwoResponses means that one response begins within the header of another.
+const errTwoResponses = errors.ConstError("two responses in one header")
+
+// containsStatusLine reports whether a text contains the start of a status line, such as
+// "HTTP/1.1 200".
+func containsStatusLine(s string) bool {
+	const start, length = "HTTP/1.", len("HTTP/1.1 200")
+	for {
+		i := strings.Index(s, start)
+		if i < 0 || len(s) < i+length {
+			return false
+		}
+		s = s[i+len(start):]
+		if isDigit(s[0]) && s[1] == ' ' && isDigit(s[2]) && isDigit(s[3]) && isDigit(s[4]) {
+			return true
+		}
+	}
+}
+
+// isDigit reports whether a byte is a decimal digit.
+func isDigit(b byte) bool { return '0' <= b && b <= '9' }
+
 // parseIdleUntil returns when an idle connection must no longer be used, from the
 // timeout in the Keep-Alive header; the zero time if there is none.
 func parseIdleUntil(h http.Header) time.Time {
--- a/internal/back/instance/instance.go
+++ b/internal/back/instance/instance.go
@@ -163,6 +163,9 @@
 	Build func() []byte
 	// Matches reports whether an answer with this header belongs to the request.
 	Matches func(http.Header) bool
+	// Check returns an error if an answer with this header contradicts itself; nil accepts
+	// all.
+	Check func(http.Header) error
 	// Done is called once with the result, unless the call was canceled while
 	// queued.
 	Done func(conn.Result)
--- a/internal/back/instance/send.go
+++ b/internal/back/instance/send.go
@@ -123,7 +123,7 @@
 		x.fail(context.DeadlineExceeded)
 		return
 	}
-	ok := x.conn.Start(conn.Request{Method: x.req.Method, Bytes: b, Matches: x.req.Matches, Done: x.finish})
+	ok := x.conn.Start(conn.Request{Method: x.req.Method, Bytes: b, Matches: x.req.Matches, Check: x.req.Check, Done: x.finish})
 	if ok {
 		return
 	}
--- a/internal/query/forward/fake_test.go
+++ b/internal/query/forward/fake_test.go
@@ -31,6 +31,13 @@
 
 func (testDialect) AttemptID(h http.Header) string { return h.Get("Id") }
 
+func (testDialect) CheckReply(h http.Header) error {
+	if len(h["Stamp"]) > 1 || len(h["Id"]) > 1 {
+		return errors.New("contradiction")
+	}
+	return nil
+}
+
 func (testDialect) ParseReply(status int, h http.Header) ReplyHeader {
 	r := ReplyHeader{Stamp: h.Get("Stamp"), Misdirected: status == http.StatusMisdirectedRequest}
 	r.NotRun = h.Get("Not-Run") != "" || r.Misdirected
--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -162,6 +162,9 @@
 	// AttemptID returns the attempt ID in an answer's header; empty if there is
 	// none.
 	AttemptID(h http.Header) string
+	// CheckReply returns an error if an answer's header contradicts itself, such as one
+	// with two stamps. Such an answer states nothing.
+	CheckReply(h http.Header) error
 	// ParseReply parses the other header fields of a searcher's answer.
 	ParseReply(status int, h http.Header) ReplyHeader
 	// WriteFanOutHeader sets the header fields of the answer to a fan-out: the
