Connections: start no exchange between the reader's last look and its close

The reader asked for the exchange in progress and closed the connection in two steps. An exchange that started in between was never ended, and its request waited for its deadline.

--- a/internal/back/conn/conn.go
+++ b/internal/back/conn/conn.go
@@ -268,7 +268,7 @@
 	defer k.notifyClosed()
 	for mismatched := 0; ; {
 		_, err := k.r.Peek(1)
-		x := k.currentExchange()
+		x := k.currentOrRetire(err)
 		if err != nil {
 			k.finish(x, Result{Sent: true, Err: errors.Annotate(err, "awaiting the answer")}, false)
 			return
@@ -417,10 +417,12 @@
 	return b.Bytes(), err
 }
 
-// currentExchange returns the exchange in progress, or nil.
-func (k *Conn) currentExchange() *exchange {
+// currentOrRetire returns the exchange in progress, or nil. If the connection has ended, or
+// bytes have come without an exchange, no further one may start: it would never end.
+func (k *Conn) currentOrRetire(err error) *exchange {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.retired = k.retired || err != nil || k.inFlight == nil
 	return k.inFlight
 }
 
