CONFIG: do not hold a client's request in the write to a searcher

Cause: Conn.Start wrote on the goroutine that owns the client's request. While the searcher did not read, that goroutine saw no answer, deadline or leaving client.

Ruled out: an answer that is not read (the reader runs from the start), and a lack of connections (requests written by another goroutine went well).

Start writes what fits into the send buffer and leaves the rest to a goroutine of the connection, which gives up five seconds after the exchange. TestSurplusBytes waits for the end of the write before it checks the connection: over a pipe it may be recorded after the answer. What it checks is unchanged.

--- a/internal/back/conn/conn.go
+++ b/internal/back/conn/conn.go
@@ -2,7 +2,9 @@
 // that never retries a request.
 //
 // A connection carries one exchange at a time. A reader goroutine receives the
-// answer and calls back, so that one goroutine can wait for many exchanges. It
+// answer and calls back, so that one goroutine can wait for many exchanges. A
+// request that the searcher does not read at once is written by another goroutine,
+// so that Start does not wait; the answer may come before it is written. The reader
 // also detects a close or unsolicited bytes on an idle connection immediately. An
 // answer that does not belong to the exchange is discarded, and the connection is
 // not reused.
@@ -22,9 +24,11 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -56,6 +60,9 @@
 	// connection is detected within about 4 s.
 	keepAliveInterval = time.Second
 	keepAliveProbes   = 3
+	// maxLateWrite is how long the rest of a request may take to be written after its
+	// exchange has ended.
+	maxLateWrite = 5 * time.Second
 	// userTimeout (TCP_USER_TIMEOUT) is how long sent bytes may stay
 	// unacknowledged.
 	userTimeout = 3 * time.Second
@@ -81,6 +88,9 @@
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
 	// Budget bounds the memory for the answers of all connections; nil means no bound.
 	Budget *readbudget.Budget
+	// OnReady is called when a request has been written whose exchange had ended before:
+	// the connection may carry another one now. It may be nil.
+	OnReady func()
 	// OnClosed is called once when the connection is closed and no exchange is in
 	// progress; may be nil.
 	OnClosed func(*Conn)
@@ -134,6 +144,8 @@
 	limit *readlimit.Reader
 	r     *bufio.Reader
 	done  chan struct{}
+	// writers holds the goroutine that writes the rest of a request.
+	writers sync.WaitGroup
 
 	mu sync.Mutex
 	// inFlight is the exchange in progress, or nil.
@@ -182,8 +194,8 @@
 	return k
 }
 
-// Start sends a request. It returns false, without calling Done, if the connection
-// is busy or can carry no further exchange.
+// Start sends a request, without waiting for the searcher to read it. It returns false,
+// without calling Done, if the connection is busy or can carry no further exchange.
 func (k *Conn) Start(q Request) bool {
 	k.mu.Lock()
 	if k.retired || k.closed || k.writing || k.inFlight != nil {
@@ -195,14 +207,61 @@
 	k.writing = true
 	k.exchanges++
 	k.mu.Unlock()
-	n, err := k.conn.Write(q.Bytes)
+	n, err := writeAvailable(k.conn, q.Bytes)
+	if err != nil || n == len(q.Bytes) {
+		k.endWrite(x, n, err)
+		return true
+	}
+	k.writers.Go(func() {
+		more, err := k.conn.Write(q.Bytes[n:])
+		k.endWrite(x, n+more, err)
+	})
+	return true
+}
+
+// writeAvailable writes as much of b as fits into the connection's send buffer, and returns
+// the number of bytes. If it cannot tell, it writes nothing.
+func writeAvailable(c net.Conn, b []byte) (n int, err error) {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return 0, nil
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var werr error
+	err = raw.Write(func(fd uintptr) bool {
+		n, werr = syscall.Write(int(fd), b)
+		return true
+	})
+	switch {
+	case err != nil:
+		return 0, err
+	case werr == syscall.EAGAIN, werr == syscall.EINTR:
+		return 0, nil
+	case werr != nil:
+		return 0, os.NewSyscallError("write", werr)
+	}
+	return n, nil
+}
+
+// endWrite records that n bytes of the request of x were written, all if err is nil.
+func (k *Conn) endWrite(x *exchange, n int, err error) {
 	k.mu.Lock()
 	k.writing = false
+	ended := k.inFlight != x
 	k.mu.Unlock()
-	if err != nil {
+	switch {
+	case err != nil:
 		k.finish(x, Result{Sent: n > 0, Err: errors.Annotate(err, "sending the request")}, false)
+	case ended:
+		// Errors show at the next use of the connection.
+		_ = k.conn.SetWriteDeadline(time.Time{})
+		if k.c.OnReady != nil {
+			k.c.OnReady()
+		}
 	}
-	return true
 }
 
 // Readiness is whether a connection can start an exchange.
@@ -259,8 +318,11 @@
 	_ = k.conn.Close()
 }
 
-// Wait waits until the reader goroutine has ended, which Close causes.
-func (k *Conn) Wait() { <-k.done }
+// Wait waits until the goroutines of the connection have ended, which Close causes.
+func (k *Conn) Wait() {
+	<-k.done
+	k.writers.Wait()
+}
 
 // readAnswers reads answers until the connection ends.
 func (k *Conn) readAnswers() {
@@ -444,6 +506,10 @@
 		k.inFlight = nil
 		k.idleSince = time.Now()
 	}
+	if current && k.writing {
+		// A searcher that reads nothing more must not hold the connection for good.
+		_ = k.conn.SetWriteDeadline(k.idleSince.Add(maxLateWrite))
+	}
 	if r.Err != nil && k.closed {
 		r.Err = ErrClosed
 	}
--- a/internal/back/conn/conn_test.go
+++ b/internal/back/conn/conn_test.go
@@ -86,6 +86,8 @@
 			time.Sleep(time.Second)
 			_, _ = io.WriteString(server, "HTTP/1.1 200 OK\r\n")
 		})
+		// Over a pipe the end of the write may be recorded after the answer.
+		synctest.Wait()
 		if r.Err != nil || k.Readiness(time.Now()) != Usable {
 			t.Fatalf("%v, %v", r.Err, k.Readiness(time.Now()))
 		}
--- a/internal/back/instance/connections.go
+++ b/internal/back/instance/connections.go
@@ -116,7 +116,7 @@
 // dial opens one connection after wait.
 func (i *Instance) dial(wait time.Duration) {
 	pause.Sleep(i.ctx, wait)
-	k, err := conn.Dial(i.ctx, conn.Config{Addr: i.c.Searcher.Addr, Dial: i.c.Dial, Budget: i.c.Budget, OnClosed: i.connClosed})
+	k, err := conn.Dial(i.ctx, conn.Config{Addr: i.c.Searcher.Addr, Dial: i.c.Dial, Budget: i.c.Budget, OnReady: i.dispatchQueued, OnClosed: i.connClosed})
 	if err != nil {
 		i.mu.Lock()
 		i.dialing = false
