Connections: count a write from its start, so that Wait waits for it

The goroutine of a write could start after Wait had found none. A body of exactly the size that a link keeps was counted at each use. Both seen when reading the diff; no test failed.

--- a/internal/back/conn/conn.go
+++ b/internal/back/conn/conn.go
@@ -144,8 +144,8 @@
 	limit *readlimit.Reader
 	r     *bufio.Reader
 	done  chan struct{}
-	// writers holds the goroutine that writes the rest of a request.
-	writers sync.WaitGroup
+	// writes holds the request that is being written.
+	writes sync.WaitGroup
 
 	mu sync.Mutex
 	// inFlight is the exchange in progress, or nil.
@@ -205,6 +205,7 @@
 	x := &exchange{Request: q, startedAt: time.Now()}
 	k.inFlight = x
 	k.writing = true
+	k.writes.Add(1)
 	k.exchanges++
 	k.mu.Unlock()
 	n, err := writeAvailable(k.conn, q.Bytes)
@@ -212,10 +213,10 @@
 		k.endWrite(x, n, err)
 		return true
 	}
-	k.writers.Go(func() {
+	go func() {
 		more, err := k.conn.Write(q.Bytes[n:])
 		k.endWrite(x, n+more, err)
-	})
+	}()
 	return true
 }
 
@@ -248,6 +249,7 @@
 
 // endWrite records that n bytes of the request of x were written, all if err is nil.
 func (k *Conn) endWrite(x *exchange, n int, err error) {
+	defer k.writes.Done()
 	k.mu.Lock()
 	k.writing = false
 	ended := k.inFlight != x
@@ -321,7 +323,7 @@
 // Wait waits until the goroutines of the connection have ended, which Close causes.
 func (k *Conn) Wait() {
 	<-k.done
-	k.writers.Wait()
+	k.writes.Wait()
 }
 
 // readAnswers reads answers until the connection ends.
@@ -347,7 +349,7 @@
 			}
 			r.Err = errors.New("the answer belongs to another request")
 		}
-		//X	// Bytes behind the answer belong to no exchange.
+		// Bytes behind the answer belong to no exchange.
 		if !k.finish(x, r, reusable && r.Err == nil && mismatched == 0 && k.r.Buffered() == 0) {
 			return
 		}
--- a/internal/cli/command/cmd_gateway.go
+++ b/internal/cli/command/cmd_gateway.go
@@ -26,7 +26,7 @@
 const memoryLimitRatio = 0.6
 
 // responseMemoryRatio is the fraction of the process's memory that responses of searchers,
-// the store and other VMs may take at a time, until they are garbage.
+// the store and other VMs, and bodies of clients' requests, may take at a time.
 const responseMemoryRatio = 0.125
 
 // gatewayCommand is the name of the command that handles SIGHUP.
--- a/internal/infra/readbudget/readbudget.go
+++ b/internal/infra/readbudget/readbudget.go
@@ -234,7 +234,7 @@
 	b := c.b
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if aborted = c.release(); aborted || len(body) < minKept {
+	if aborted = c.release(); aborted || len(body) <= minKept {
 		return aborted
 	}
 	n := int64(cap(body))
