Membership tests: guard the stand-in's fields

The race detector saw the store of TestLateWriteOfKey and TestKeyDeleted read and written by several goroutines. The fault was in the tests; what they check is unchanged.

--- a/internal/node/gateway/membership_test.go
+++ b/internal/node/gateway/membership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -69,6 +70,8 @@
 // keyStore is a store with one key, which is deleted when the lease of its last write ends.
 type keyStore struct {
 	follow.Source
+	// mu guards the fields below.
+	mu sync.Mutex
 	// ends holds when each lease ends, key the lease of the key, 0 if there is no key.
 	ends map[int64]time.Time
 	key  int64
@@ -83,12 +86,16 @@
 const errLost = errors.ConstError("answer lost")
 
 func (s *keyStore) Grant(_ context.Context, ttl time.Duration) (follow.Lease, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	l := follow.Lease{Era: 1, ID: int64(len(s.ends)) + 1}
 	s.extend(l, ttl)
 	return l, nil
 }
 
 func (s *keyStore) KeepAlive(_ context.Context, l follow.Lease) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if !time.Now().Before(s.ends[l.ID]) {
 		return follow.ErrNotFound
 	}
@@ -97,16 +104,32 @@
 }
 
 func (s *keyStore) Put(_ context.Context, _ string, _ []byte, l follow.Lease) error {
-	if s.lostWrites > 0 {
-		s.lostWrites--
+	if s.loseWrite() {
 		time.AfterFunc(s.lateBy, func() { _ = s.put(l) })
 		return errLost
 	}
 	return s.put(l)
 }
 
+// loseWrite reports whether the answer to the next write is lost.
+func (s *keyStore) loseWrite() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lostWrites--
+	return s.lostWrites >= 0
+}
+
+// hasKey reports whether the key is there.
+func (s *keyStore) hasKey() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.key != 0
+}
+
 // put writes the key.
 func (s *keyStore) put(l follow.Lease) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if !time.Now().Before(s.ends[l.ID]) {
 		return follow.ErrNotFound
 	}
@@ -114,10 +137,12 @@
 	return nil
 }
 
-// extend lets a lease run for ttl from now on.
+// extend lets a lease run for ttl from now on. The lock is held.
 func (s *keyStore) extend(l follow.Lease, ttl time.Duration) {
 	s.ends[l.ID] = time.Now().Add(ttl)
 	time.AfterFunc(ttl, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
 		if s.key == l.ID && !time.Now().Before(s.ends[l.ID]) {
 			s.key = 0
 			select {
@@ -139,7 +164,7 @@
 			for n := range 100 {
 				time.Sleep(time.Second)
 				synctest.Wait()
-				if n >= 10 && s.key == 0 {
+				if n >= 10 && !s.hasKey() {
 					t.Fatalf("%d writes made late: the key is gone after %d s", lostWrites, n+1)
 				}
 			}
@@ -163,7 +188,7 @@
 		}
 		time.Sleep(leaseTTL)
 		synctest.Wait()
-		if s.key == 0 {
+		if !s.hasKey() {
 			t.Error("the key was not written again")
 		}
 		cancel()
