Registry: drop MarkRestored, which had become MarkOutage

Since entries of a process that has left are compared with the last one known of it always, the number of restores is not needed, and marking a restore did the same as marking an outage. Behaviour is unchanged; the registry's tests pass with the call replaced.

--- a/internal/node/gateway/storeview.go
+++ b/internal/node/gateway/storeview.go
@@ -186,7 +186,7 @@
 func (v *storeView) Restored(now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.registry.MarkRestored(now)
+	v.registry.MarkOutage(now)
 	select {
 	case v.restored <- struct{}{}:
 	default:
--- a/internal/state/registry/registry.go
+++ b/internal/state/registry/registry.go
@@ -14,7 +14,7 @@
 //	r := registry.New(registry.Config{Grace: 2 * time.Second})
 //	r.Replace(now, entries)           // a full read
 //	r.Put(now, searcher)              // one change
-//	r.MarkRestored(now)               // before a full read of a restored store
+//	r.MarkOutage(now)                 // after an outage, or before a full read of a restored store
 //	next := r.Expire(now)             // when to call it again
 //	for _, s := range r.Searchers() { ... }
 package registry
@@ -122,8 +122,8 @@
 // SetGrace sets the grace period for later outages.
 func (r *Registry) SetGrace(d time.Duration) { r.c.Grace = d }
 
-// MarkOutage records that the store is unreachable at time now, and restarts the
-// grace period.
+// MarkOutage records that the store is unreachable at time now, or was restored from a
+// backup, and restarts the grace period. Entries may be missing until they are written again.
 func (r *Registry) MarkOutage(now time.Time) {
 	r.graceEnd = now.Add(r.c.Grace)
 	for id, e := range r.entries {
@@ -134,12 +134,6 @@
 	}
 }
 
-// MarkRestored records that the store was restored from a backup. Entries may be older
-// than what is known, or missing until they are written again.
-func (r *Registry) MarkRestored(now time.Time) {
-	r.MarkOutage(now)
-}
-
 // Replace applies a complete listing of the store.
 func (r *Registry) Replace(now time.Time, all []Searcher) {
 	present := make(map[string]bool, len(all))
--- a/internal/state/registry/registry_test.go
+++ b/internal/state/registry/registry_test.go
@@ -80,7 +80,7 @@
 func restored(now time.Time, before func(r *Registry)) *Registry {
 	r := New(Config{Grace: 2 * time.Second})
 	before(r)
-	r.MarkRestored(now)
+	r.MarkOutage(now)
 	return r
 }
 
