--- a/internal/query/forward/answer.go
+++ b/internal/query/forward/answer.go
@@ -119,7 +119,7 @@
 		for _, f := range p.attempts {
 			// A send in flight may be running, or have run with its answer not
 			// handled yet. A withdrawn one never runs.
-			if !f.handled && !f.send.CancelQueued() {
+			if f.reply == nil && !f.send.CancelQueued() {
 				mayHaveRun = true
 			}
 		}
--- a/internal/query/forward/dispatch.go
+++ b/internal/query/forward/dispatch.go
@@ -211,7 +211,7 @@
 	now := time.Now()
 	for _, p := range x.subrequests {
 		for _, f := range p.attempts {
-			if !f.handled && !f.send.CancelQueued() {
+			if f.reply == nil && !f.send.CancelQueued() {
 				f.searcher.ReportOverdue(now.Sub(f.startedAt), x.medianLatency)
 				x.engine.orphans.add(f, until)
 			}
--- a/internal/query/forward/report.go
+++ b/internal/query/forward/report.go
@@ -145,8 +145,8 @@
 	var out []string
 	for _, f := range p.attempts {
 		state := "under way for " + time.Since(f.startedAt).Round(time.Millisecond).String()
-		if f.handled {
-			state = f.describeResult()
+		if f.reply != nil {
+			state = f.reply.describe()
 		}
 		if d := f.startedAt.Sub(p.dispatch.req.Arrived).Round(time.Millisecond); d > 0 {
 			state += ", sent at " + d.String()
@@ -167,19 +167,18 @@
 	return out
 }
 
-// describeResult returns a text for the result of an attempt.
-func (f *attempt) describeResult() string {
-	r := f.result
-	took := r.Elapsed.Round(time.Millisecond)
+// describe returns a text for the result of an attempt.
+func (a *reply) describe() string {
+	took := a.Elapsed.Round(time.Millisecond)
 	switch {
-	case f.refused:
-		return fmt.Sprintf("refused with %d after %s", r.Status, took)
-	case r.Err != nil && !r.Sent:
-		return fmt.Sprintf("not sent: %v", r.Err)
-	case r.Err != nil:
-		return fmt.Sprintf("no answer after %s: %v", took, r.Err)
+	case a.refused():
+		return fmt.Sprintf("refused with %d after %s", a.Status, took)
+	case a.Err != nil && !a.Sent:
+		return fmt.Sprintf("not sent: %v", a.Err)
+	case a.Err != nil:
+		return fmt.Sprintf("no answer after %s: %v", took, a.Err)
 	}
-	return fmt.Sprintf("answered %d after %s", r.Status, took)
+	return fmt.Sprintf("answered %d after %s", a.Status, took)
 }
 
 // logRefusal logs a request without a configuration or route.
--- a/internal/query/forward/subrequest.go
+++ b/internal/query/forward/subrequest.go
@@ -74,6 +74,9 @@
 	conn.Result
 }
 
+// refused reports whether the searcher did not run the request.
+func (a *reply) refused() bool { return a.Err == nil && (a.NotRun || a.Misdirected) }
+
 // attempt is one send of a subrequest to a searcher.
 type attempt struct {
 	subrequest *subrequest
@@ -84,13 +87,9 @@
 	trial bool
 	// finished is set once the result has been sent to dispatch.results.
 	finished atomic.Bool
-	// handled is set once the result was received or the send was withdrawn.
-	// Only the request's goroutine uses it.
-	handled bool
-	// result is the result of the send, and refused reports that the searcher did not run
-	// the request; valid once handled is set.
-	result  conn.Result
-	refused bool
+	// reply is the result of the send; nil before it was received. Only the request's
+	// goroutine uses it.
+	reply *reply
 }
 
 // finished reports whether the subrequest has an answer or has failed.
@@ -313,12 +312,11 @@
 }
 
 // lost reports whether the connection was lost before the answer to the attempt.
-func (f *attempt) lost() bool { return f.handled && f.result.Lost() }
+func (f *attempt) lost() bool { return f.reply != nil && f.reply.Lost() }
 
 // handleResult processes the result of an attempt.
 func (p *subrequest) handleResult(f *attempt, a *reply, now time.Time) {
-	f.handled = true
-	f.result, f.refused = a.Result, a.NotRun || a.Misdirected
+	f.reply = a
 	p.inFlight--
 	if p.finished() {
 		return
@@ -329,7 +327,7 @@
 	}
 	p.survived = p.survived || ranToEnd(a)
 	switch {
-	case a.Err == nil && (a.NotRun || a.Misdirected):
+	case a.refused():
 		p.overloaded = p.overloaded || a.NotRun
 		p.retry(now, true)
 	case a.Err == nil && p.isFinal(a):
@@ -449,7 +447,6 @@
 // requeue sends an attempt that was withdrawn from a queue to another searcher.
 // If all were tried, it forgets the withdrawn ones and chooses again.
 func (p *subrequest) requeue(f *attempt, now time.Time) {
-	f.handled = true
 	p.attempts = slices.DeleteFunc(p.attempts, func(o *attempt) bool { return o == f })
 	p.inFlight--
 	p.sends--
