Read budget: wait by one deadline instead of a timer and a ticker

Grow held both, made at its first wait and stopped by deferred calls within the loop. It waits for at most as long as before, and looks again as often.

--- a/internal/infra/readbudget/readbudget.go
+++ b/internal/infra/readbudget/readbudget.go
@@ -110,8 +110,7 @@
 		return nil
 	}
 	b := c.b
-	var expired <-chan time.Time
-	var again *time.Ticker
+	var deadline time.Time
 	for {
 		b.mu.Lock()
 		granted, wait := b.grow(c, n)
@@ -123,18 +122,17 @@
 		case !wait:
 			return ErrExhausted
 		}
-		if expired == nil {
-			t := time.NewTimer(maxWait)
-			defer t.Stop()
-			expired = t.C
-			again = time.NewTicker(collectInterval)
-			defer again.Stop()
+		now := time.Now()
+		switch {
+		case deadline.IsZero():
+			deadline = now.Add(maxWait)
+		case !now.Before(deadline):
+			return ErrExhausted
 		}
+		// The collector has to be started again if what was in use has become garbage since.
 		select {
 		case <-changed:
-		case <-again.C:
-		case <-expired:
-			return ErrExhausted
+		case <-time.After(min(collectInterval, deadline.Sub(now))):
 		}
 	}
 }
