Read limit: one end of an answer for both kinds of connection

Connections and links each turned a failed answer on an aborted connection into ErrExhausted. readlimit.Reader.End does it for both. The body of a failed answer is not handed out in the first place instead of taken back. The text of a link's error begins as that of a connection's now; nothing else changes.

--- a/internal/back/conn/conn.go
+++ b/internal/back/conn/conn.go
@@ -360,17 +360,9 @@
 // connection.
 func (k *Conn) readAnswer(x *exchange) (r Result, reusable bool) {
 	r, reusable = k.parseAnswer(x)
-	if r.Err != nil {
-		// The caller keeps the result for longer than the reader needs what it has read.
-		r.Body = nil
-	}
-	if aborted := k.limit.Keep(r.Body); aborted {
-		reusable = false
-		if r.Err != nil {
-			r.Err = errors.Annotate(readbudget.ErrExhausted, "reading the answer")
-		}
-	}
-	return r, reusable
+	aborted, err := k.limit.End(r.Body, r.Err)
+	r.Err = err
+	return r, reusable && !aborted
 }
 
 // parseAnswer reads one answer, skipping 1xx responses.
@@ -391,10 +383,13 @@
 	}
 	r.Status, r.Header = resp.StatusCode, resp.Header
 	k.limit.Allow(maxBodySize+maxHeadSize, readlimit.BodyCost)
-	if r.Body, err = readBody(resp, k.limit.Cover); err != nil {
+	body, err := readBody(resp, k.limit.Cover)
+	if err != nil {
+		// The caller may keep the result for long, so it does not get what was read.
 		r.Err = errors.Annotate(err, "reading the answer's body")
 		return r, false
 	}
+	r.Body = body
 	k.mu.Lock()
 	k.idleUntil = parseIdleUntil(resp.Header)
 	k.mu.Unlock()
--- a/internal/back/link/link.go
+++ b/internal/back/link/link.go
@@ -14,7 +14,6 @@
 
 	"github.com/juju/errors"
 
-	"egrethaven/internal/infra/readbudget"
 	"egrethaven/internal/infra/readlimit"
 )
 
@@ -157,13 +156,9 @@
 	if cap(l.body) > maxKeptBodyBytes {
 		l.body = nil
 	}
-	if aborted := l.limit.Keep(r.Body); aborted {
-		reusable = false
-		if r.Err != nil {
-			r.Err = errors.Annotate(readbudget.ErrExhausted, "read answer")
-		}
-	}
-	return r, reusable
+	aborted, err := l.limit.End(r.Body, r.Err)
+	r.Err = err
+	return r, reusable && !aborted
 }
 
 // exchange writes the request and reads the response.
--- a/internal/infra/readlimit/readlimit.go
+++ b/internal/infra/readlimit/readlimit.go
@@ -11,7 +11,7 @@
 //	r.Allow(64<<10, readlimit.HeadCost) // for the next header
 //	resp, err := http.ReadResponse(bufio.NewReader(r), nil)
 //	...
-//	aborted := r.Keep(body)
+//	aborted, err := r.End(body, err)
 package readlimit
 
 import (
@@ -97,6 +97,16 @@
 	return l.claim.Keep(body)
 }
 
+// End is Keep for the answer to a call, of which body was read, or which failed with err. It
+// reports whether the connection was aborted, which is then the reason of the failure.
+func (l *Reader) End(body []byte, err error) (aborted bool, _ error) {
+	aborted = l.Keep(body)
+	if aborted && err != nil {
+		err = errors.Annotate(readbudget.ErrExhausted, "reading the answer")
+	}
+	return aborted, err
+}
+
 // maxErrorSize is the maximum length in bytes of the text of an error.
 const maxErrorSize = 200
 
