Peer connections: leave the release of memory to the connection

drpc closes its transport, which releases the memory of the message that was being read; the server did it a second time.

--- a/internal/peer/rpc/server.go
+++ b/internal/peer/rpc/server.go
@@ -137,7 +137,6 @@
 	stop := context.AfterFunc(s.ctx, func() { c.Close() })
 	defer stop()
 	t := newCountedConn(c, &s.counters, s.c.Budget)
-	defer t.endMessage()
 	if err := serverHandshake(t, s.c.SharedKey, s.isKnownAddr(c), handshakeTimeout); err != nil {
 		s.refused.Add(1)
 		if s.ctx.Err() == nil {
