Client accounts: find the account by the request's key, and name it to searchers

Cause: requests on routes of a deployment with client accounts were sent without the account's name and with the key, and unknown keys were served.

Change: a version of the configuration holds its accounts, found by the digest of a key. Unknown keys get 401. A key is checked again when a request that has waited is sent under a newer configuration. Other VMs get the account's name by a call that earlier builds do not know. The engine takes a permit from a quota, which is not there yet.

--- a/internal/peer/handover/sender.go
+++ b/internal/peer/handover/sender.go
@@ -15,6 +15,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -35,6 +36,10 @@
 	returnMargin = 5 * time.Millisecond
 	// net/http panics when it is to send a status outside of minStatus to maxStatus.
 	minStatus, maxStatus = 100, 999
+	// unknownCall is part of the error of a VM of an earlier build that does not know a call,
+	// and reasonUnsupported the reason for which such a VM counts as having declined.
+	unknownCall       = "unknown rpc"
+	reasonUnsupported = "unsupported"
 )
 
 // Dialer opens connections to other VMs. *rpc.Dialer implements it.
@@ -155,7 +160,15 @@
 		return nil, errors.Trace(err)
 	}
 	defer func() { _ = c.Close() }()
-	out, err := handoverrpc.NewDRPCHandoverClient(c).Answer(ctx, encode(time.Now(), h))
+	k := handoverrpc.NewDRPCHandoverClient(c)
+	answer := k.Answer
+	if h.Account != "" {
+		answer = k.AnswerForAccount
+	}
+	out, err := answer(ctx, encode(time.Now(), h))
+	if err != nil && strings.Contains(err.Error(), unknownCall) {
+		return &handoverrpc.AnswerReply{Outcome: handoverrpc.AnswerReply_DECLINED, Reason: reasonUnsupported}, nil
+	}
 	if err != nil {
 		return out, errors.Trace(err)
 	}
@@ -181,7 +194,7 @@
 	in := &handoverrpc.AnswerRequest{Id: h.ID, Method: h.Method, Target: h.Target, Host: h.Host, Body: h.Body,
 		ElapsedUs: now.Sub(h.Arrived).Microseconds(), NetworkUs: (h.NetworkTime + returnMargin).Microseconds(),
 		TimeoutUs:     max(h.Deadline.Sub(h.Arrived)-returnMargin, 0).Microseconds(),
-		ConfigVersion: int64(h.ConfigVersion), Sends: int64(h.Sends)}
+		ConfigVersion: int64(h.ConfigVersion), Sends: int64(h.Sends), Account: h.Account}
 	for _, i := range h.Evidence {
 		in.Incidents = append(in.Incidents, &handoverrpc.Incident{Searcher: i.Searcher, Service: i.Service,
 			AgeMs: now.Sub(i.At).Milliseconds(), Weight: i.Weight, Trial: i.Trial})
--- a/internal/peer/handover/sender_test.go
+++ b/internal/peer/handover/sender_test.go
@@ -88,6 +88,11 @@
 	return v.reply, nil
 }
 
+// AnswerForAccount sends the VM's reply.
+func (v *vm) AnswerForAccount(ctx context.Context, in *handoverrpc.AnswerRequest) (*handoverrpc.AnswerReply, error) {
+	return v.Answer(ctx, in)
+}
+
 // answer answers a request with its own body.
 func answer(_ context.Context, q forward.Request, _ func()) forward.Answer {
 	return forward.Answer{Status: http.StatusOK, Body: append([]byte(q.ID+" "), q.Body...), Header: http.Header{"Stamp": {"s"}}}
--- a/internal/peer/takeover/server.go
+++ b/internal/peer/takeover/server.go
@@ -75,7 +75,7 @@
 	}
 	a := s.c.Do(ctx, decode(time.Now(), in))
 	switch a.Reason {
-	case forward.NoConfig, forward.NoRoute, forward.NoSearcher, forward.Quarantined:
+	case forward.NoConfig, forward.NoRoute, forward.NoSearcher, forward.Quarantined, forward.UnknownKey:
 		return decline(a.Reason), nil
 	case forward.ClientGone:
 		return nil, errors.New("the client has left")
@@ -83,6 +83,11 @@
 	return encode(a), nil
 }
 
+// AnswerForAccount answers a request of a client account of another VM, or declines it.
+func (s *Server) AnswerForAccount(ctx context.Context, in *handoverrpc.AnswerRequest) (*handoverrpc.AnswerReply, error) {
+	return s.Answer(ctx, in)
+}
+
 // begin counts a request. It reports false once the server is stopping.
 func (s *Server) begin() bool {
 	s.mu.Lock()
@@ -129,7 +134,7 @@
 func decode(now time.Time, in *handoverrpc.AnswerRequest) forward.Request {
 	q := forward.Request{ID: in.GetId(), Method: in.GetMethod(), Target: in.GetTarget(), Host: in.GetHost(), Body: in.GetBody(),
 		Header: http.Header{}, Arrived: now.Add(-microseconds(in.GetElapsedUs())), Timeout: microseconds(in.GetTimeoutUs()),
-		NetworkTime: microseconds(in.GetNetworkUs()), HandedOver: true, Sends: int(in.GetSends())}
+		NetworkTime: microseconds(in.GetNetworkUs()), HandedOver: true, Sends: int(in.GetSends()), Account: in.GetAccount()}
 	for _, h := range in.GetHeaders() {
 		q.Header[h.GetName()] = h.GetValues()
 	}
--- a/internal/query/forward/answer.go
+++ b/internal/query/forward/answer.go
@@ -126,6 +126,8 @@
 	}
 	late := !now.Before(x.deadline)
 	switch {
+	case !mayHaveRun && x.revoked.Load():
+		return Answer{Status: http.StatusUnauthorized, Reason: UnknownKey}
 	case !mayHaveRun && overloaded:
 		return Answer{Status: http.StatusServiceUnavailable, RetryAfter: max(retryAfterOverload, x.namedWait(now)), Reason: Overloaded}
 	case !mayHaveRun:
--- a/internal/query/forward/dispatch.go
+++ b/internal/query/forward/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"egrethaven/internal/state/routing"
@@ -41,10 +42,13 @@
 
 // dispatch is the state of one request while it is being answered.
 type dispatch struct {
-	engine      *Engine
-	req         Request
-	snapshot    *Snapshot
-	route       *routing.Route
+	engine   *Engine
+	req      Request
+	snapshot *Snapshot
+	route    *routing.Route
+	client   client
+	// revoked is set once a newer configuration no longer permits the request.
+	revoked     atomic.Bool
 	stats       *routeStats
 	subrequests []*subrequest
 	// requestHead is the start of the HTTP request, common to all searchers.
@@ -82,8 +86,8 @@
 }
 
 // newDispatch computes the deadlines of a request and its subrequests.
-func (e *Engine) newDispatch(q Request, s *Snapshot, r *routing.Route) *dispatch {
-	x := &dispatch{engine: e, req: q, snapshot: s, route: r, stats: e.statsFor(r), fingerprint: q.fingerprint()}
+func (e *Engine) newDispatch(q Request, s *Snapshot, r *routing.Route, c client) *dispatch {
+	x := &dispatch{engine: e, req: q, snapshot: s, route: r, client: c, stats: e.statsFor(r), fingerprint: q.fingerprint(c.name())}
 	x.isolatedSince, x.isolated = e.isolation()
 	x.deadline = q.Arrived.Add(defaultTimeout)
 	if q.Timeout > 0 {
--- a/internal/query/forward/fake_test.go
+++ b/internal/query/forward/fake_test.go
@@ -26,7 +26,17 @@
 type testDialect struct{}
 
 func (testDialect) AppendSendHeader(b []byte, s SendHeader) []byte {
-	return fmt.Appendf(b, "Id: %s\r\nLeft: %d\r\nExpect: %s\r\n", s.ID, s.Timeout.Milliseconds(), s.ExpectedSearcher)
+	b = fmt.Appendf(b, "Id: %s\r\nLeft: %d\r\nExpect: %s\r\n", s.ID, s.Timeout.Milliseconds(), s.ExpectedSearcher)
+	if s.Account != "" {
+		b = fmt.Appendf(b, "Account: %s\r\n", s.Account)
+	}
+	return b
+}
+
+func (testDialect) TakeKey(h http.Header) string {
+	k := h.Get("Key")
+	h.Del("Key")
+	return k
 }
 
 func (testDialect) AttemptID(h http.Header) string { return h.Get("Id") }
--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -29,6 +29,7 @@
 	"egrethaven/internal/observe/event"
 	"egrethaven/internal/query/retrybudget"
 	"egrethaven/internal/query/retrypool"
+	"egrethaven/internal/state/account"
 	"egrethaven/internal/state/routing"
 )
 
@@ -56,6 +57,9 @@
 	// again. Sends is the number of searchers of one service to which that VM has sent it.
 	HandedOver bool
 	Sends      int
+	// Account is the name of the client account of a request that was handed over; empty if
+	// it has none.
+	Account string
 	// Evidence holds the searchers that the other VM has lost with the request.
 	Evidence []quarantine.Incident
 }
@@ -106,6 +110,8 @@
 	TooFewShards    Reason = "too_few_shards"
 	DeadlineReached Reason = "deadline_reached"
 	Quarantined     Reason = "quarantined"
+	UnknownKey      Reason = "unknown_key"
+	OverQuota       Reason = "over_quota"
 	ClientGone      Reason = "client_gone"
 )
 
@@ -127,6 +133,8 @@
 	// ExpectedSearcher is the ID of the intended searcher. Another searcher
 	// that has taken over the address refuses the request.
 	ExpectedSearcher string
+	// Account is the name of the client account; empty if there is none.
+	Account string
 }
 
 // ReplyHeader holds the parsed header of a searcher's answer.
@@ -157,6 +165,9 @@
 
 // Dialect encodes and parses the headers exchanged with searchers and clients.
 type Dialect interface {
+	// TakeKey removes the key of a client account from a request's header and returns it;
+	// empty if there is none.
+	TakeKey(h http.Header) string
 	// AppendSendHeader appends the header lines of a request to a searcher.
 	AppendSendHeader(b []byte, s SendHeader) []byte
 	// AttemptID returns the attempt ID in an answer's header; empty if there is
@@ -189,6 +200,15 @@
 	NoHedges bool
 }
 
+// Quota limits the requests of client accounts over all VMs.
+type Quota interface {
+	// Take takes a permit for one request of an account. It may wait until the given time
+	// for other VMs. If it returns false, retryAfter is the time after which a request fits.
+	Take(ctx context.Context, a *account.Account, until time.Time) (ok bool, retryAfter time.Duration)
+	// Return gives back the permit of a request that was not sent.
+	Return(a *account.Account)
+}
+
 // Config holds the settings of an Engine.
 type Config struct {
 	Dialect Dialect
@@ -205,6 +225,8 @@
 	// HandOver hands a request over to another VM. It reports false if none can serve it
 	// and none has sent it to a searcher. Nil disables handing over.
 	HandOver func(ctx context.Context, h Handover) (Answer, bool)
+	// Quota limits the requests of client accounts over all VMs; nil means no limit.
+	Quota Quota
 	// Log receives one event for each request; nil disables logging.
 	Log *event.Log
 	// Observe is called at the end of each request with the name of its route,
@@ -271,9 +293,19 @@
 	if !ok {
 		return e.refuse(q, NoRoute, http.StatusNotFound)
 	}
-	x := e.newDispatch(q, s, r)
+	var c client
+	if s.Config.Accounts != nil {
+		if c, ok = e.identify(&q, s.Config, r); !ok {
+			return e.refuse(q, UnknownKey, http.StatusUnauthorized)
+		}
+	}
+	x := e.newDispatch(q, s, r, c)
 	e.c.Guard.AddEvidence(x.fingerprint, q.Evidence)
-	a := x.run(ctx)
+	a, ok := x.takePermit(ctx)
+	if ok {
+		a = x.run(ctx)
+		x.returnPermit(a)
+	}
 	x.report(a)
 	return a
 }
--- a/internal/query/forward/forward_test.go
+++ b/internal/query/forward/forward_test.go
@@ -24,7 +24,7 @@
 		}}
 		fx := newFixture(t, []routing.Route{plainRoute(routing.AtMostOnce)}, map[string][]*fakeSearcher{"s": {s}})
 		synctest.Wait()
-		x := fx.engine.newDispatch(newRequest(time.Second), fx.snapshot, &fx.snapshot.Config.Routes[0])
+		x := fx.engine.newDispatch(newRequest(time.Second), fx.snapshot, &fx.snapshot.Config.Routes[0], client{})
 		x.subrequests[0].sendFirst(time.Now())
 		time.Sleep(20 * time.Millisecond)
 		synctest.Wait()
@@ -240,7 +240,7 @@
 		fx := newFixture(t, []routing.Route{r}, map[string][]*fakeSearcher{"s0": {silent, full, good}})
 		fx.engine.SetBudget(retrybudget.Config{Ratio: 0.2, Allowance: 1.5, Window: 10 * time.Second})
 		synctest.Wait()
-		x := fx.engine.newDispatch(newRequest(300*time.Millisecond), fx.snapshot, &fx.snapshot.Config.Routes[0])
+		x := fx.engine.newDispatch(newRequest(300*time.Millisecond), fx.snapshot, &fx.snapshot.Config.Routes[0], client{})
 		p := x.subrequests[0]
 		for _, i := range p.instances {
 			if i.Searcher().ID == full.id {
--- a/internal/query/forward/handover.go
+++ b/internal/query/forward/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"time"
 
@@ -97,9 +98,13 @@
 	if e.c.HandOver == nil || x.req.HandedOver || time.Until(x.deadline) < minHandoverTime {
 		return Answer{}, false
 	}
+	if !x.stillPermitted() {
+		return Answer{Status: http.StatusUnauthorized, Reason: UnknownKey}, !mayHaveRun
+	}
 	h := Handover{Request: x.req, Route: x.route.Name, ConfigVersion: x.snapshot.Config.Version, Deadline: x.deadline,
 		Repeatable: x.route.Idempotency == routing.Idempotent, MayHaveRun: mayHaveRun,
 		Evidence: e.c.Guard.Evidence(x.fingerprint)}
+	h.Account = x.client.name()
 	for _, p := range x.subrequests {
 		h.Sends = max(h.Sends, p.sends)
 	}
--- a/internal/query/forward/report.go
+++ b/internal/query/forward/report.go
@@ -23,6 +23,9 @@
 		n = event.RequestFailed
 	}
 	x.engine.c.Log.EmitFields(n, x.req.ID, func(l *log.Entry) {
+		if name := x.client.name(); name != "" {
+			l.Str("account", name)
+		}
 		l.Str("route", x.route.Name).Int64("config_version", int64(x.snapshot.Config.Version))
 		l.Int64("config_age_ms", time.Since(x.snapshot.BuiltAt).Milliseconds())
 		l.Int("status", a.Status).Str("reason", string(a.Reason)).Float64("elapsed_ms", float64(elapsed.Microseconds())/1000)
--- a/internal/query/forward/subrequest.go
+++ b/internal/query/forward/subrequest.go
@@ -210,12 +210,12 @@
 func (f *attempt) buildRequest() []byte {
 	x := f.subrequest.dispatch
 	left := time.Until(x.deadline).Truncate(time.Millisecond)
-	if left <= 0 {
+	if left <= 0 || !x.stillPermitted() {
 		return nil
 	}
 	b := make([]byte, 0, len(x.requestHead)+len(x.req.Body)+sendCapacity)
 	b = append(b, x.requestHead...)
-	b = x.engine.c.Dialect.AppendSendHeader(b, SendHeader{ID: x.req.ID, Timeout: left, ExpectedSearcher: f.searcher.Searcher().ID})
+	b = x.engine.c.Dialect.AppendSendHeader(b, SendHeader{ID: x.req.ID, Timeout: left, ExpectedSearcher: f.searcher.Searcher().ID, Account: x.client.name()})
 	if len(x.req.Body) > 0 || needsContentLength(x.req.Method) {
 		b = append(b, "Content-Length: "...)
 		b = strconv.AppendInt(b, int64(len(x.req.Body)), 10)
@@ -374,7 +374,7 @@
 	p.sends--
 	p.dispatch.sent--
 	p.overloaded = p.overloaded || err == instance.ErrQueueFull
-	if p.unsentCount++; p.unsentCount <= maxUnsentResends && p.sendToBest(now) {
+	if p.unsentCount++; p.unsentCount <= maxUnsentResends && !p.dispatch.revoked.Load() && p.sendToBest(now) {
 		return
 	}
 	p.failed = p.inFlight == 0
--- a/internal/query/forward/suspect.go
+++ b/internal/query/forward/suspect.go
@@ -32,10 +32,14 @@
 	lost bool
 }
 
-// fingerprint identifies the request when a client sends it again, with another attempt
-// ID and at any VM.
-func (q *Request) fingerprint() uint64 {
-	return quarantine.FingerprintHTTP(q.Method, q.Host, q.Target, q.Header.Get("Authorization"), q.Body)
+// fingerprint identifies the request when a client of the named account, if any, sends it
+// again, with another attempt ID and at any VM.
+func (q *Request) fingerprint(account string) uint64 {
+	credentials := q.Header.Get("Authorization")
+	if account != "" {
+		credentials += "\x00" + account
+	}
+	return quarantine.FingerprintHTTP(q.Method, q.Host, q.Target, credentials, q.Body)
 }
 
 // awaitPermission returns true once the request may be sent, otherwise its answer. A
--- a/internal/query/forward/suspect_test.go
+++ b/internal/query/forward/suspect_test.go
@@ -50,7 +50,7 @@
 	for _, s := range services {
 		is = append(is, quarantine.Incident{Searcher: fmt.Sprint(s, "-", time.Now()), Service: s, At: time.Now(), Weight: 1, Trial: trial})
 	}
-	fx.engine.c.Guard.AddEvidence(q.fingerprint(), is)
+	fx.engine.c.Guard.AddEvidence(q.fingerprint(""), is)
 }
 
 // TestSuspectRunsAloneFirst: a fan-out that had crashed searchers before was sent to all
@@ -69,7 +69,7 @@
 				fx.suspect(false, "s3")
 				got := fx.recordHandovers()
 				q := newRequest(0)
-				fingerprint := q.fingerprint()
+				fingerprint := q.fingerprint("")
 				a := fx.engine.Do(t.Context(), newRequest(time.Second))
 				if a.Status != c.status || fx.requests() != c.requests || len(*got) > 0 {
 					t.Errorf("status %d after %d requests and %d handovers, want %d after %d", a.Status, fx.requests(), len(*got), c.status, c.requests)
--- a/internal/state/routing/routing.go
+++ b/internal/state/routing/routing.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"egrethaven/internal/state/account"
 )
 
 // Version is the version number of a configuration, increasing with each change;
@@ -65,6 +67,10 @@
 	// MinCoverage is the minimum fraction of the shards, 0 to 1, that a fan-out
 	// answer must include.
 	MinCoverage float64
+	// Public reports whether requests need no key of a client account, and have none.
+	Public bool
+	// Regions are the regions whose searchers may run requests; empty means all.
+	Regions []string
 }
 
 // IsFanOut reports whether requests are sent to all shards of an index.
@@ -96,6 +102,8 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	// Accounts holds the client accounts; nil if requests need no key.
+	Accounts *account.Index
 
 	hosts map[string][]*Route
 }
