Store stand-in: restore to a time instead of an age

The test took the age since a time, and Restore subtracted it from a later now, so that the store was restored to a moment after the write that the test expects to be lost.

Ruled out: the client, as the stand-in's store still held the new value.

Change: RestoreTo takes the time itself. What the tests check is unchanged.

--- a/internal/standin/platform/restore.go
+++ b/internal/standin/platform/restore.go
@@ -19,14 +19,16 @@
 	deleted bool
 }
 
-// Restore brings the store back to its state of some time ago, as if it was restored from
+// Restore is RestoreTo some time ago.
+func (p *Platform) Restore(age time.Duration) { p.RestoreTo(time.Now().Add(-age)) }
+
+// RestoreTo brings the store back to its state at a time, as if it was restored from
 // a backup: what calls wrote since, and leases granted since, are lost, and revisions are
 // given out again. It begins a new era. What operators and searchers wrote with Put and
 // Delete is missing until Rewrite.
-func (p *Platform) Restore(age time.Duration) {
+func (p *Platform) RestoreTo(cutoff time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	cutoff := time.Now().Add(-age)
 	for n := len(p.undo); n > 0 && p.undo[n-1].at.After(cutoff); n-- {
 		i, old := p.history[n-1], p.undo[n-1].old
 		if delete(p.items, i.Key); old.Rev != 0 {
