Log the priority of requests that are not served

Cause: which requests are refused under load is to follow their priority, which no log line told. Measured: go test ./internal/query/forward ./internal/observe/event passes.

--- a/internal/query/forward/report.go
+++ b/internal/query/forward/report.go
@@ -32,7 +32,7 @@
 		l.Bool("repeatable", x.route.Idempotency == routing.Idempotent).Int("attempts", x.route.MaxAttempts)
 		l.Int("sends", x.sent).Int("hedges", x.hedges).Int("retries", x.retries)
 		if a.Reason != Served {
-			l.Int64("patience_ms", x.req.Timeout.Milliseconds())
+			l.Int64("patience_ms", x.req.Timeout.Milliseconds()).Int("priority", x.priority())
 		}
 		if x.req.HandedOver {
 			l.Bool("handed_over", true)
