Admission: do without shards that are expected too late

Each fan-out may lack one, but was sent to both, which ran out of slots, so that 95 of 476 requests of the worst two seconds failed and 91 were late.

Ruled out: a general lack of slots (7 % in use) or of processor time (0.01 of 0.19 cores).

Change: a fan-out leaves out shards that are expected in the last third before the objective or later, chosen at random, at most half of those that it can do without.

--- a/internal/query/admission/admission_test.go
+++ b/internal/query/admission/admission_test.go
@@ -49,3 +49,48 @@
 		})
 	}
 }
+
+// TestLeaveOutLate guards against fan-outs that add to the load of shards that would answer
+// too late, though they can do without them.
+func TestLeaveOutLate(t *testing.T) {
+	late := admission.Shard{ServiceTime: 60 * time.Millisecond, LimitSpare: 1}
+	for name, c := range map[string]struct {
+		shards   []admission.Shard
+		min      int
+		leaveOut int
+	}{
+		"none is late":           {[]admission.Shard{shard(), shard(), shard(), shard()}, 2, 0},
+		"one is late":            {[]admission.Shard{shard(), late, shard()}, 2, 1},
+		"all needed":             {[]admission.Shard{shard(), late, shard()}, 3, 0},
+		"one of two":             {[]admission.Shard{late, late, shard()}, 2, 1},
+		"half of what is spared": {[]admission.Shard{late, late, late, late, shard(), shard()}, 2, 2},
+		"beside a limit":         {[]admission.Shard{limited(0, time.Second), late, shard(), shard()}, 2, 2},
+	} {
+		d := admission.Decide(admission.Request{Shards: c.shards, MinShards: c.min, Objective: 80 * time.Millisecond, TimeLeft: time.Second})
+		if !d.Admit || len(d.LeaveOut) != c.leaveOut {
+			t.Errorf("%s: admitted %v without shards %v, want %d without", name, d.Admit, d.LeaveOut, c.leaveOut)
+		}
+		for _, n := range d.LeaveOut {
+			if s := c.shards[n]; s.Wait+s.ServiceTime <= 20*time.Millisecond {
+				t.Errorf("%s: without shard %d, which is in time", name, n)
+			}
+		}
+	}
+}
+
+// TestLateShardsShareLoad guards against fan-outs that all do without the same one of several
+// late shards, and send to the other one.
+func TestLateShardsShareLoad(t *testing.T) {
+	const n = 1000
+	late := admission.Shard{ServiceTime: 60 * time.Millisecond, LimitSpare: 1}
+	without := [3]int{}
+	for range n {
+		d := admission.Decide(admission.Request{Shards: []admission.Shard{late, shard(), late}, MinShards: 2, Objective: 80 * time.Millisecond, TimeLeft: time.Second})
+		for _, i := range d.LeaveOut {
+			without[i]++
+		}
+	}
+	if without[1] > 0 || without[0]+without[2] != n || without[0] < n/3 || without[2] < n/3 {
+		t.Errorf("without each shard: %v of %d", without, n)
+	}
+}
