Hedges to searchers that answer sooner only, and last attempts to reliable ones

Cause: where all searchers of a shard were slow, hedges doubled its load: most requests of the slow shards were sent twice. Where searchers lost answers, the last permitted attempt went to a near searcher that lost some as well, and the request ended with 502.

Change: a hedge goes to a searcher that is expected to answer before the attempt; one that is slow itself gets it after twice the expected time. The last attempt that a route permits weighs a searcher's failures ten times as much.

--- a/internal/query/forward/subrequest.go
+++ b/internal/query/forward/subrequest.go
@@ -24,6 +24,10 @@
 	// minHedgeSpare is the share of a burst that the limit of a searcher has to permit
 	// for a hedge to go there. The rest is kept for first sends and retries.
 	minHedgeSpare = 0.5
+	// slowFactor is the slowdown from which a searcher counts as slow, and overdueFactor the
+	// multiple of its expected time after which an attempt is hedged at a slow one.
+	slowFactor    = 3
+	overdueFactor = 2
 )
 
 // subrequest is the part of a request that goes to one service: one shard of a
@@ -142,9 +146,24 @@
 // takesRetry reports whether a retry may go to a searcher.
 func takesRetry(c placement.Candidate) bool { return c.LimitWait == 0 }
 
-// takesHedge reports whether a hedge may go to a searcher.
-func takesHedge(c placement.Candidate) bool {
-	return c.LimitWait == 0 && c.LimitSpare >= minHedgeSpare
+// takesHedge returns whether a hedge of an attempt may go to a searcher: one that is expected
+// to answer sooner than the attempt. One that is slow itself gets a hedge only of an attempt
+// that takes overdueFactor times as long as expected: where all searchers of a shard are slow,
+// more hedges would double the load under which they are.
+func (p *subrequest) takesHedge(f *attempt, now time.Time) func(placement.Candidate) bool {
+	_, expected := placement.Predict(p.candidate(f.searcher, now))
+	elapsed := now.Sub(f.startedAt)
+	return func(c placement.Candidate) bool {
+		_, service := placement.Predict(c)
+		if c.LimitWait > 0 || c.LimitSpare < minHedgeSpare {
+			return false
+		}
+		due := expected
+		if c.SlowdownFactor > slowFactor {
+			due = overdueFactor * expected
+		}
+		return elapsed >= due || service < expected-elapsed
+	}
 }
 
 // chooseSearcher returns the best usable searcher that was not tried yet and that
@@ -183,6 +202,7 @@
 func (p *subrequest) candidate(i *instance.Instance, now time.Time) placement.Candidate {
 	x := p.dispatch
 	c := i.Candidate(now, x.engine.c.Domain, x.medianLatency)
+	c.LastAttempt = p.sends > 0 && p.sends+1 >= x.route.MaxAttempts
 	if !x.isolatedSince.IsZero() {
 		k := i.Contact()
 		remote := k.Domain != x.engine.c.Domain
@@ -412,21 +432,22 @@
 		}
 		return
 	}
-	if p.alone || x.route.Idempotency != routing.Idempotent || p.sends >= x.route.MaxAttempts || x.engine.c.Policy.NoHedges || !p.hasUntried(now, takesHedge) {
+	if p.alone || x.route.Idempotency != routing.Idempotent || p.sends >= x.route.MaxAttempts || x.engine.c.Policy.NoHedges || !p.hasUntried(now, takesRetry) {
 		return
 	}
 	purpose := retrybudget.EarlyHedge
 	if !now.Before(x.lastHedgeAt) {
 		purpose = retrybudget.LastHedge
 	}
-	if !p.budget.AllowExtra(now, purpose) {
+	eligible := p.takesHedge(f, now)
+	if !p.hasUntried(now, eligible) || !p.budget.AllowExtra(now, purpose) {
 		p.hedgeAt = now.Add(x.hedgeDelay / hedgeRetryDivisor)
 		if now.Before(x.lastHedgeAt) && x.lastHedgeAt.Before(p.hedgeAt) {
 			p.hedgeAt = x.lastHedgeAt
 		}
 		return
 	}
-	if p.sendToBestOf(now, takesHedge) {
+	if p.sendToBestOf(now, eligible) {
 		x.hedges++
 	}
 }
--- a/internal/query/placement/placement.go
+++ b/internal/query/placement/placement.go
@@ -30,8 +30,10 @@
 	// request in flight from this VM, as other VMs choose the same searchers.
 	otherVMsLoad = 0.5
 	// failurePenalty is the cost of a failed request, in median latencies: the
-	// request has to be sent again.
-	failurePenalty = 4
+	// request has to be sent again. lastFailurePenalty is that of the last attempt
+	// that the route permits: its failure leaves the caller without the answer.
+	failurePenalty     = 4
+	lastFailurePenalty = 40
 	// scarcePenalty is the cost, in median latencies, of a request that uses up the
 	// limit that a searcher has named. What is left of it goes to requests that the
 	// shard's other searchers failed.
@@ -69,6 +71,8 @@
 	StalledFor time.Duration
 	// FailureRate is the recent share of failed requests, from 0 to 1.
 	FailureRate float64
+	// LastAttempt reports whether the route permits no further attempt.
+	LastAttempt bool
 	// Cold reports whether the searcher has just started.
 	Cold bool
 	// Suspect reports whether the searcher seems unresponsive.
@@ -117,7 +121,11 @@
 	if c.StalledFor > max(stallFactor*service, minStallTime) {
 		d += c.StalledFor
 	}
-	d += time.Duration(failurePenalty * c.FailureRate * float64(c.MedianLatency))
+	penalty := failurePenalty * c.FailureRate
+	if c.LastAttempt {
+		penalty = lastFailurePenalty * c.FailureRate
+	}
+	d += time.Duration(penalty * float64(c.MedianLatency))
 	if c.Limited {
 		d += time.Duration(scarcePenalty * (1 - c.LimitSpare) * float64(c.MedianLatency))
 	}
