Client accounts: check requests that waited anew, bind them to regions, large configurations

Cause: a request that waited while its key was moved to another account got 401 though its key was valid, and one that came before the first accounts were configured was sent without account and with its key. A handed-over request was sent without its account by a VM whose configuration has no accounts. A request without a key found the account of an empty key. Any error that contains "unknown rpc" counted as a declined handover. The configuration was decoded with the lock of the store's view held.

Change: a request that a newer configuration does not permit as it is starts again under it, if nothing was sent. Regions of routes and accounts filter searchers and VMs. Keys can be refused by the age of the copy of the store. 401 and 429 have events. Keys are found by a seeded hash, and their digests compared in constant time.

--- a/internal/node/gateway/storeview.go
+++ b/internal/node/gateway/storeview.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hash/maphash"
 	"maps"
 	"math/rand/v2"
 	"net/netip"
@@ -61,6 +62,9 @@
 	drainPollInterval = 200 * time.Millisecond
 )
 
+// configSeed is the seed of the hashes by which a configuration is known again.
+var configSeed = maphash.MakeSeed()
+
 // Decoder holds the keys of the store and decodes its entries.
 type Decoder struct {
 	ConfigKey      string
@@ -111,12 +115,15 @@
 	// limits divides the limits that searchers name.
 	limits atomic.Pointer[limitshare.Divider]
 
-	mu        sync.Mutex
-	wg        sync.WaitGroup
-	config    *routing.Config
-	registry  *registry.Registry
-	loaded    bool
-	storeDown bool
+	mu     sync.Mutex
+	wg     sync.WaitGroup
+	config *routing.Config
+	// decodedConfig is the hash of the configuration that was decoded last. Only the
+	// goroutine that follows the store uses it.
+	decodedConfig uint64
+	registry      *registry.Registry
+	loaded        bool
+	storeDown     bool
 	// vms holds the registered VMs by ID.
 	vms map[string]vmregistry.VM
 	// previousLease is the lease of this VM's registration from before a
@@ -195,6 +202,7 @@
 
 // Replace replaces all entries.
 func (v *storeView) Replace(now time.Time, all []follow.Change) {
+	configs := v.decodeConfigs(all)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	var ss []registry.Searcher
@@ -205,7 +213,6 @@
 	for _, c := range all {
 		switch {
 		case c.Key == v.c.Decode.ConfigKey:
-			v.adoptConfig(c.Value)
 		case strings.HasPrefix(c.Key, v.c.Decode.VMPrefix):
 			v.applyVM(c)
 			v.recallLease(c)
@@ -217,6 +224,7 @@
 			}
 		}
 	}
+	v.adoptConfigs(configs)
 	v.registry.Replace(now, ss)
 	if !v.loaded {
 		v.loaded = true
@@ -240,6 +248,7 @@
 
 // Apply applies changes to entries.
 func (v *storeView) Apply(now time.Time, cs []follow.Change) {
+	configs := v.decodeConfigs(cs)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.looksLikeOutage(cs) {
@@ -247,8 +256,7 @@
 	}
 	for _, c := range cs {
 		switch {
-		case c.Key == v.c.Decode.ConfigKey && !c.Deleted:
-			v.adoptConfig(c.Value)
+		case c.Key == v.c.Decode.ConfigKey:
 		case strings.HasPrefix(c.Key, v.c.Decode.VMPrefix):
 			v.applyVM(c)
 		case v.isRumor(c):
@@ -257,6 +265,7 @@
 			v.applySearcher(now, c)
 		}
 	}
+	v.adoptConfigs(configs)
 	v.rebuild(now)
 }
 
@@ -302,16 +311,42 @@
 	return s, true
 }
 
-// adoptConfig adopts a configuration if its version is newer. The lock is held.
-func (v *storeView) adoptConfig(value []byte) {
-	c, err := v.c.Decode.Config(value)
-	switch {
-	case err != nil:
-		v.c.Events.Emit(event.ConfigRefused, v.c.Decode.ConfigKey, err.Error())
-	case v.config != nil && c.Version <= v.config.Version:
-	default:
+// decodeConfigs decodes the configurations among changes, except one that was decoded last. A
+// configuration with thousands of accounts takes long, so the lock is not held. Only the
+// goroutine that follows the store calls it.
+func (v *storeView) decodeConfigs(cs []follow.Change) []*routing.Config {
+	var out []*routing.Config
+	for _, c := range cs {
+		if c.Key != v.c.Decode.ConfigKey || c.Deleted {
+			continue
+		}
+		h := maphash.Bytes(configSeed, c.Value)
+		if h == v.decodedConfig {
+			continue
+		}
+		config, err := v.c.Decode.Config(c.Value)
+		if err != nil {
+			v.c.Events.Emit(event.ConfigRefused, v.c.Decode.ConfigKey, err.Error())
+			continue
+		}
+		v.decodedConfig = h
+		out = append(out, config)
+	}
+	return out
+}
+
+// adoptConfigs adopts each configuration whose version is newer. The lock is held.
+func (v *storeView) adoptConfigs(cs []*routing.Config) {
+	for _, c := range cs {
+		if v.config != nil && c.Version <= v.config.Version {
+			continue
+		}
 		v.config = c
-		v.c.Events.Emit(event.ConfigAdopted, fmt.Sprint(c.Version), fmt.Sprintf("%d routes", len(c.Routes)))
+		detail := fmt.Sprintf("%d routes", len(c.Routes))
+		if c.Accounts != nil {
+			detail += fmt.Sprintf(", %d accounts", c.Accounts.Len())
+		}
+		v.c.Events.Emit(event.ConfigAdopted, fmt.Sprint(c.Version), detail)
 	}
 }
 
--- a/internal/observe/event/number.go
+++ b/internal/observe/event/number.go
@@ -19,6 +19,8 @@
 	BudgetSpent     Number = 204
 	RequestServed   Number = 205
 	RequestFailed   Number = 206
+	KeyRefused      Number = 207
+	QuotaExceeded   Number = 208
 
 	SearcherFound     Number = 300
 	SearcherGone      Number = 301
@@ -103,6 +105,7 @@
 	QueryIncomplete: "query_incomplete", QueryRestarted: "query_restarted",
 	AnswerDropped: "answer_dropped", QueryRefused: "query_refused", BudgetSpent: "budget_spent",
 	RequestServed: "request_served", RequestFailed: "request_failed",
+	KeyRefused: "key_refused", QuotaExceeded: "quota_exceeded",
 
 	SearcherFound: "searcher_found", SearcherGone: "searcher_gone", SearcherDraining: "searcher_draining",
 	SearcherReturned: "searcher_returned", SearcherEjected: "searcher_ejected", LinkSilent: "link_silent",
--- a/internal/peer/handover/sender.go
+++ b/internal/peer/handover/sender.go
@@ -36,9 +36,10 @@
 	returnMargin = 5 * time.Millisecond
 	// net/http panics when it is to send a status outside of minStatus to maxStatus.
 	minStatus, maxStatus = 100, 999
-	// unknownCall is part of the error of a VM of an earlier build that does not know a call,
-	// and reasonUnsupported the reason for which such a VM counts as having declined.
-	unknownCall       = "unknown rpc"
+	// unknownCall is part of the error of a VM of an earlier build that does not know the call
+	// for requests of client accounts, and reasonUnsupported the reason for which such a VM
+	// counts as having declined.
+	unknownCall       = `unknown rpc: "/handoverrpc.Handover/AnswerForAccount"`
 	reasonUnsupported = "unsupported"
 )
 
@@ -83,10 +84,13 @@
 	defer cancel()
 	peers := s.c.Peers()
 	s.tracker.Retain(peers)
+	excluded := func(tried []peerchoice.Peer, p peerchoice.Peer) bool {
+		return slices.Contains(tried, p) || !h.Regions.PermitsVM(p.Domain)
+	}
 	var tried []peerchoice.Peer
 	mayHaveRun := h.MayHaveRun
 	for len(tried) < maxTries && ctx.Err() == nil {
-		p, ok := s.tracker.Choose(time.Now(), h.Route, peers, func(p peerchoice.Peer) bool { return slices.Contains(tried, p) })
+		p, ok := s.tracker.Choose(time.Now(), h.Route, peers, func(p peerchoice.Peer) bool { return excluded(tried, p) })
 		if !ok {
 			break
 		}
@@ -145,7 +149,7 @@
 		s.c.Observe("answered")
 	}
 	known := o
-	if o == peerchoice.Declined && forward.Reason(out.GetReason()) == forward.Quarantined {
+	if r := forward.Reason(out.GetReason()); o == peerchoice.Declined && (r == forward.Quarantined || r == forward.UnknownKey) {
 		// The VM declines this request, and could serve others of the route.
 		known = peerchoice.Served
 	}
--- a/internal/peer/handover/sender_test.go
+++ b/internal/peer/handover/sender_test.go
@@ -23,6 +23,7 @@
 	"egrethaven/internal/peer/rpc"
 	"egrethaven/internal/peer/takeover"
 	"egrethaven/internal/query/forward"
+	"egrethaven/internal/state/region"
 	"egrethaven/internal/state/routing"
 )
 
@@ -31,9 +32,9 @@
 	do       func(ctx context.Context, q forward.Request, hangUp func()) forward.Answer
 	version  routing.Version
 	isolated bool
-	// unreachable VMs accept no connection.
-	unreachable bool
-	server      *takeover.Server
+	// unreachable VMs accept no connection, and earlier ones know no client accounts.
+	unreachable, earlier bool
+	server               *takeover.Server
 	// reply, if not nil, is sent instead of the server's.
 	reply    *handoverrpc.AnswerReply
 	requests atomic.Int64
@@ -75,13 +76,25 @@
 	if v.reply != nil {
 		server = v
 	}
-	if err := handoverrpc.DRPCRegisterHandover(m, server); err != nil {
+	var d drpc.Description = handoverrpc.DRPCHandoverDescription{}
+	if v.earlier {
+		d = earlierDescription{}
+	}
+	if err := m.Register(server, d); err != nil {
 		return nil, err
 	}
 	go func() { _ = drpcserver.New(m).ServeOne(ctx, conn) }()
 	return drpcconn.New(client), nil
 }
 
+// earlierDescription is that of a VM of an earlier build, which knows only the first call.
+type earlierDescription struct {
+	handoverrpc.DRPCHandoverDescription
+}
+
+// NumMethods returns 1.
+func (earlierDescription) NumMethods() int { return 1 }
+
 // Answer sends the VM's reply.
 func (v *vm) Answer(context.Context, *handoverrpc.AnswerRequest) (*handoverrpc.AnswerReply, error) {
 	v.requests.Add(1)
@@ -323,3 +336,66 @@
 		})
 	}
 }
+
+// TestAccount guards against a request of a client account that another VM answers without
+// the account: one of an earlier build, or one whose configuration does not know it.
+func TestAccount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var got forward.Request
+		earlier, outdated := fails(forward.Served, http.StatusOK), fails(forward.KeysOutdated, http.StatusServiceUnavailable)
+		earlier.earlier = true
+		last := &vm{version: 3, do: func(ctx context.Context, q forward.Request, hangUp func()) forward.Answer {
+			got = q
+			return answer(ctx, q, hangUp)
+		}}
+		s := newTier(earlier, fails(forward.UnknownKey, http.StatusUnauthorized), outdated, last)
+		h := request()
+		h.Account = "a"
+		a, ok := s.HandOver(t.Context(), h)
+		if !ok || a.Status != http.StatusOK || a.AnsweredBy != "vm-3" || got.Account != "a" || !got.HandedOver || earlier.requests.Load() > 0 {
+			t.Errorf("%+v, %t, request %+v", a, ok, got)
+		}
+		// The VM of the earlier build takes a request without an account.
+		h.Account, h.Route = "", "other"
+		if a, ok := newTier(earlier).HandOver(t.Context(), h); !ok || a.Status != http.StatusOK {
+			t.Errorf("without an account: %+v, %t", a, ok)
+		}
+	})
+}
+
+// TestAccountUnknownElsewhere guards against a VM that gets no more requests of a route
+// because it does not know the account of one.
+func TestAccountUnknownElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		v := &vm{version: 3, do: func(ctx context.Context, q forward.Request, hangUp func()) forward.Answer {
+			if q.Account != "a" {
+				return forward.Answer{Status: http.StatusUnauthorized, Reason: forward.UnknownKey}
+			}
+			return answer(ctx, q, hangUp)
+		}}
+		s, h := newTier(v), request()
+		for _, account := range []string{"b", "a"} {
+			h.Account = account
+			if _, ok := s.HandOver(t.Context(), h); ok != (account == "a") {
+				t.Errorf("account %s: answered %t", account, ok)
+			}
+		}
+	})
+}
+
+// TestRegions guards against a request that is handed over to a VM outside of its regions.
+func TestRegions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		regions := region.Map{"a": "north", "b": "south"}
+		// The last VM is in the other failure domain.
+		near, far := fails(forward.NoSearcher, http.StatusServiceUnavailable), fails(forward.Served, http.StatusOK)
+		for permitted, want := range map[string]bool{"north": false, "south": true} {
+			h := request()
+			h.Regions = region.Filter{Of: regions.Of, Own: "a"}.With([]string{permitted})
+			if _, ok := newTier(near, far).HandOver(t.Context(), h); ok != want || far.requests.Load() != map[bool]int64{true: 1}[want] {
+				t.Errorf("%s: handed over %t, %d requests", permitted, ok, far.requests.Load())
+			}
+			far.requests.Store(0)
+		}
+	})
+}
--- a/internal/peer/takeover/server.go
+++ b/internal/peer/takeover/server.go
@@ -75,7 +75,7 @@
 	}
 	a := s.c.Do(ctx, decode(time.Now(), in))
 	switch a.Reason {
-	case forward.NoConfig, forward.NoRoute, forward.NoSearcher, forward.Quarantined, forward.UnknownKey:
+	case forward.NoConfig, forward.NoRoute, forward.NoSearcher, forward.Quarantined, forward.UnknownKey, forward.KeysOutdated:
 		return decline(a.Reason), nil
 	case forward.ClientGone:
 		return nil, errors.New("the client has left")
--- a/internal/query/forward/client.go
+++ b/internal/query/forward/client.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
+	"egrethaven/internal/back/instance"
 	"egrethaven/internal/state/account"
+	"egrethaven/internal/state/region"
 	"egrethaven/internal/state/routing"
 )
 
@@ -14,14 +17,15 @@
 	// share of the latency objective that it may take.
 	maxQuotaWait   = 20 * time.Millisecond
 	quotaWaitShare = 0.25
+	// retryAfterOutdated is the Retry-After while the copy of the store is too old to check
+	// keys by. It is about the time of one call to another relay or the store.
+	retryAfterOutdated = time.Second
 )
 
 // client is who sent a request.
 type client struct {
 	// account is nil if the request has none.
 	account *account.Account
-	// key is empty if another VM has checked it.
-	key string
 	// permit reports whether a permit of the account's quota was taken.
 	permit bool
 }
@@ -34,45 +38,113 @@
 	return c.account.Name
 }
 
-// identify returns the client of a request by its key, which it removes from the request, or by
-// the account that another VM has named. It reports false if the key or account is unknown.
-func (e *Engine) identify(q *Request, c *routing.Config, r *routing.Route) (client, bool) {
-	key := e.c.Dialect.TakeKey(q.Header)
+// regions returns the regions whose searchers may run the account's requests; empty means
+// all.
+func (c client) regions() []string {
+	if c.account == nil {
+		return nil
+	}
+	return c.account.Regions
+}
+
+// SetMaxKeyAge sets the age of the copy of the store from which on it is too old to check
+// keys by, so that requests that need one are refused; 0 for no limit.
+func (e *Engine) SetMaxKeyAge(d time.Duration) { e.maxKeyAge.Store(int64(d)) }
+
+// keysOutdated reports whether the copy of the store is too old to check keys by.
+func (e *Engine) keysOutdated() bool {
+	limit := time.Duration(e.maxKeyAge.Load())
+	return limit > 0 && e.c.CopyAge() > limit
+}
+
+// identify returns the client of a request by its key, which it moves out of the request's
+// header, or by the account that another VM has named. If the request may not be served, it
+// returns the reason.
+func (e *Engine) identify(q *Request, c *routing.Config, r *routing.Route) (client, Reason) {
+	if c.Accounts == nil {
+		if q.Account != "" {
+			return client{}, UnknownKey
+		}
+		return client{}, Served
+	}
+	if key := e.c.Dialect.TakeKey(q.Header); key != "" {
+		q.key = key
+	}
 	if r.Public {
-		return client{}, true
+		return client{}, Served
+	}
+	if e.keysOutdated() {
+		return client{}, KeysOutdated
+	}
+	a, ok := findAccount(q, c.Accounts)
+	if !ok {
+		return client{}, UnknownKey
 	}
-	var a *account.Account
-	ok := false
+	return client{account: a}, Served
+}
+
+// findAccount returns the account of a request.
+func findAccount(q *Request, x *account.Index) (*account.Account, bool) {
 	if q.HandedOver {
-		a, ok = c.Accounts.Named(q.Account)
-		key = ""
-	} else {
-		a, ok = c.Accounts.Lookup(key)
+		return x.Named(q.Account)
 	}
-	return client{account: a, key: key}, ok
+	return x.Lookup(q.key)
 }
 
-// stillPermitted reports whether the configuration in force, if it is newer than that of the
-// request, has the request's key or account. It is called when a request that may have waited
-// is about to be sent.
+// stillPermitted reports whether the request may be sent under the configuration in force,
+// as it was when the request came. It is called when a request that may have waited is about
+// to be sent or handed over. Otherwise the request starts again if nothing was sent.
 func (x *dispatch) stillPermitted() bool {
-	k := &x.client
 	s := x.engine.c.Current()
-	if k.account == nil || s == nil || s.Config == x.snapshot.Config || s.Config.Accounts == nil {
-		return true
-	}
-	var a *account.Account
-	ok := false
-	if k.key == "" {
-		a, ok = s.Config.Accounts.Named(k.account.Name)
-	} else {
-		a, ok = s.Config.Accounts.Lookup(k.key)
+	ok := s == nil || s.Config == x.snapshot.Config || x.isPermittedBy(s.Config)
+	if ok && x.client.account != nil {
+		ok = !x.engine.keysOutdated()
 	}
-	if !ok || a.Name != k.account.Name {
+	if !ok {
 		x.revoked.Store(true)
+	}
+	return ok
+}
+
+// isPermittedBy reports whether a newer configuration gives the request the same account and
+// regions. What else it changes does not concern a request under way.
+func (x *dispatch) isPermittedBy(c *routing.Config) bool {
+	r, ok := c.Lookup(x.req.Host, x.req.Target)
+	if !ok {
+		r = x.route
+	}
+	if !slices.Equal(r.Regions, x.route.Regions) {
 		return false
 	}
-	return true
+	if c.Accounts == nil || r.Public {
+		return true
+	}
+	if x.client.account == nil && x.snapshot.Config.Accounts == nil {
+		// The header of the request still has the key.
+		return false
+	}
+	a, ok := findAccount(&x.req, c.Accounts)
+	return ok && a.Name == x.client.name() && slices.Equal(a.Regions, x.client.regions())
+}
+
+// regionFilter returns which failure domains may take the request.
+func (x *dispatch) regionFilter() region.Filter {
+	return region.Filter{Of: x.engine.c.Region, Own: x.engine.c.Domain}.With(x.route.Regions).With(x.client.regions())
+}
+
+// permittedInstances returns the searchers of a service that may run the request.
+func (x *dispatch) permittedInstances(service string) []*instance.Instance {
+	is := x.snapshot.Instances[service]
+	if !x.regions.Restricts() {
+		return is
+	}
+	out := make([]*instance.Instance, 0, len(is))
+	for _, i := range is {
+		if x.regions.PermitsSearcher(i.Searcher().Domain) {
+			out = append(out, i)
+		}
+	}
+	return out
 }
 
 // takePermit takes a permit of the account's quota, or returns the refusal. The VM to which the
--- a/internal/query/forward/dispatch.go
+++ b/internal/query/forward/dispatch.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"egrethaven/internal/state/region"
 	"egrethaven/internal/state/routing"
 )
 
@@ -47,8 +48,11 @@
 	snapshot *Snapshot
 	route    *routing.Route
 	client   client
-	// revoked is set once a newer configuration no longer permits the request.
-	revoked     atomic.Bool
+	// revoked is set once a newer configuration no longer permits the request as it is, or
+	// the copy of the store is too old to tell.
+	revoked atomic.Bool
+	// regions decides which searchers and VMs may take the request.
+	regions     region.Filter
 	stats       *routeStats
 	subrequests []*subrequest
 	// requestHead is the start of the HTTP request, common to all searchers.
@@ -88,6 +92,7 @@
 // newDispatch computes the deadlines of a request and its subrequests.
 func (e *Engine) newDispatch(q Request, s *Snapshot, r *routing.Route, c client) *dispatch {
 	x := &dispatch{engine: e, req: q, snapshot: s, route: r, client: c, stats: e.statsFor(r), fingerprint: q.fingerprint(c.name())}
+	x.regions = x.regionFilter()
 	x.isolatedSince, x.isolated = e.isolation()
 	x.deadline = q.Arrived.Add(defaultTimeout)
 	if q.Timeout > 0 {
@@ -111,7 +116,7 @@
 	}
 	x.subrequests = make([]*subrequest, len(services))
 	for i, name := range services {
-		x.subrequests[i] = &subrequest{dispatch: x, service: name, budget: e.budgetFor(name), instances: s.Instances[name], sends: q.Sends}
+		x.subrequests[i] = &subrequest{dispatch: x, service: name, budget: e.budgetFor(name), instances: x.permittedInstances(name), sends: q.Sends}
 	}
 	x.results = make(chan result, len(services)*(max(r.MaxAttempts, 1)+maxUnsentResends+1))
 	x.requestHead = x.encodeRequestHead()
--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -21,6 +21,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"egrethaven/internal/back/crashguard"
@@ -30,6 +31,7 @@
 	"egrethaven/internal/query/retrybudget"
 	"egrethaven/internal/query/retrypool"
 	"egrethaven/internal/state/account"
+	"egrethaven/internal/state/region"
 	"egrethaven/internal/state/routing"
 )
 
@@ -62,6 +64,11 @@
 	Account string
 	// Evidence holds the searchers that the other VM has lost with the request.
 	Evidence []quarantine.Incident
+
+	// key is the key of a client account, taken out of Header. It stays in this process.
+	key string
+	// restarted is set if the request starts again under a newer configuration.
+	restarted bool
 }
 
 // Answer is the response to the client.
@@ -93,6 +100,8 @@
 	MayHaveRun bool
 	// Evidence holds the searchers that this VM has lost with the request.
 	Evidence []quarantine.Incident
+	// Regions decides which VMs may take the request over.
+	Regions region.Filter
 }
 
 // Reason says why a request was not served.
@@ -112,6 +121,7 @@
 	Quarantined     Reason = "quarantined"
 	UnknownKey      Reason = "unknown_key"
 	OverQuota       Reason = "over_quota"
+	KeysOutdated    Reason = "keys_outdated"
 	ClientGone      Reason = "client_gone"
 )
 
@@ -119,7 +129,7 @@
 // has not run the request.
 func (r Reason) IsRefusal() bool {
 	switch r {
-	case NoConfig, NoSearcher, Overloaded, Quarantined, DeadlineReached:
+	case NoConfig, NoSearcher, Overloaded, Quarantined, DeadlineReached, KeysOutdated:
 		return true
 	}
 	return false
@@ -166,7 +176,7 @@
 // Dialect encodes and parses the headers exchanged with searchers and clients.
 type Dialect interface {
 	// TakeKey removes the key of a client account from a request's header and returns it;
-	// empty if there is none.
+	// empty if there is none. It also removes what names an account.
 	TakeKey(h http.Header) string
 	// AppendSendHeader appends the header lines of a request to a searcher.
 	AppendSendHeader(b []byte, s SendHeader) []byte
@@ -227,11 +237,20 @@
 	HandOver func(ctx context.Context, h Handover) (Answer, bool)
 	// Quota limits the requests of client accounts over all VMs; nil means no limit.
 	Quota Quota
+	// CopyAge returns the age of this VM's copy of the store; nil means that it is not
+	// known, and counts as 0.
+	CopyAge func() time.Duration
+	// Region returns the region of a failure domain, empty if it is not known; nil means
+	// that none is.
+	Region func(domain string) string
 	// Log receives one event for each request; nil disables logging.
 	Log *event.Log
 	// Observe is called at the end of each request with the name of its route,
 	// the reason and the elapsed time; nil for none.
 	Observe func(route string, r Reason, elapsed time.Duration)
+	// ObserveAccount is called at the end of each request of a client account that this VM
+	// got from a client, with the account's name and the reason; nil for none.
+	ObserveAccount func(account string, r Reason)
 }
 
 // MinIncidents is the number of incidents after which a request that crashes searchers is
@@ -242,6 +261,8 @@
 type Engine struct {
 	c       Config
 	orphans *orphanedSends
+	// maxKeyAge is the limit of SetMaxKeyAge in nanoseconds.
+	maxKeyAge atomic.Int64
 
 	mu      sync.Mutex
 	stats   map[string]*routeStats
@@ -261,6 +282,12 @@
 	if c.Observe == nil {
 		c.Observe = func(string, Reason, time.Duration) {}
 	}
+	if c.ObserveAccount == nil {
+		c.ObserveAccount = func(string, Reason) {}
+	}
+	if c.CopyAge == nil {
+		c.CopyAge = func() time.Duration { return 0 }
+	}
 	if c.Guard == nil {
 		c.Guard = crashguard.New(crashguard.Config{Quarantine: quarantine.New(quarantine.Config{MinIncidents: MinIncidents, TrustAnswered: true})})
 	}
@@ -285,39 +312,60 @@
 
 // Do answers one request.
 func (e *Engine) Do(ctx context.Context, q Request) Answer {
+	for {
+		a, restart := e.dispatch(ctx, &q)
+		if !restart {
+			return a
+		}
+		q.restarted = true
+	}
+}
+
+// dispatch answers a request under the configuration in force. It reports true if the request
+// has to start again, as a newer configuration does not permit it as it is, and nothing was
+// sent.
+func (e *Engine) dispatch(ctx context.Context, q *Request) (a Answer, restart bool) {
 	s := e.c.Current()
 	if s == nil {
-		return e.refuse(q, NoConfig, http.StatusServiceUnavailable)
+		return e.refuse(*q, nil, NoConfig, http.StatusServiceUnavailable), false
 	}
 	r, ok := s.Config.Lookup(q.Host, q.Target)
 	if !ok {
-		return e.refuse(q, NoRoute, http.StatusNotFound)
+		return e.refuse(*q, s, NoRoute, http.StatusNotFound), false
 	}
-	var c client
-	if s.Config.Accounts != nil {
-		if c, ok = e.identify(&q, s.Config, r); !ok {
-			return e.refuse(q, UnknownKey, http.StatusUnauthorized)
-		}
+	c, reason := e.identify(q, s.Config, r)
+	switch reason {
+	case UnknownKey:
+		return e.refuse(*q, s, reason, http.StatusUnauthorized), false
+	case KeysOutdated:
+		return e.refuse(*q, s, reason, http.StatusServiceUnavailable), false
 	}
-	x := e.newDispatch(q, s, r, c)
+	x := e.newDispatch(*q, s, r, c)
 	e.c.Guard.AddEvidence(x.fingerprint, q.Evidence)
-	a, ok := x.takePermit(ctx)
+	a, ok = x.takePermit(ctx)
 	if ok {
 		a = x.run(ctx)
 		x.returnPermit(a)
 	}
+	if a.Reason == UnknownKey && x.revoked.Load() {
+		return a, true
+	}
 	x.report(a)
-	return a
+	return a, false
 }
 
-// refuse answers a request for which there is no configuration or no route.
-func (e *Engine) refuse(q Request, reason Reason, status int) Answer {
+// refuse answers a request for which there is no configuration or no route, or whose client is
+// not known. s is nil if there is no configuration.
+func (e *Engine) refuse(q Request, s *Snapshot, reason Reason, status int) Answer {
 	a := Answer{Status: status, Reason: reason}
-	if status == http.StatusServiceUnavailable {
+	switch {
+	case reason == KeysOutdated:
+		a.RetryAfter = retryAfterOutdated
+	case status == http.StatusServiceUnavailable:
 		a.RetryAfter = retryAfterUnknown
 	}
 	e.c.Observe("", reason, time.Since(q.Arrived))
-	e.logRefusal(q, a)
+	e.logRefusal(q, s, a)
 	return a
 }
 
--- a/internal/query/forward/handover.go
+++ b/internal/query/forward/handover.go
@@ -104,7 +104,7 @@
 	h := Handover{Request: x.req, Route: x.route.Name, ConfigVersion: x.snapshot.Config.Version, Deadline: x.deadline,
 		Repeatable: x.route.Idempotency == routing.Idempotent, MayHaveRun: mayHaveRun,
 		Evidence: e.c.Guard.Evidence(x.fingerprint)}
-	h.Account = x.client.name()
+	h.Account, h.key, h.Regions = x.client.name(), "", x.regions
 	for _, p := range x.subrequests {
 		h.Sends = max(h.Sends, p.sends)
 	}
--- a/internal/query/forward/report.go
+++ b/internal/query/forward/report.go
@@ -15,19 +15,26 @@
 func (x *dispatch) report(a Answer) {
 	elapsed := time.Since(x.req.Arrived)
 	x.engine.c.Observe(x.route.Name, a.Reason, elapsed)
+	if x.client.account != nil && !x.req.HandedOver {
+		x.engine.c.ObserveAccount(x.client.name(), a.Reason)
+	}
 	if x.engine.c.Log == nil {
 		return
 	}
 	n := event.RequestServed
-	if a.Reason != Served {
+	switch a.Reason {
+	case Served:
+	case OverQuota:
+		n = event.QuotaExceeded
+	default:
 		n = event.RequestFailed
 	}
 	x.engine.c.Log.EmitFields(n, x.req.ID, func(l *log.Entry) {
 		if name := x.client.name(); name != "" {
 			l.Str("account", name)
 		}
-		l.Str("route", x.route.Name).Int64("config_version", int64(x.snapshot.Config.Version))
-		l.Int64("config_age_ms", time.Since(x.snapshot.BuiltAt).Milliseconds())
+		l.Str("route", x.route.Name)
+		x.engine.logConfig(l, x.snapshot)
 		l.Int("status", a.Status).Str("reason", string(a.Reason)).Float64("elapsed_ms", float64(elapsed.Microseconds())/1000)
 		l.Bool("repeatable", x.route.Idempotency == routing.Idempotent).Int("attempts", x.route.MaxAttempts)
 		l.Int("sends", x.sent).Int("hedges", x.hedges).Int("retries", x.retries)
@@ -158,6 +165,8 @@
 	}
 	switch {
 	case len(out) > 0:
+	case len(p.instances) == 0 && len(p.dispatch.snapshot.Instances[p.service]) > 0:
+		out = append(out, "no searcher in a permitted region")
 	case len(p.instances) == 0:
 		out = append(out, "no searcher registered")
 	case p.leftOut:
@@ -184,12 +193,35 @@
 	return fmt.Sprintf("answered %d after %s", a.Status, took)
 }
 
-// logRefusal logs a request without a configuration or route.
-func (e *Engine) logRefusal(q Request, a Answer) {
+// logRefusal logs a request without a configuration or route, or whose client is not known.
+// s is nil if there is no configuration. The key is not logged.
+func (e *Engine) logRefusal(q Request, s *Snapshot, a Answer) {
 	if e.c.Log == nil {
 		return
 	}
-	e.c.Log.EmitFields(event.RequestFailed, q.ID, func(l *log.Entry) {
-		l.Str("host", q.Host).Str("target", q.Target).Int("status", a.Status).Str("reason", string(a.Reason))
+	n := event.RequestFailed
+	if a.Reason == UnknownKey {
+		n = event.KeyRefused
+	}
+	e.c.Log.EmitFields(n, q.ID, func(l *log.Entry) {
+		l.Str("host", q.Host).Str("target", truncate(q.Target, maxLoggedTarget)).Int("status", a.Status).Str("reason", string(a.Reason))
+		if s != nil {
+			e.logConfig(l, s)
+		}
+		if a.Reason == UnknownKey {
+			l.Str("client", q.Client).Bool("has_key", q.key != "")
+		}
+		if q.HandedOver {
+			l.Str("account", q.Account).Bool("handed_over", true)
+		}
 	})
 }
+
+// logConfig logs the version of the configuration, how long ago its snapshot was built, and,
+// if keys are checked by it, the age of the copy of the store that it comes from.
+func (e *Engine) logConfig(l *log.Entry, s *Snapshot) {
+	l.Int64("config_version", int64(s.Config.Version)).Int64("config_age_ms", time.Since(s.BuiltAt).Milliseconds())
+	if s.Config.Accounts != nil {
+		l.Int64("copy_age_ms", e.c.CopyAge().Milliseconds())
+	}
+}
--- a/internal/query/forward/subrequest.go
+++ b/internal/query/forward/subrequest.go
@@ -98,8 +98,11 @@
 // sendFirst makes the first attempt.
 func (p *subrequest) sendFirst(now time.Time) {
 	// What another VM sent before may have arrived, so that this is an extra send.
-	if p.dispatch.req.Sends == 0 {
-		p.budget.CountFirst(now)
+	// One that starts again was counted before.
+	if q := &p.dispatch.req; q.Sends == 0 {
+		if !q.restarted {
+			p.budget.CountFirst(now)
+		}
 	} else if !p.budget.AllowExtra(now, retrybudget.Retry) {
 		p.failed = true
 		return
--- a/internal/state/account/account.go
+++ b/internal/state/account/account.go
@@ -13,6 +13,7 @@
 import (
 	"crypto/sha256"
 	"crypto/subtle"
+	"hash/maphash"
 
 	"github.com/juju/errors"
 )
@@ -45,49 +46,51 @@
 
 // Index finds accounts by key or name.
 type Index struct {
-	byKey  map[digest]keyed
-	byName map[string]*Account
+	seed     maphash.Seed
+	accounts []*Account
+	byName   map[string]*Account
+	// byHash holds the position in keys of the last key with a hash. Neither holds
+	// pointers, so that the garbage collector does not scan them.
+	byHash map[uint64]uint32
+	keys   []keyed
 }
 
 // keyed is the account of a key.
 type keyed struct {
-	key     digest
-	account *Account
+	digest  digest
+	account uint32
+	// next is 1 more than the position of another key with the same hash; 0 for none.
+	next uint32
 }
 
-// NewIndex returns an index of the accounts, or an error if a name is missing or used twice, or
-// if a key belongs to two accounts.
+// NewIndex returns an index of the accounts, or an error like those of Builder.Add.
 func NewIndex(es []Entry) (*Index, error) {
-	x := &Index{byKey: make(map[digest]keyed, len(es)), byName: make(map[string]*Account, len(es))}
-	for i := range es {
-		a := &es[i].Account
-		switch {
-		case a.Name == "":
-			return nil, errors.Errorf("account %d has no name", i)
-		case x.byName[a.Name] != nil:
-			return nil, errors.Errorf("two accounts are named %q", a.Name)
-		}
-		x.byName[a.Name] = a
-		for _, key := range es[i].Keys {
-			d := digest(sha256.Sum256([]byte(key)))
-			if k, ok := x.byKey[d]; ok && k.account != a {
-				return nil, errors.Errorf("accounts %q and %q have a key in common", k.account.Name, a.Name)
-			}
-			x.byKey[d] = keyed{d, a}
+	b := NewBuilder()
+	for _, e := range es {
+		if err := b.Add(e); err != nil {
+			return nil, errors.Trace(err)
 		}
 	}
-	return x, nil
+	return b.Index(), nil
 }
 
-// Lookup returns the account of a key. How long it takes tells nothing of the keys, as it looks
-// up and compares digests.
+// Lookup returns the account of a key. An empty key has none. How long it takes tells nothing
+// of the keys: the hash is seeded at random, and digests of equal length are compared.
 func (x *Index) Lookup(key string) (*Account, bool) {
-	d := digest(sha256.Sum256([]byte(key)))
-	k, ok := x.byKey[d]
-	if !ok || subtle.ConstantTimeCompare(d[:], k.key[:]) != 1 {
+	if key == "" {
+		return nil, false
+	}
+	p, ok := x.byHash[maphash.String(x.seed, key)]
+	if !ok {
 		return nil, false
 	}
-	return k.account, true
+	d := digest(sha256.Sum256([]byte(key)))
+	for n := p + 1; n != 0; n = x.keys[n-1].next {
+		if k := &x.keys[n-1]; subtle.ConstantTimeCompare(d[:], k.digest[:]) == 1 {
+			return x.accounts[k.account], true
+		}
+	}
+	return nil, false
 }
 
 // Named returns the account of that name.
@@ -97,4 +100,4 @@
 }
 
 // Len returns the number of accounts.
-func (x *Index) Len() int { return len(x.byName) }
+func (x *Index) Len() int { return len(x.accounts) }
