--- a/internal/query/forward/client_test.go
+++ b/internal/query/forward/client_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -72,12 +73,15 @@
 
 // accountQuota counts the permits of each account that are taken.
 type accountQuota struct {
+	mu     sync.Mutex
 	taken  map[string]int
 	refuse bool
 }
 
 // Take takes a permit unless all are refused.
 func (q *accountQuota) Take(_ context.Context, a *account.Account, _ time.Time) (bool, time.Duration) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
 	if q.refuse {
 		return false, time.Second
 	}
@@ -86,7 +90,11 @@
 }
 
 // Return gives a permit back.
-func (q *accountQuota) Return(a *account.Account) { q.taken[a.Name]-- }
+func (q *accountQuota) Return(a *account.Account) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.taken[a.Name]--
+}
 
 // TestClientAccounts guards against a request that is served without a key or as another
 // account, against a key that gets to a searcher, and against a 401 before there is a
