Client accounts: refuse keys by an outdated copy, regions, metrics by account

Cause: the bounds on revoked keys, the regions of failure domains and the load of single accounts were not known to a gateway.

Change: settings [accounts] and [regions], filled in from the platform's bounds and zones. A key without text has its default, as placeholders without a value are filled in so.

Measured: go test ./internal/observe/... ./internal/state/gatewaysettings ./internal/state/settings ./internal/state/search ./internal/cli/... ./internal/node/gateway passes.

--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -157,7 +157,7 @@
 	g.storeView.onSearcherEnded = guard.SearcherEnded
 	g.engine = forward.New(forward.Config{
 		Guard: guard, Dialect: g.c.Dialect, Current: g.storeView.Current, Domain: s.Domain, Log: g.log,
-		Budget: g.vmBudget(s, g.vms), HandOver: g.handOver,
+		Budget: g.vmBudget(s, g.vms), HandOver: g.handOver, CopyAge: g.ageOfCopy, Region: s.Regions.Of, ObserveAccount: g.observeAccount,
 		Observe: func(route string, r forward.Reason, d time.Duration) {
 			g.metrics.RecordRequest(route, string(r), d)
 			if r == forward.Quarantined {
@@ -165,6 +165,7 @@
 			}
 		},
 	})
+	g.engine.SetMaxKeyAge(s.MaxKeyAge())
 	if g.ingress, err = ingress.New(ingress.Config{
 		Addr: s.ClientAddr, Dialect: g.c.Dialect, Do: g.engine.Do, Limits: g.clientLimits, Budget: g.c.Budget, Events: g.log,
 		CloseConns: g.isolation.isolated.Load,
@@ -229,6 +230,27 @@
 	return -1
 }
 
+// ageOfCopy returns the age of this VM's copy of the store; the maximum duration if the store
+// was never read.
+func (g *Gateway) ageOfCopy() time.Duration {
+	age, _ := g.peerComponents.storeSource.CopyAge()
+	return age
+}
+
+// observeAccount counts a request of a client account.
+func (g *Gateway) observeAccount(account string, r forward.Reason) {
+	o := gatewaymetric.AccountFailed
+	switch {
+	case r == forward.Served:
+		o = gatewaymetric.AccountServed
+	case r == forward.OverQuota:
+		o = gatewaymetric.AccountOverQuota
+	case r.IsRefusal():
+		o = gatewaymetric.AccountRefused
+	}
+	g.metrics.RecordAccount(account, o)
+}
+
 // responseMemory returns the memory in use for responses, in bytes.
 func (g *Gateway) responseMemory() float64 { return float64(g.c.Budget.Used()) }
 
@@ -289,6 +311,7 @@
 	defer g.mu.Unlock()
 	g.settings = s
 	g.engine.SetBudget(g.vmBudget(s, g.vms))
+	g.engine.SetMaxKeyAge(s.MaxKeyAge())
 	g.log.SetLevel(log.ParseLevel(string(s.LogLevel)))
 	g.log.Emit(event.SettingsChanged, s.ID, fmt.Sprintf("log level %s, retry ratio %g, window %s, allowance %g, entry grace %s",
 		s.LogLevel, s.RetryRatio, s.RetryWindow, s.RetryAllowance, s.EntryGrace))
--- a/internal/observe/gatewaymetric/metric.go
+++ b/internal/observe/gatewaymetric/metric.go
@@ -37,6 +37,7 @@
 	handovers metric.Int64Counter
 	// quarantine counts the steps of requests that crash searchers.
 	quarantine metric.Int64Counter
+	accounts   accounts
 	options    sync.Map // caches a metric.MeasurementOption for each requestKey
 }
 
@@ -46,7 +47,10 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	m := &Metrics{Meter: p}
+	m := &Metrics{Meter: p, accounts: accounts{byName: map[string]*accountCounts{}}}
+	if err := m.accounts.register(p); err != nil {
+		return nil, errors.Annotate(err, "creating the counter of accounts")
+	}
 	m.requests, err = m.Float64Histogram("egrethaven_request_duration", metric.WithUnit("s"),
 		metric.WithDescription("time from a request's header to its answer, by route and reason of failure"),
 		metric.WithExplicitBucketBoundaries(latencyBuckets...))
--- a/internal/state/field/field.go
+++ b/internal/state/field/field.go
@@ -25,7 +25,7 @@
 	Section string
 	Key     string
 	Unit    string
-	// Default is the value if the key is missing; if empty, the zero value.
+	// Default is the value if the key is missing or has no text; if empty, the zero value.
 	Default string
 	// Allowed describes the allowed values.
 	Allowed  string
@@ -131,6 +131,10 @@
 	}
 	k := s.Keys[i]
 	p.Line = k.Line
+	if k.Value == "" && f.Default != "" {
+		// A placeholder of a template that has no value is filled in as empty text.
+		return p, f.parse(t, f.Default)
+	}
 	quoted := fmt.Sprintf("%q", k.Value)
 	if f.Secret {
 		quoted = "the value"
--- a/internal/state/gatewaysettings/fields.go
+++ b/internal/state/gatewaysettings/fields.go
@@ -65,6 +65,16 @@
 		Help: "extra sends of all VMs to a service in a window beyond the ratio"},
 		0, 1e6, func(s *Settings) *float64 { return &s.RetryAllowance }),
 
+	boolean(field.Spec{Section: "accounts", Key: "strict_revoke", Default: "false",
+		Help: "whether requests that need a key are refused while the copy of the store is older than revoke_ms and max_skew_ms together"},
+		func(s *Settings) *bool { return &s.StrictRevoke }),
+	milliseconds(field.Spec{Section: "accounts", Key: "revoke_ms", Default: "5000",
+		Help: "time within which a removed key has to be refused, with strict_revoke"},
+		1, 600_000, func(s *Settings) *time.Duration { return &s.RevokeTime }),
+	milliseconds(field.Spec{Section: "accounts", Key: "max_skew_ms", Default: "0",
+		Help: "largest difference between the clocks of two VMs"},
+		0, 600_000, func(s *Settings) *time.Duration { return &s.MaxSkew }),
+
 	seconds(field.Spec{Section: "process", Key: "stop_within_s", Default: "6",
 		Help: "how long the process may run once it is told to stop"},
 		0, 600, func(s *Settings) *time.Duration { return &s.ShutdownTimeout }),
@@ -102,6 +112,17 @@
 	return field.Custom(a, "IP:port, separated by commas, or not given", parse, valid)
 }
 
+// boolean returns a field for true or false, also in the other forms in which a template may
+// render it, such as True or 1.
+func boolean(a field.Spec, target func(*Settings) *bool) field.Field[Settings] {
+	parse := func(s *Settings, text string) bool {
+		v, err := strconv.ParseBool(text)
+		*target(s) = v
+		return err == nil
+	}
+	return field.Custom(a, "true or false", parse, func(*Settings) bool { return true })
+}
+
 // seconds returns a field for a duration written as a number of seconds.
 func seconds(a field.Spec, minimum, maximum float64, target func(*Settings) *time.Duration) field.Field[Settings] {
 	a.Unit = "s"
--- a/internal/state/gatewaysettings/settings.go
+++ b/internal/state/gatewaysettings/settings.go
@@ -11,14 +11,19 @@
 package gatewaysettings
 
 import (
+	"slices"
 	"time"
 
 	"egrethaven/internal/state/field"
 	"egrethaven/internal/state/inifile"
 	"egrethaven/internal/state/problem"
+	"egrethaven/internal/state/region"
 	"egrethaven/internal/state/settings"
 )
 
+// regionsSection is the header of the section with the regions of failure domains.
+const regionsSection = "regions"
+
 // Settings are the settings of one gateway.
 type Settings struct {
 	// ID is the name of this VM.
@@ -54,6 +59,14 @@
 	RetryRatio     float64
 	RetryWindow    time.Duration
 	RetryAllowance float64
+	// StrictRevoke reports whether requests that need the key of a client account are refused
+	// while this VM's copy of the store is older than RevokeTime and MaxSkew together.
+	// MaxSkew is the largest difference between the clocks of two VMs.
+	StrictRevoke bool
+	RevokeTime   time.Duration
+	MaxSkew      time.Duration
+	// Regions holds the region of each failure domain.
+	Regions region.Map
 	// ShutdownTimeout is how long the process may keep running after it is told to stop.
 	ShutdownTimeout time.Duration
 	// MemoryMB is the memory that the process may use, in MiB, and Cores the number of
@@ -69,12 +82,42 @@
 // store has to be in force.
 func (s Settings) ChangeTime() time.Duration { return min(s.ConfigApply, s.DrainTime) }
 
+// MaxKeyAge returns the age of the copy of the store from which on keys are not checked by
+// it; 0 for no limit.
+func (s Settings) MaxKeyAge() time.Duration {
+	if !s.StrictRevoke {
+		return 0
+	}
+	return s.RevokeTime + s.MaxSkew
+}
+
 // Parse parses the contents b of a settings file; name is the file name to report in
 // problems. The settings are valid only if there are no problems.
 func Parse(name string, b []byte) (Settings, []problem.Problem) {
 	var s Settings
 	f, ps := inifile.Parse(name, b)
+	s.Regions, ps = takeRegions(&f, ps)
 	ps = append(ps, field.ReadFile(fields, f, &s)...)
 	problem.Sort(ps)
 	return s, ps
 }
+
+// takeRegions removes the section with the regions of failure domains, whose keys are not
+// known beforehand, and returns them. It appends its problems to ps.
+func takeRegions(f *inifile.File, ps []problem.Problem) (region.Map, []problem.Problem) {
+	m := region.Map{}
+	f.Sections = slices.DeleteFunc(f.Sections, func(sec inifile.Section) bool {
+		if sec.Header != regionsSection {
+			return false
+		}
+		for _, k := range sec.Keys {
+			if !field.IsName(k.Name) {
+				ps = append(ps, problem.Problem{File: f.Name, Line: k.Line, Section: sec.Header, Key: k.Name,
+					Message: "is not the name of a failure domain", Allowed: "1 to 63 of a-z 0-9 _ . -, first a letter or digit"})
+			}
+			m[k.Name] = k.Value
+		}
+		return true
+	})
+	return m, ps
+}
--- a/internal/state/gatewaysettings/settings_test.go
+++ b/internal/state/gatewaysettings/settings_test.go
@@ -33,6 +33,31 @@
 	}
 }
 
+// TestAccounts checks the limit on the age of keys, and that a placeholder without a value
+// means the default.
+func TestAccounts(t *testing.T) {
+	for text, want := range map[string]time.Duration{
+		"": 0, "strict_revoke = \nrevoke_ms = \nmax_skew_ms =": 0, "strict_revoke = false\nrevoke_ms = 9": 0,
+		"strict_revoke = true": 5 * time.Second, "strict_revoke = True\nrevoke_ms = 2500.0\nmax_skew_ms = 250": 2750 * time.Millisecond,
+	} {
+		s, ps := gatewaysettings.Parse("g.ini", []byte(validFile+"[accounts]\n"+text))
+		if len(ps) > 0 || s.MaxKeyAge() != want {
+			t.Errorf("%q: %s, want %s; %v", text, s.MaxKeyAge(), want, problem.Strings(ps))
+		}
+	}
+}
+
+// TestRegions checks the regions of failure domains, whose names are the platform's.
+func TestRegions(t *testing.T) {
+	s, ps := gatewaysettings.Parse("g.ini", []byte(validFile+"[regions]\nsapporo = north\notaru = \"far west\"\n"))
+	if len(ps) > 0 || s.Regions.Of("sapporo") != "north" || s.Regions.Of("otaru") != "far west" || s.Regions.Of("x") != "" {
+		t.Errorf("%v %v", s.Regions, problem.Strings(ps))
+	}
+	if _, ps := gatewaysettings.Parse("g.ini", []byte(validFile+"[regions]\nA B = north\n")); len(ps) != 1 {
+		t.Errorf("accepted %v", problem.Strings(ps))
+	}
+}
+
 // TestProblems checks the text of the first problem of invalid files.
 func TestProblems(t *testing.T) {
 	for old, c := range map[string]struct{ replacement, want string }{
