--- a/internal/infra/pace/pace.go
+++ b/internal/infra/pace/pace.go
@@ -15,6 +15,9 @@
 
 import "time"
 
+// maxSlices is the number of slices that count as work between two pauses.
+const maxSlices = 2
+
 // Config configures a Pacer.
 type Config struct {
 	// Slice is how long the computation runs between two pauses. It must be longer than the
@@ -42,6 +45,8 @@
 	if worked < p.c.Slice || p.paused >= p.c.MaxPause {
 		return
 	}
+	// Much more time than a slice means that the process was stopped meanwhile.
+	worked = min(worked, maxSlices*p.c.Slice)
 	pause := min(time.Duration(p.c.PauseFactor*float64(worked)), p.c.MaxPause-p.paused)
 	p.paused += pause
 	time.Sleep(pause)
--- a/internal/query/forward/client.go
+++ b/internal/query/forward/client.go
@@ -129,7 +129,7 @@
 
 // regionFilter returns which failure domains may take the request.
 func (x *dispatch) regionFilter() region.Filter {
-	return region.Filter{Of: x.engine.c.Region, Own: x.engine.c.Domain}.With(x.route.Regions).With(x.client.regions())
+	return region.New(region.Config{Of: x.engine.c.Region, Own: x.engine.c.Domain, Route: x.route.Regions, Account: x.client.regions()})
 }
 
 // permittedInstances returns the searchers of a service that may run the request.
--- a/internal/query/forward/dispatch.go
+++ b/internal/query/forward/dispatch.go
@@ -48,9 +48,6 @@
 	snapshot *Snapshot
 	route    *routing.Route
 	client   client
-	// revoked is set once a newer configuration no longer permits the request as it is, or
-	// the copy of the store is too old to tell.
-	revoked atomic.Bool
 	// regions decides which searchers and VMs may take the request.
 	regions     region.Filter
 	stats       *routeStats
@@ -79,6 +76,9 @@
 	// is set if the request was a suspect when it came.
 	trial   *trial
 	suspect bool
+	// revoked is set once a newer configuration no longer permits the request as it is, or
+	// the copy of the store is too old to tell.
+	revoked atomic.Bool
 	// sent, hedges and retries count sends for the log.
 	sent, hedges, retries int
 }
--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -58,7 +58,9 @@
 	// HandedOver reports that another VM handed the request over. It is not handed over
 	// again. Sends is the number of searchers of one service to which that VM has sent it.
 	HandedOver bool
-	Sends      int
+	// restarted is set if the request starts again under a newer configuration.
+	restarted bool
+	Sends     int
 	// Account is the name of the client account of a request that was handed over; empty if
 	// it has none.
 	Account string
@@ -67,8 +69,6 @@
 
 	// key is the key of a client account, taken out of Header. It stays in this process.
 	key string
-	// restarted is set if the request starts again under a newer configuration.
-	restarted bool
 }
 
 // Answer is the response to the client.
