Client accounts: restart a request that waits on a route that becomes public with accounts

Cause: a request that came before there were accounts and waited was sent with its key, if its route was public in the newer configuration.

Change: it starts again like one on a route that needs a key.

--- a/internal/query/forward/client.go
+++ b/internal/query/forward/client.go
@@ -116,13 +116,13 @@
 	if !slices.Equal(r.Regions, x.route.Regions) {
 		return false
 	}
+	if x.snapshot.Config.Accounts == nil && c.Accounts != nil {
+		// The key is still in the header, where no searcher may get it any more.
+		return false
+	}
 	if c.Accounts == nil || r.Public {
 		return true
 	}
-	if x.client.account == nil && x.snapshot.Config.Accounts == nil {
-		// The header of the request still has the key.
-		return false
-	}
 	a, ok := findAccount(&x.req, c.Accounts)
 	return ok && a.Name == x.client.name() && slices.Equal(a.Regions, x.client.regions())
 }
--- a/internal/query/forward/client_test.go
+++ b/internal/query/forward/client_test.go
@@ -149,6 +149,7 @@
 		"account removed":   {before: "a:ka b:kb", after: "b:kb", key: "ka", status: 401, permits: "map[a:2]"},
 		"moved":             {before: "a:ka b:kb", after: "b:ka", key: "ka", status: 200, account: "b", permits: "map[a:2 b:1]"},
 		"accounts appear":   {after: "a:ka", key: "ka", status: 200, account: "a", permits: "map[a:1]"},
+		"public, accounts":  {after: "a:ka", route: routing.Route{Public: true}, key: "ka", status: 200, permits: "map[]"},
 		"needed, unknown":   {after: "a:ka", key: "kb", status: 401, permits: "map[]"},
 		"accounts end":      {before: "a:ka", key: "ka", status: 200, account: "a", permits: "map[a:3]"},
 		"route gets public": {before: "a:ka", after: "a:kb", route: routing.Route{Public: true}, key: "ka", status: 200, account: "a", permits: "map[a:3]"},
