--- a/internal/query/forward/report.go
+++ b/internal/query/forward/report.go
@@ -31,7 +31,7 @@
 	}
 	x.engine.c.Log.EmitFields(n, x.req.ID, func(l *log.Entry) {
 		if name := x.client.name(); name != "" {
-			l.Str("account", name)
+			l.Str("account", name).Int("priority", x.priority())
 		}
 		l.Str("route", x.route.Name)
 		x.engine.logConfig(l, x.snapshot)
