--- a/internal/peer/handover/sender_test.go
+++ b/internal/peer/handover/sender_test.go
@@ -23,6 +23,7 @@
 	"egrethaven/internal/peer/rpc"
 	"egrethaven/internal/peer/takeover"
 	"egrethaven/internal/query/forward"
+	"egrethaven/internal/state/region"
 	"egrethaven/internal/state/routing"
 )
 
@@ -31,9 +32,9 @@
 	do       func(ctx context.Context, q forward.Request, hangUp func()) forward.Answer
 	version  routing.Version
 	isolated bool
-	// unreachable VMs accept no connection.
-	unreachable bool
-	server      *takeover.Server
+	// unreachable VMs accept no connection, and earlier ones know no client accounts.
+	unreachable, earlier bool
+	server               *takeover.Server
 	// reply, if not nil, is sent instead of the server's.
 	reply    *handoverrpc.AnswerReply
 	requests atomic.Int64
@@ -75,13 +76,25 @@
 	if v.reply != nil {
 		server = v
 	}
-	if err := handoverrpc.DRPCRegisterHandover(m, server); err != nil {
+	var d drpc.Description = handoverrpc.DRPCHandoverDescription{}
+	if v.earlier {
+		d = earlierDescription{}
+	}
+	if err := m.Register(server, d); err != nil {
 		return nil, err
 	}
 	go func() { _ = drpcserver.New(m).ServeOne(ctx, conn) }()
 	return drpcconn.New(client), nil
 }
 
+// earlierDescription is that of a VM of an earlier build, which knows only the first call.
+type earlierDescription struct {
+	handoverrpc.DRPCHandoverDescription
+}
+
+// NumMethods returns 1.
+func (earlierDescription) NumMethods() int { return 1 }
+
 // Answer sends the VM's reply.
 func (v *vm) Answer(context.Context, *handoverrpc.AnswerRequest) (*handoverrpc.AnswerReply, error) {
 	v.requests.Add(1)
@@ -323,3 +336,45 @@
 		})
 	}
 }
+
+// TestAccount guards against a request of a client account that another VM answers without
+// the account: one of an earlier build, one whose configuration does not know it, or one whose
+// copy is too old. A VM that does not know one account is asked again for another.
+func TestAccount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		known := ""
+		do := func(ctx context.Context, q forward.Request, hangUp func()) forward.Answer {
+			if q.Account != known || !q.HandedOver {
+				return forward.Answer{Status: http.StatusUnauthorized, Reason: forward.UnknownKey}
+			}
+			return answer(ctx, q, hangUp)
+		}
+		earlier, last := &vm{version: 3, do: do, earlier: true}, &vm{version: 3, do: do}
+		s, h := newTier(earlier, fails(forward.KeysOutdated, http.StatusServiceUnavailable), last), request()
+		h.Account = "a"
+		for _, known = range []string{"b", "a"} {
+			if a, ok := s.HandOver(t.Context(), h); ok != (known == "a") || ok && a.AnsweredBy != "vm-2" || earlier.requests.Load() > 0 {
+				t.Errorf("%s is known: %+v, %t", known, a, ok)
+			}
+		}
+		// The VM of the earlier build takes a request without an account.
+		h.Account, known = "", ""
+		if a, ok := newTier(earlier).HandOver(t.Context(), h); !ok || a.Status != http.StatusOK {
+			t.Errorf("without an account: %+v, %t", a, ok)
+		}
+	})
+}
+
+// TestRegions guards against a request that is handed over to a VM outside of its regions.
+func TestRegions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		// The last VM is in the other failure domain.
+		s, h := newTier(fails(forward.NoSearcher, http.StatusServiceUnavailable), fails(forward.Served, http.StatusOK)), request()
+		for permitted, want := range map[string]bool{"north": false, "south": true} {
+			h.Regions = region.New(region.Config{Of: region.Map{"a": "north", "b": "south"}.Of, Own: "a", Route: []string{permitted}})
+			if _, ok := s.HandOver(t.Context(), h); ok != want {
+				t.Errorf("%s: handed over %t", permitted, ok)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/state/region/region_test.go
@@ -0,0 +1,36 @@
+package region_test
+
+import (
+	"testing"
+
+	"egrethaven/internal/state/region"
+)
+
+// TestFilter guards against a request that leaves its regions: by a failure domain without a
+// region, by a region that only one of route and account permits, or by a handover.
+func TestFilter(t *testing.T) {
+	m := region.Map{"a": "north", "b": "north", "c": "south", "d": "west", "e": ""}
+	south, both := []string{"south"}, []string{"south", "west"}
+	for _, c := range []struct {
+		route, account []string
+		// searchers and vms are the permitted failure domains of those of a to f.
+		searchers, vms string
+	}{
+		{nil, nil, "abcdef", "abcdef"}, {south, nil, "c", "abc"}, {nil, both, "cd", "abcd"}, {south, both, "c", "abc"},
+		{south, []string{"west"}, "", "ab"}, {[]string{""}, nil, "", "ab"},
+	} {
+		f := region.New(region.Config{Of: m.Of, Own: "a", Route: c.route, Account: c.account})
+		searchers, vms := "", ""
+		for _, domain := range []string{"a", "b", "c", "d", "e", "f"} {
+			if f.PermitsSearcher(domain) {
+				searchers += domain
+			}
+			if f.PermitsVM(domain) {
+				vms += domain
+			}
+		}
+		if searchers != c.searchers || vms != c.vms {
+			t.Errorf("%v and %v: searchers %q, VMs %q, want %q and %q", c.route, c.account, searchers, vms, c.searchers, c.vms)
+		}
+	}
+}
