Responses: one place decides what a searcher's response proves

Clients got statuses outside of 200 to 599, 101, and the head of a 204 or 304 with a body; status 000 ended their connections without an answer, as net/http panics. A fan-out counted the empty body of a 204 as a shard's records. net/http parses a status of any three characters that make a number, merges equal lengths, and drops a length beside chunks before callers see the header.

Such a response is a failure of a send that may have run, and its connection is closed. Event 325 names the searcher. On the tier's own interface it counts as a bad answer.

--- a/internal/back/backend/outcome.go
+++ b/internal/back/backend/outcome.go
@@ -9,6 +9,7 @@
 
 	"egrethaven/internal/back/link"
 	"egrethaven/internal/back/pool"
+	"egrethaven/internal/back/reply"
 	"egrethaven/internal/back/searcher"
 	"egrethaven/internal/observe/event"
 	"egrethaven/internal/query/outcome"
@@ -23,7 +24,7 @@
 		return outcome.Canceled
 	case errors.Is(err, link.ErrSilent):
 		return outcome.ConnectionSilent
-	case errors.Is(err, link.ErrTooLarge):
+	case errors.Is(err, link.ErrTooLarge), errors.Is(err, reply.ErrInvalid):
 		return outcome.BadAnswer
 	case errors.Is(err, pool.ErrRefused):
 		return outcome.ConnectionRefused
--- a/internal/back/conn/conn.go
+++ b/internal/back/conn/conn.go
@@ -33,6 +33,7 @@
 
 	"github.com/juju/errors"
 
+	"egrethaven/internal/back/reply"
 	"egrethaven/internal/infra/readbudget"
 	"egrethaven/internal/infra/readlimit"
 	"egrethaven/internal/infra/tcpdial"
@@ -365,25 +366,24 @@
 	return r, reusable && !aborted
 }
 
-// parseAnswer reads one answer, skipping 1xx responses.
+// parseAnswer reads one answer, skipping interim ones.
 func (k *Conn) parseAnswer(x *exchange) (r Result, reusable bool) {
 	r.Sent = true
 	k.limit.Allow(maxHeadSize, readlimit.HeadCost)
-	q := &http.Request{Method: x.Method}
-	resp, err := http.ReadResponse(k.r, q)
-	for err == nil && resp.StatusCode/100 == 1 && resp.StatusCode != http.StatusSwitchingProtocols {
-		resp, err = http.ReadResponse(k.r, q)
-	}
+	p, err := reply.Read(k.r, x.Method)
 	if err != nil {
 		r.Err = errors.Annotate(readlimit.ShortError(err), "reading the answer's header")
 		return r, false
 	}
-	if r.Err = checkHead(resp, x.Check); r.Err != nil {
-		return r, false
+	if x.Check != nil {
+		if err := x.Check(p.Header); err != nil {
+			r.Err = errors.Trace(err)
+			return r, false
+		}
 	}
-	r.Status, r.Header = resp.StatusCode, resp.Header
+	r.Status, r.Header = p.Status, p.Header
 	k.limit.Allow(maxBodySize+maxHeadSize, readlimit.BodyCost)
-	body, err := readBody(resp, k.limit.Cover)
+	body, err := readBody(p, k.limit.Cover)
 	if err != nil {
 		// The caller may keep the result for long, so it does not get what was read.
 		r.Err = errors.Annotate(err, "reading the answer's body")
@@ -391,53 +391,11 @@
 	}
 	r.Body = body
 	k.mu.Lock()
-	k.idleUntil = parseIdleUntil(resp.Header)
+	k.idleUntil = parseIdleUntil(p.Header)
 	k.mu.Unlock()
-	return r, !resp.Close && resp.StatusCode != http.StatusSwitchingProtocols
-}
-
-// checkHead returns an error if a header contradicts itself. After a response that breaks off
-// in its header, such as a second one to the exchange before, the next response continues
-// that header with its status line.
-func checkHead(resp *http.Response, check func(http.Header) error) error {
-	if containsStatusLine(resp.Status) {
-		return errTwoResponses
-	}
-	for _, vs := range resp.Header {
-		for _, v := range vs {
-			if containsStatusLine(v) {
-				return errTwoResponses
-			}
-		}
-	}
-	if check == nil {
-		return nil
-	}
-	return errors.Trace(check(resp.Header))
-}
-
-// errTwoResponses means that one response begins within the header of another.
-const errTwoResponses = errors.ConstError("two responses in one header")
-
-// containsStatusLine reports whether a text contains the start of a status line, such as
-// "HTTP/1.1 200".
-func containsStatusLine(s string) bool {
-	const start, length = "HTTP/1.", len("HTTP/1.1 200")
-	for {
-		i := strings.Index(s, start)
-		if i < 0 || len(s) < i+length {
-			return false
-		}
-		s = s[i+len(start):]
-		if isDigit(s[0]) && s[1] == ' ' && isDigit(s[2]) && isDigit(s[3]) && isDigit(s[4]) {
-			return true
-		}
-	}
+	return r, !p.Close
 }
 
-// isDigit reports whether a byte is a decimal digit.
-func isDigit(b byte) bool { return '0' <= b && b <= '9' }
-
 // parseIdleUntil returns when an idle connection must no longer be used, from the
 // timeout in the Keep-Alive header; the zero time if there is none.
 func parseIdleUntil(h http.Header) time.Time {
@@ -456,20 +414,20 @@
 
 // readBody reads an answer's body, or returns ErrTooLarge. cover accounts for the memory of
 // a body of a known size.
-func readBody(resp *http.Response, cover func(n int) error) ([]byte, error) {
-	if resp.ContentLength > maxBodySize {
+func readBody(p *reply.Reply, cover func(n int) error) ([]byte, error) {
+	if p.Length > maxBodySize {
 		return nil, ErrTooLarge
 	}
-	if resp.ContentLength >= 0 && resp.ContentLength <= bodyBufferSize {
-		if err := cover(int(resp.ContentLength)); err != nil {
+	if p.Length >= 0 && p.Length <= bodyBufferSize {
+		if err := cover(int(p.Length)); err != nil {
 			return nil, err
 		}
-		b := make([]byte, resp.ContentLength)
-		_, err := io.ReadFull(resp.Body, b)
+		b := make([]byte, p.Length)
+		_, err := io.ReadFull(p.Body, b)
 		return b, err
 	}
 	var b bytes.Buffer
-	n, err := b.ReadFrom(io.LimitReader(resp.Body, maxBodySize+1))
+	n, err := b.ReadFrom(io.LimitReader(p.Body, maxBodySize+1))
 	if err == nil && n > maxBodySize {
 		err = ErrTooLarge
 	}
--- a/internal/back/conn/conn_test.go
+++ b/internal/back/conn/conn_test.go
@@ -54,6 +54,11 @@
 		"short":               {strings.Replace(good, ": 2", ": 5", 1), "", false, Unusable},
 		"no protocol":         {"hello\r\n\r\n", "", false, Unusable},
 		"nothing":             {"", "", false, Unusable},
+		"status 000":          {strings.Replace(good, "200", "000", 1), "", false, Unusable},
+		"status 600":          {strings.Replace(good, "200", "600", 1), "", false, Unusable},
+		"switching":           {strings.Replace(good, "200", "101", 1), "", false, Unusable},
+		"204 with a body":     {strings.Replace(good, "200", "204", 1), "", false, Unusable},
+		"two lengths":         {strings.Replace(good, "Id:", "Content-Length: 2\r\nId:", 1), "", false, Unusable},
 		"announces its close": {strings.Replace(good, "Id:", "Keep-Alive: timeout=0\r\nId:", 1), "hi", true, Unusable},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/back/conn/endless_test.go
+++ b/internal/back/conn/endless_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/juju/errors"
 
+	"egrethaven/internal/back/reply"
 	"egrethaven/internal/infra/readbudget"
 )
 
@@ -80,11 +81,11 @@
 // TestAnnouncedLengthTakesNoMemory checks that a body's memory is allocated as its
 // bytes arrive, not by the length that its header announces.
 func TestAnnouncedLengthTakesNoMemory(t *testing.T) {
-	resp := &http.Response{ContentLength: maxBodySize, Body: io.NopCloser(strings.NewReader("short"))}
+	p := &reply.Reply{Length: maxBodySize}
 	allocated := testing.Benchmark(func(b *testing.B) {
 		for range b.N {
-			resp.Body = io.NopCloser(strings.NewReader("short"))
-			if _, err := readBody(resp, func(int) error { return nil }); err != nil && !errors.Is(err, io.ErrUnexpectedEOF) {
+			p.Body = strings.NewReader("short")
+			if _, err := readBody(p, func(int) error { return nil }); err != nil && !errors.Is(err, io.ErrUnexpectedEOF) {
 				b.Fatal(err)
 			}
 		}
--- a/internal/back/conn/surplus_test.go
+++ b/internal/back/conn/surplus_test.go
@@ -149,14 +149,3 @@
 		}
 	}
 }
-
-// BenchmarkCheckHead measures what a response costs.
-func BenchmarkCheckHead(b *testing.B) {
-	resp := &http.Response{Status: "200 OK", Header: http.Header{"Stamp": {"3e1b.07.5a2.600.0.c9f2a4d1"}, "Id": {"9c41d07be2a35f68"}, "Load": {"3,0,8"},
-		"Content-Type": {"application/octet-stream"}, "Content-Length": {"1000"}, "Date": {"Sat, 05 Dec 2026 19:00:00 GMT"}, "Keep-Alive": {"timeout=15"}}}
-	for b.Loop() {
-		if err := checkHead(resp, checkOnce); err != nil {
-			b.Fatal(err)
-		}
-	}
-}
--- a/internal/back/instance/send.go
+++ b/internal/back/instance/send.go
@@ -5,7 +5,11 @@
 	"slices"
 	"time"
 
+	"github.com/juju/errors"
+
 	"egrethaven/internal/back/conn"
+	"egrethaven/internal/back/reply"
+	"egrethaven/internal/observe/event"
 )
 
 // Send sends a request, or queues it until a connection is idle. If it can do
@@ -155,6 +159,9 @@
 		i.recordContact(now)
 	case r.Lost():
 		i.lostCall = true
+		if errors.Is(r.Err, reply.ErrInvalid) {
+			i.c.Events.Emit(event.ResponseInvalid, i.s.ID, r.Err.Error())
+		}
 	}
 	i.closeSurplusConns(now)
 	i.mu.Unlock()
--- a/internal/back/link/link.go
+++ b/internal/back/link/link.go
@@ -6,7 +6,6 @@
 	"context"
 	"io"
 	"net"
-	"net/http"
 	"strconv"
 	"sync/atomic"
 	"syscall"
@@ -14,6 +13,7 @@
 
 	"github.com/juju/errors"
 
+	"egrethaven/internal/back/reply"
 	"egrethaven/internal/infra/readlimit"
 )
 
@@ -167,16 +167,16 @@
 		return Result{Err: errors.Annotate(err, "write request")}, false
 	}
 	l.limit.Allow(maxHeadBytes, readlimit.HeadCost)
-	resp, err := http.ReadResponse(l.r, nil)
+	p, err := reply.Read(l.r, method)
 	if err != nil {
 		return Result{Err: errors.Annotate(readlimit.ShortError(err), "read answer")}, false
 	}
-	r.Status = resp.StatusCode
+	r.Status = p.Status
 	l.limit.Allow(l.maxBody+maxHeadBytes, readlimit.BodyCost)
-	if r.Body, err = l.readBody(resp); err != nil {
+	if r.Body, err = l.readBody(p); err != nil {
 		return Result{Err: errors.Annotate(err, "read answer body")}, false
 	}
-	return r, !resp.Close && l.r.Buffered() == 0
+	return r, !p.Close && l.r.Buffered() == 0
 }
 
 // writeRequest sends the request. Apart from the method, path and content
@@ -193,22 +193,22 @@
 }
 
 // readBody reads the complete response body into the link's buffer.
-func (l *Link) readBody(resp *http.Response) ([]byte, error) {
-	if resp.ContentLength > int64(l.maxBody) {
+func (l *Link) readBody(p *reply.Reply) ([]byte, error) {
+	if p.Length > int64(l.maxBody) {
 		return nil, ErrTooLarge
 	}
-	if n := int(resp.ContentLength); n >= 0 && n <= maxKeptBodyBytes {
+	if n := int(p.Length); n >= 0 && n <= maxKeptBodyBytes {
 		if cap(l.body) < n {
 			if err := l.limit.Cover(n + n/4); err != nil {
 				return nil, err
 			}
 			l.body = make([]byte, n+n/4)
 		}
-		_, err := io.ReadFull(resp.Body, l.body[:n])
+		_, err := io.ReadFull(p.Body, l.body[:n])
 		return l.body[:n], err
 	}
 	b := bytes.NewBuffer(l.body[:0])
-	n, err := b.ReadFrom(io.LimitReader(resp.Body, int64(l.maxBody)+1))
+	n, err := b.ReadFrom(io.LimitReader(p.Body, int64(l.maxBody)+1))
 	if err == nil && n > int64(l.maxBody) {
 		err = ErrTooLarge
 	}
--- a/internal/front/ingress/ingress.go
+++ b/internal/front/ingress/ingress.go
@@ -26,6 +26,7 @@
 
 	"github.com/juju/errors"
 
+	"egrethaven/internal/back/reply"
 	"egrethaven/internal/front/httpserver"
 	"egrethaven/internal/infra/readbudget"
 	"egrethaven/internal/infra/readlimit"
@@ -258,6 +259,10 @@
 		// The client has disconnected; net/http closes the connection.
 		panic(http.ErrAbortHandler)
 	}
+	if reply.Check(a.Status, len(a.Body)) != nil {
+		// net/http panics below 100, and sends what no client expects above 599.
+		a = forward.Answer{Status: http.StatusBadGateway}
+	}
 	writeAnswer(w, a)
 }
 
--- a/internal/front/ingress/ingress_test.go
+++ b/internal/front/ingress/ingress_test.go
@@ -137,3 +137,33 @@
 		t.Error(err)
 	}
 }
+
+// TestInvalidStatus: a status below 100 ended the client's connection without an answer, and
+// 101 or one above 599 reached the client.
+func TestInvalidStatus(t *testing.T) {
+	var status atomic.Int64
+	s, err := ingress.New(ingress.Config{Addr: "127.0.0.1:0", Dialect: dialect{}, Limits: func() routing.Limits { return routing.Limits{} },
+		Do: func(context.Context, forward.Request) forward.Answer {
+			return forward.Answer{Status: int(status.Load()), Header: http.Header{"Stamp": {"s"}}, Body: []byte("body")}
+		}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Serve()
+	defer func() { _ = s.Stop(time.Now(), time.Now().Add(time.Second)) }()
+	c := &http.Client{Transport: &http.Transport{}}
+	defer c.CloseIdleConnections()
+	for _, n := range []int{-1, 0, 99, 101, 103, 204, 600, 999, 1000} {
+		status.Store(int64(n))
+		resp, err := c.Get("http://" + s.Addr() + "/x/")
+		if err != nil {
+			t.Errorf("status %d: %v", n, err)
+			continue
+		}
+		b, _ := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusBadGateway || len(b) > 0 || resp.Header.Get("Stamp") != "" {
+			t.Errorf("status %d: the client got %d %v %q", n, resp.StatusCode, resp.Header, b)
+		}
+	}
+}
--- a/internal/observe/event/catalogue.go
+++ b/internal/observe/event/catalogue.go
@@ -17,7 +17,7 @@
 	NodeNotReady, SettingsRefused, ListenerFailed, QueryIncomplete, SearcherEjected, LinkSilent,
 	PoisonSuspected, PoisonQuarantined, PlatformDown, PlatformThrottled, PlatformUnsure, VMListStale,
 	ConfigRefused, ConfigUnsure, PeerSuspected, PeerDead, PeerRefused, WriteUnknown, HealthChanged,
-	CanaryFailed, OperatorRefused, RequestFailed, EntryUnreadable, LeaseLost, ResponseAborted,
+	CanaryFailed, OperatorRefused, RequestFailed, EntryUnreadable, LeaseLost, ResponseAborted, ResponseInvalid,
 }
 
 // severity returns the log level of an event.
--- a/internal/observe/event/number.go
+++ b/internal/observe/event/number.go
@@ -45,6 +45,7 @@
 	SearcherLost      Number = 322
 	EntryOutdated     Number = 323
 	ResponseAborted   Number = 324
+	ResponseInvalid   Number = 325
 
 	PlatformDown      Number = 400
 	PlatformBack      Number = 401
@@ -116,7 +117,7 @@
 	RelayChanged: "relay_changed", RelayLost: "relay_lost", SharingFailed: "sharing_failed", SnapshotTaken: "snapshot_taken",
 	SearcherLimited: "searcher_limited", SearcherUnlimited: "searcher_unlimited", LimitUnreadable: "limit_unreadable",
 	SearcherWaiting: "searcher_waiting", WaitUnreadable: "wait_unreadable",
-	PoisonHeard: "poison_heard", PoisonCleared: "poison_cleared", PoisonEnded: "poison_ended", SearcherLost: "searcher_lost", EntryOutdated: "entry_outdated", ResponseAborted: "response_aborted",
+	PoisonHeard: "poison_heard", PoisonCleared: "poison_cleared", PoisonEnded: "poison_ended", SearcherLost: "searcher_lost", EntryOutdated: "entry_outdated", ResponseAborted: "response_aborted", ResponseInvalid: "response_invalid",
 	CopyOutdated: "copy_outdated", CopyCurrent: "copy_current", StoreRestored: "store_restored", HandoverFailed: "handover_failed",
 
 	ConfigAdopted: "config_adopted", ConfigRefused: "config_refused", ConfigAccepted: "config_accepted",
--- a/internal/peer/handover/sender.go
+++ b/internal/peer/handover/sender.go
@@ -21,6 +21,7 @@
 	"github.com/juju/errors"
 	"storj.io/drpc"
 
+	"egrethaven/internal/back/reply"
 	"egrethaven/internal/observe/event"
 	"egrethaven/internal/peer/handoverrpc"
 	"egrethaven/internal/peer/peerchoice"
@@ -34,8 +35,6 @@
 	// returnMargin is the time for the answer's way back, by which another VM has to
 	// answer earlier.
 	returnMargin = 5 * time.Millisecond
-	// net/http panics when it is to send a status outside of minStatus to maxStatus.
-	minStatus, maxStatus = 100, 999
 	// unknownCall is part of the error of a VM of an earlier build that does not know a call,
 	// and reasonUnsupported the reason for which such a VM counts as having declined.
 	unknownCall       = "unknown rpc"
@@ -178,15 +177,13 @@
 // check returns an error if a reply is none that a VM sends. Such a VM may have run the
 // request, whatever else the reply says.
 func check(out *handoverrpc.AnswerReply) error {
-	switch o, status := out.GetOutcome(), out.GetStatus(); {
+	switch o := out.GetOutcome(); {
 	case o == handoverrpc.AnswerReply_DECLINED:
 		return nil
 	case o != handoverrpc.AnswerReply_ANSWERED:
 		return errors.Errorf("a reply with the unknown outcome %d", o)
-	case status < minStatus || status > maxStatus:
-		return errors.Errorf("an answer with the status %d", status)
 	}
-	return nil
+	return errors.Trace(reply.Check(int(out.GetStatus()), len(out.GetBody())))
 }
 
 // encode converts a request to a message.
--- a/internal/peer/handover/sender_test.go
+++ b/internal/peer/handover/sender_test.go
@@ -272,6 +272,11 @@
 		"no status":       {},
 		"negative status": {Status: -200},
 		"great status":    {Status: 1 << 40},
+		"interim status":  {Status: http.StatusEarlyHints},
+		"switching":       {Status: http.StatusSwitchingProtocols},
+		"status 600":      {Status: 600},
+		"status 999":      {Status: 999},
+		"body of a 204":   {Status: http.StatusNoContent, Body: []byte("x")},
 		"unknown outcome": {Outcome: 7, Status: http.StatusOK},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/query/forward/fake_test.go
+++ b/internal/query/forward/fake_test.go
@@ -84,6 +84,8 @@
 	// in which it wants no request.
 	leaving bool
 	wait    time.Duration
+	// raw replaces the status line, and the length and the body if it does not end there.
+	raw string
 }
 
 // fakeSearcher is a searcher served over in-memory connections.
@@ -179,6 +181,9 @@
 			id = a.id
 		}
 		out := fmt.Sprintf("HTTP/1.1 %d X\r\nContent-Length: %d\r\n", a.status, len(a.body))
+		if a.raw != "" {
+			out = a.raw + "\r\n"
+		}
 		if s.slots > 0 {
 			s.mu.Lock()
 			out += fmt.Sprintf("Waiting: %d\r\n", max(0, s.occupancy-s.slots))
--- a/internal/query/forward/forward_test.go
+++ b/internal/query/forward/forward_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -271,3 +273,42 @@
 		}
 	})
 }
+
+// TestInvalidResponse: a response that HTTP does not allow was the client's answer. It is a
+// failure of a send that may have run.
+func TestInvalidResponse(t *testing.T) {
+	for name, raw := range map[string]string{
+		"status 000": "HTTP/1.1 000 X\r\nContent-Length: 0", "status 999": "HTTP/1.1 999 X\r\nContent-Length: 0", "switching": "HTTP/1.1 101 X",
+		"no status line": "hello", "204 with a body": "HTTP/1.1 204 X\r\nContent-Length: 2", "interim": strings.Repeat("HTTP/1.1 100 X\r\n\r\n", 50) + "HTTP/1.1 100 X",
+		"two lengths": "HTTP/1.1 200 X\r\nContent-Length: 0\r\nContent-Length: 1", "503": "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\nContent-Length: 1",
+	} {
+		for kind, c := range map[string]struct {
+			repeat        routing.Idempotency
+			fanOut        bool
+			status, sends int
+		}{"at most once": {routing.AtMostOnce, false, http.StatusBadGateway, 1}, "idempotent": {routing.Idempotent, false, http.StatusOK, 2}, "fan-out": {routing.Idempotent, true, http.StatusOK, 2}} {
+			t.Run(name+", "+kind, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					var sends atomic.Int64
+					respond := func(_ int, q *http.Request) fakeAnswer {
+						if sends.Add(1) == 1 {
+							return fakeAnswer{raw: raw}
+						}
+						return fakeAnswer{status: http.StatusOK, body: "good"}
+					}
+					r := plainRoute(c.repeat)
+					if c.fanOut {
+						r.WeightedServices, r.Shards, r.MinCoverage, r.TopK = nil, []string{"s"}, 1, 1
+					}
+					a, b := &fakeSearcher{id: "s-1", answer: respond}, &fakeSearcher{id: "s-2", answer: respond}
+					fx := newFixture(t, []routing.Route{r}, map[string][]*fakeSearcher{"s": {a, b}})
+					synctest.Wait()
+					got := fx.engine.Do(t.Context(), newRequest(time.Second))
+					if got.Status != c.status || int(sends.Load()) != c.sends || a.requests() > 1 || b.requests() > 1 {
+						t.Errorf("status %d after %d sends, want %d after %d", got.Status, sends.Load(), c.status, c.sends)
+					}
+				})
+			})
+		}
+	}
+}
