Evacuation: the searchers of a failure domain get no requests while its key exists

Operators had no way to take a failure domain out of use. Setting [store] evacuate_ms, events 326 and 327, gauge egrethaven_domains_evacuated.

--- a/internal/cli/command/cmd_gateway.go
+++ b/internal/cli/command/cmd_gateway.go
@@ -68,7 +68,7 @@
 	defer st.Close()
 	g, err := gateway.New(gateway.Config{
 		Settings: v, Store: st, Budget: budget, Dialect: dialect.Dialect{}, ReadyPath: dialect.ReadyPath, LogOutput: s.out, Version: Version(),
-		Decode: gateway.Decoder{ConfigKey: decode.ConfigKey, SearcherPrefix: decode.SearcherPrefix, VMPrefix: decode.VMPrefix, RumorPrefix: decode.RumorPrefix,
+		Decode: gateway.Decoder{ConfigKey: decode.ConfigKey, SearcherPrefix: decode.SearcherPrefix, VMPrefix: decode.VMPrefix, RumorPrefix: decode.RumorPrefix, EvacuationPrefix: decode.EvacuationPrefix,
 			Config: decode.Config, Searcher: decode.Searcher},
 	})
 	if err != nil {
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -200,6 +200,7 @@
 		{"egrethaven_store_age", "s", "age of the copy of the store: the time since it was known to have all changes", g.copyAge},
 		{"egrethaven_searchers", "{searcher}", "searchers in use", g.storeView.searcherCount},
 		{"egrethaven_searchers_leaving", "{searcher}", "searchers that said within ten minutes that they are about to stop", g.storeView.leavingCount},
+		{"egrethaven_domains_evacuated", "{domain}", "failure domains that operators have evacuated", g.storeView.evacuatedCount},
 		{"egrethaven_searchers_waiting", "{searcher}", "searchers that want no request from this VM now", g.storeView.waitingCount},
 		{"egrethaven_requests_suspected", "{request}", "requests suspected of crashing searchers, which run alone", g.suspectCount},
 		{"egrethaven_requests_quarantined", "{request}", "requests that are refused because they crash searchers", g.quarantinedCount},
--- a/internal/node/gateway/storeview.go
+++ b/internal/node/gateway/storeview.go
@@ -19,6 +19,7 @@
 	"egrethaven/internal/observe/event"
 	"egrethaven/internal/peer/peerchoice"
 	"egrethaven/internal/query/forward"
+	"egrethaven/internal/state/evacuation"
 	"egrethaven/internal/state/follow"
 	"egrethaven/internal/state/registry"
 	"egrethaven/internal/state/routing"
@@ -67,8 +68,11 @@
 	SearcherPrefix string
 	VMPrefix       string
 	RumorPrefix    string
-	Config         func(value []byte) (*routing.Config, error)
-	Searcher       func(key string, value []byte, now time.Time) (registry.Searcher, error)
+	// EvacuationPrefix is the prefix of the keys of evacuated failure domains; empty if
+	// there are none.
+	EvacuationPrefix string
+	Config           func(value []byte) (*routing.Config, error)
+	Searcher         func(key string, value []byte, now time.Time) (registry.Searcher, error)
 }
 
 // storeViewConfig holds the settings of a storeView.
@@ -138,6 +142,8 @@
 	// leaving holds when searchers said that they are about to stop, by process. What the
 	// store says of them afterwards does not count.
 	leaving map[process]time.Time
+	// evacuated holds the failure domains whose searchers get no new requests.
+	evacuated *evacuation.Set
 	// instances holds the searchers in use, by process.
 	instances    map[process]*instance.Instance
 	rebuildTimer *time.Timer
@@ -167,6 +173,7 @@
 		leaving: map[process]time.Time{}, instances: map[process]*instance.Instance{}, stop: make(chan struct{}), firstRead: make(chan struct{}),
 		restored:  make(chan struct{}, 1),
 		keyLost:   make(chan struct{}, 1),
+		evacuated: evacuation.New(evacuation.Config{Events: c.Events}),
 		startedAt: time.Now(), observeSearcher: func(healthscore.Process, float64, bool) {}, onSearcherEnded: func(string) {},
 	}
 }
@@ -187,6 +194,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.registry.MarkOutage(now)
+	v.evacuated.MarkRestored(now)
 	select {
 	case v.restored <- struct{}{}:
 	default:
@@ -198,6 +206,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	var ss []registry.Searcher
+	var evacuated []string
 	v.vms = map[string]vmregistry.VM{}
 	if v.rumors != nil {
 		v.rumors.replace()
@@ -211,6 +220,8 @@
 			v.recallLease(c)
 		case v.isRumor(c):
 			v.rumors.apply(c)
+		case v.isEvacuation(c):
+			evacuated = append(evacuated, strings.TrimPrefix(c.Key, v.c.Decode.EvacuationPrefix))
 		case strings.HasPrefix(c.Key, v.c.Decode.SearcherPrefix):
 			if s, ok := v.decodeSearcher(c, now); ok {
 				ss = append(ss, s)
@@ -218,6 +229,7 @@
 		}
 	}
 	v.registry.Replace(now, ss)
+	v.evacuated.Replace(now, evacuated)
 	if !v.loaded {
 		v.loaded = true
 		v.startVMCount(now)
@@ -253,6 +265,8 @@
 			v.applyVM(c)
 		case v.isRumor(c):
 			v.rumors.apply(c)
+		case v.isEvacuation(c):
+			v.applyEvacuation(c)
 		case strings.HasPrefix(c.Key, v.c.Decode.SearcherPrefix):
 			v.applySearcher(now, c)
 		}
@@ -345,6 +359,7 @@
 	if !v.vmCountTrusted {
 		next = earlier(next, v.trustVMCountAt)
 	}
+	next = earlier(next, v.evacuated.Expire(now))
 	if v.rebuildTimer != nil {
 		v.rebuildTimer.Stop()
 	}
@@ -382,7 +397,7 @@
 	v.scheduleRebuild(now)
 	s := &forward.Snapshot{Config: v.config, Instances: map[string][]*instance.Instance{}, BuiltAt: now}
 	inUse := map[process]bool{}
-	ready := slices.DeleteFunc(v.registry.Ready(), v.isLeaving)
+	ready := slices.DeleteFunc(v.registry.Ready(), func(e registry.Searcher) bool { return v.isLeaving(e) || v.evacuated.Has(e.Domain) })
 	conns := v.connLimits(ready)
 	for _, e := range ready {
 		p := processOf(e)
--- a/internal/node/gateway/tier_test.go
+++ b/internal/node/gateway/tier_test.go
@@ -237,7 +237,7 @@
 
 // start starts one VM.
 func (r *tier) start(ctx context.Context, t *testing.T, i int, vm vmregistry.VM) {
-	s := gatewaysettings.Settings{CatchUp: 4 * time.Second, ConfigApply: 3 * time.Second, DrainTime: 3 * time.Second}
+	s := gatewaysettings.Settings{CatchUp: 4 * time.Second, ConfigApply: 3 * time.Second, DrainTime: 3 * time.Second, EvacuationTime: 5 * time.Second}
 	v := newStoreView(storeViewConfig{Self: vm, CatchUp: s.CatchUp, EntryGrace: 2 * time.Second, Events: event.Discard{}, OnVMCount: func(int) {},
 		Decode: Decoder{ConfigKey: "op/config", VMPrefix: "vms/", SearcherPrefix: "servers/",
 			Config: func(b []byte) (*routing.Config, error) {
--- a/internal/observe/event/number.go
+++ b/internal/observe/event/number.go
@@ -46,6 +46,8 @@
 	EntryOutdated     Number = 323
 	ResponseAborted   Number = 324
 	ResponseInvalid   Number = 325
+	DomainEvacuated   Number = 326
+	DomainReturned    Number = 327
 
 	PlatformDown      Number = 400
 	PlatformBack      Number = 401
@@ -118,6 +120,7 @@
 	SearcherLimited: "searcher_limited", SearcherUnlimited: "searcher_unlimited", LimitUnreadable: "limit_unreadable",
 	SearcherWaiting: "searcher_waiting", WaitUnreadable: "wait_unreadable",
 	PoisonHeard: "poison_heard", PoisonCleared: "poison_cleared", PoisonEnded: "poison_ended", SearcherLost: "searcher_lost", EntryOutdated: "entry_outdated", ResponseAborted: "response_aborted", ResponseInvalid: "response_invalid",
+	DomainEvacuated: "domain_evacuated", DomainReturned: "domain_returned",
 	CopyOutdated: "copy_outdated", CopyCurrent: "copy_current", StoreRestored: "store_restored", HandoverFailed: "handover_failed",
 
 	ConfigAdopted: "config_adopted", ConfigRefused: "config_refused", ConfigAccepted: "config_accepted",
--- a/internal/state/gatewaysettings/fields.go
+++ b/internal/state/gatewaysettings/fields.go
@@ -54,6 +54,9 @@
 	milliseconds(field.Spec{Section: "store", Key: "drain_ms", Default: "3000",
 		Help: "time after its acknowledgement within which a searcher that leaves gets no more requests"},
 		200, 600_000, func(s *Settings) *time.Duration { return &s.DrainTime }),
+	milliseconds(field.Spec{Section: "store", Key: "evacuate_ms", Default: "5000",
+		Help: "time after its acknowledgement within which the searchers of an evacuated failure domain get no more requests"},
+		200, 600_000, func(s *Settings) *time.Duration { return &s.EvacuationTime }),
 
 	field.Float(field.Spec{Section: "retries", Key: "ratio", Default: "0.2",
 		Help: "extra sends of all VMs to a service, for each of its requests in a window"},
--- a/internal/state/gatewaysettings/settings.go
+++ b/internal/state/gatewaysettings/settings.go
@@ -49,6 +49,9 @@
 	// DrainTime is the time after the acknowledgement of a searcher's departure by
 	// which it gets no more requests.
 	DrainTime time.Duration
+	// EvacuationTime is the time after the acknowledgement of an evacuation by which the
+	// searchers of that failure domain get no more requests.
+	EvacuationTime time.Duration
 	// RetryRatio, RetryWindow and RetryAllowance define the retry budget that all VMs
 	// share for a service: its requests in a window times the ratio, plus the allowance.
 	RetryRatio     float64
@@ -67,7 +70,9 @@
 
 // ChangeTime returns the time after its acknowledgement by which any change of the
 // store has to be in force.
-func (s Settings) ChangeTime() time.Duration { return min(s.ConfigApply, s.DrainTime) }
+func (s Settings) ChangeTime() time.Duration {
+	return min(s.ConfigApply, s.DrainTime, s.EvacuationTime)
+}
 
 // Parse parses the contents b of a settings file; name is the file name to report in
 // problems. The settings are valid only if there are no problems.
