Cold searchers: all VMs together keep to a number of requests in any second

A searcher that has just started or lost its caches got as many requests as the others. A service may now have cold_per_s: its cold searchers, by entry or by the header X-Egrethaven-Cold-Ms of any response but 421, get at most cold_per_s x [cold] overage + [cold] slack requests in any second from all VMs. Each VM has a whole number of them (limitshare.Whole) and keeps to it in any 1.5 s (windowlimit); no message passes. A VM waits 4.5 s after it was first seen in the store.

--- a/internal/back/instance/instance.go
+++ b/internal/back/instance/instance.go
@@ -26,6 +26,7 @@
 	"egrethaven/internal/back/conn"
 	"egrethaven/internal/back/healthscore"
 	"egrethaven/internal/back/sendlimit"
+	"egrethaven/internal/back/windowlimit"
 	"egrethaven/internal/infra/readbudget"
 	"egrethaven/internal/observe/event"
 	"egrethaven/internal/platform/pause"
@@ -211,6 +212,10 @@
 	sharedScoreDecay time.Duration
 	stats            stats
 	limiter          *sendlimit.Limiter
+	// coldLimiter limits the requests while the searcher is cold; nil means no limit.
+	// coldUntil is until when the searcher said that it is, and coldSaidAt when it last did.
+	coldLimiter           *windowlimit.Limiter
+	coldUntil, coldSaidAt time.Time
 	// limitTimer runs dispatchQueued when the limit permits the next request.
 	limitTimer *time.Timer
 	// loggedLimit is the last limit in the log, in requests/s.
--- a/internal/back/instance/limit.go
+++ b/internal/back/instance/limit.go
@@ -43,7 +43,7 @@
 // sendWait returns the time until a request may be sent if others are queued ahead of it,
 // by what the searcher said; 0 for at once. The caller holds the lock.
 func (i *Instance) sendWait(now time.Time, ahead int) time.Duration {
-	wait := max(i.limiter.Wait(now, ahead), i.waitUntil.Sub(now))
+	wait := max(i.limiter.Wait(now, ahead), i.waitUntil.Sub(now), i.coldWait(now, ahead))
 	if i.resuming && len(i.calls) > len(i.queue) {
 		wait = max(wait, resumeCheckInterval)
 	}
--- a/internal/back/instance/observe.go
+++ b/internal/back/instance/observe.go
@@ -194,7 +194,7 @@
 		Conns:         max(i.c.Conns.MaxOpen, 1),
 		ReportAge:     now.Sub(i.stats.loadAt),
 		MedianLatency: usual,
-		Cold:          now.Before(i.s.ColdUntil),
+		Cold:          i.coldFor(now) > 0,
 		Suspect:       now.Before(i.stats.suspendedUntil) || i.stats.timeouts > 0 && len(i.calls) > 0,
 		NoConn:        len(i.idle) == 0,
 		LimitWait:     i.sendWait(now, len(i.queue)),
@@ -204,6 +204,9 @@
 	if _, c.Limited = i.limiter.Named(); i.resuming && c.LimitWait > 0 {
 		c.Limited, c.LimitSpare = true, 0
 	}
+	if spare := i.coldSpare(now, len(i.queue)); spare < 1 {
+		c.Limited, c.LimitSpare = true, min(c.LimitSpare, spare)
+	}
 	c.SlowdownFactor, c.FailureRate = i.health(now)
 	if c.ReportAge < maxLoadReportAge {
 		c.Waiting = i.stats.load.Waiting
--- a/internal/back/instance/send.go
+++ b/internal/back/instance/send.go
@@ -106,7 +106,7 @@
 			i.mu.Unlock()
 			return
 		}
-		i.limiter.Take(now)
+		i.takePermit(now)
 		x := i.queue[0]
 		i.queue = slices.Delete(i.queue, 0, 1)
 		x.conn, x.startedAt = k, now
@@ -121,7 +121,7 @@
 	b := x.req.Build()
 	if b == nil {
 		i.mu.Lock()
-		i.limiter.Return()
+		i.returnPermit(x.startedAt)
 		i.idle = append(i.idle, x.conn)
 		i.mu.Unlock()
 		x.fail(context.DeadlineExceeded)
@@ -134,7 +134,7 @@
 	// The connection became unusable after dispatchQueued took it. Nothing was sent,
 	// so the request returns to the head of the queue.
 	i.mu.Lock()
-	i.limiter.Return()
+	i.returnPermit(x.startedAt)
 	x.conn = nil
 	i.queue = slices.Insert(i.queue, 0, x)
 	i.mu.Unlock()
--- a/internal/back/limitshare/divider.go
+++ b/internal/back/limitshare/divider.go
@@ -11,6 +11,7 @@
 //
 //	d := limitshare.Divider{VM: "front-1", VMs: ids, Count: 9}
 //	perSecond := d.Rate("i-7f3a91c2", 40)
+//	requests := d.Whole("i-7f3a91c2", 35)
 package limitshare
 
 import "github.com/cespare/xxhash/v2"
@@ -54,6 +55,26 @@
 	return probeShare * limit / float64(all-sharing)
 }
 
+// vmMarginDivisor divides the number of VMs to give the number that may be missing in VMs,
+// beside one.
+const vmMarginDivisor = 10
+
+// Whole returns the number of whole requests that this VM may send to a searcher of a number
+// that all VMs together may send. The sum over all VMs is within that number also if each of
+// them lacks another one, or a tenth of those that it has where the number is not low.
+func (d Divider) Whole(searcher string, limit int) int {
+	n := max(d.Count, len(d.VMs), 1)
+	missing := 1 + n/vmMarginDivisor
+	// No VM divides by less than the true number. Those whose rank is below the remainder
+	// get one more; missing VMs lower a rank by their number at most, and those that are
+	// counted but not listed may all come first.
+	share, rest := limit/(n+missing), limit%(n+missing)
+	if ahead := max(1, min(missing, rest/2)) + n - len(d.VMs); rest > ahead && d.rank(searcher) < rest-ahead {
+		share++
+	}
+	return share
+}
+
 // rank returns the number of other VMs that come before this one for a searcher.
 func (d Divider) rank(searcher string) int {
 	own, n := hash(searcher, d.VM), 0
--- a/internal/back/limitshare/divider_test.go
+++ b/internal/back/limitshare/divider_test.go
@@ -65,3 +65,56 @@
 		t.Errorf("vm-7 shares the limits of %d of 200 searchers, want about 30", shared)
 	}
 }
+
+// TestWholeSharesAddUp checks that the whole requests of all VMs together are within the
+// limit though their lists of VMs differ: each may lack one VM, and have others that are
+// gone or only counted.
+func TestWholeSharesAddUp(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		vms := make([]string, rapid.IntRange(1, 80).Draw(rt, "vms"))
+		for i := range vms {
+			vms[i] = fmt.Sprint("vm-", i)
+		}
+		limit, sum := rapid.IntRange(0, 300).Draw(rt, "limit"), 0
+		for _, vm := range vms {
+			var seen []string
+			lacks, gone := rapid.IntRange(-1, len(vms)-1).Draw(rt, "lacks"), rapid.IntRange(0, 3).Draw(rt, "gone")
+			for i, o := range vms {
+				if i != lacks || o == vm {
+					seen = append(seen, o)
+				}
+			}
+			for i := range gone {
+				seen = append(seen, fmt.Sprint("gone-", i))
+			}
+			d := limitshare.Divider{VM: vm, VMs: seen, Count: rapid.SampledFrom([]int{0, len(vms), len(vms) + 2}).Draw(rt, "count")}
+			if rapid.IntRange(0, 9).Draw(rt, "only counted") == 0 {
+				// The registrations of all VMs have lapsed at once.
+				d.VMs, d.Count = []string{vm}, len(vms)
+			}
+			sum += d.Whole("i-1", limit)
+		}
+		if sum > limit {
+			rt.Fatalf("all VMs together may send %d of %d", sum, limit)
+		}
+	})
+}
+
+// TestWholeSharesAreUsed checks that most of a limit is divided where all see the same VMs.
+func TestWholeSharesAreUsed(t *testing.T) {
+	for _, n := range []int{1, 3, 9, 30, 68} {
+		var vms []string
+		for i := range n {
+			vms = append(vms, fmt.Sprint("vm-", i))
+		}
+		for _, limit := range []int{20, 35, 200} {
+			sum := 0
+			for _, vm := range vms {
+				sum += limitshare.Divider{VM: vm, VMs: vms}.Whole("i-1", limit)
+			}
+			if want := (limit - 1 - n/10) * n / (n + 1 + n/10); sum < min(want, limit-2-n/10) {
+				t.Errorf("%d VMs share %d of %d, want %d", n, sum, limit, want)
+			}
+		}
+	}
+}
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -132,6 +132,7 @@
 	})
 	g.storeView = newStoreView(storeViewConfig{
 		Self: vmRecord(s), Decode: c.Decode, EntryGrace: s.EntryGrace, CatchUp: s.CatchUp, Events: g.log, Budget: c.Budget, OnVMCount: g.setVMCount,
+		ColdOverage: s.ColdOverage, ColdSlack: s.ColdSlack,
 	})
 	g.isolation = &isolationMonitor{domain: s.Domain, current: g.storeView.Current, events: g.log,
 		onChange: func(isolated bool) { g.engine.SetIsolated(isolated) }}
@@ -286,6 +287,7 @@
 	// storeView calls setVMCount with its own lock held. To keep the lock order,
 	// call it before g.mu is locked.
 	g.storeView.SetGrace(s.EntryGrace)
+	g.storeView.SetColdBound(s.ColdOverage, s.ColdSlack)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.settings = s
--- a/internal/node/gateway/storeview.go
+++ b/internal/node/gateway/storeview.go
@@ -84,7 +84,9 @@
 	// CatchUp is the maximum time after a store outage until its changes are
 	// known.
 	CatchUp time.Duration
-	Events  event.Sink
+	// ColdOverage and ColdSlack define the limit on requests to cold searchers.
+	ColdOverage, ColdSlack float64
+	Events                 event.Sink
 	// Budget bounds the memory for the answers of searchers.
 	Budget *readbudget.Budget
 	// OnVMCount is called when the number of VMs changes.
@@ -142,6 +144,8 @@
 	// leaving holds when searchers said that they are about to stop, by process. What the
 	// store says of them afterwards does not count.
 	leaving map[process]time.Time
+	// registeredAt is when this VM was first seen in the store; zero before.
+	registeredAt time.Time
 	// evacuated holds the failure domains whose searchers get no new requests.
 	evacuated *evacuation.Set
 	// instances holds the searchers in use, by process.
@@ -360,6 +364,7 @@
 		next = earlier(next, v.trustVMCountAt)
 	}
 	next = earlier(next, v.evacuated.Expire(now))
+	next = earlier(next, v.coldShareChange(now))
 	if v.rebuildTimer != nil {
 		v.rebuildTimer.Stop()
 	}
@@ -394,6 +399,7 @@
 	}
 	v.updatePeers()
 	v.updateLimits()
+	v.noteRegistration(now)
 	v.scheduleRebuild(now)
 	s := &forward.Snapshot{Config: v.config, Instances: map[string][]*instance.Instance{}, BuiltAt: now}
 	inUse := map[process]bool{}
@@ -412,6 +418,7 @@
 		} else {
 			i.Update(e, conns[e.ID])
 		}
+		i.SetColdShare(v.coldShare(now, e))
 		s.Instances[e.Service] = append(s.Instances[e.Service], i)
 	}
 	registered := map[process]bool{}
--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -161,6 +161,9 @@
 	Wait           time.Duration
 	HasWait        bool
 	UnreadableWait string
+	// Cold is the time for which the searcher will be cold; valid if HasCold is set.
+	Cold    time.Duration
+	HasCold bool
 }
 
 // Dialect encodes and parses the headers exchanged with searchers and clients.
--- a/internal/query/forward/subrequest.go
+++ b/internal/query/forward/subrequest.go
@@ -295,8 +295,8 @@
 	}
 }
 
-// recordStatements passes on what the searcher said of itself: that it is leaving, or
-// wants no requests for a while.
+// recordStatements passes on what the searcher said of itself: that it is leaving, wants no
+// requests for a while, or is cold.
 func (f *attempt) recordStatements(a *reply) {
 	switch {
 	case a.Misdirected:
@@ -306,6 +306,9 @@
 	case a.UnreadableWait != "":
 		f.searcher.RecordUnreadableWait(a.UnreadableWait)
 	}
+	if a.HasCold && (a.Cold > 0 || a.Stamp != "") {
+		f.searcher.RecordCold(f.startedAt, a.Cold)
+	}
 	if a.Leaving {
 		f.searcher.RecordLeaving()
 	}
--- a/internal/state/gatewaysettings/fields.go
+++ b/internal/state/gatewaysettings/fields.go
@@ -68,6 +68,13 @@
 		Help: "extra sends of all VMs to a service in a window beyond the ratio"},
 		0, 1e6, func(s *Settings) *float64 { return &s.RetryAllowance }),
 
+	field.Float(field.Spec{Section: "cold", Key: "overage", Default: "1.5",
+		Help: "requests of all VMs to a cold searcher in any second, for each of its service's cold_per_s"},
+		0, 100, func(s *Settings) *float64 { return &s.ColdOverage }),
+	field.Float(field.Spec{Section: "cold", Key: "slack", Unit: "requests", Default: "5",
+		Help: "requests of all VMs to a cold searcher in any second beyond that"},
+		0, 1e6, func(s *Settings) *float64 { return &s.ColdSlack }),
+
 	seconds(field.Spec{Section: "process", Key: "stop_within_s", Default: "6",
 		Help: "how long the process may run once it is told to stop"},
 		0, 600, func(s *Settings) *time.Duration { return &s.ShutdownTimeout }),
--- a/internal/state/gatewaysettings/settings.go
+++ b/internal/state/gatewaysettings/settings.go
@@ -57,6 +57,10 @@
 	RetryRatio     float64
 	RetryWindow    time.Duration
 	RetryAllowance float64
+	// ColdOverage and ColdSlack define the requests of all VMs to a cold searcher in any
+	// second: its service's limit times the overage, plus the slack.
+	ColdOverage float64
+	ColdSlack   float64
 	// ShutdownTimeout is how long the process may keep running after it is told to stop.
 	ShutdownTimeout time.Duration
 	// MemoryMB is the memory that the process may use, in MiB, and Cores the number of
--- a/internal/state/routing/routing.go
+++ b/internal/state/routing/routing.go
@@ -82,6 +82,9 @@
 	// MaxConns is the number of connections that each searcher accepts from all
 	// VMs together.
 	MaxConns int
+	// ColdPerSecond is the number of requests a second that a cold searcher accepts from
+	// all VMs together; 0 means no limit.
+	ColdPerSecond float64
 }
 
 // Limits limits what callers may send.
