explain: tell what a gateway would do with a request, without sending it

Operators could not ask why a request is refused or where it goes. The gateway's metrics address answers POST /admin/v1/explain, and egrethaven explain asks it: route, account, priority, admission, the searcher of each shard and why not the others, and what a hedge would do. The functions that decide on requests compute it; a split is looked at without taking a turn, and the budget without counting.

--- a/internal/cli/command/list.go
+++ b/internal/cli/command/list.go
@@ -29,5 +29,5 @@
 var commands = []command{
 	cmdServe, cmdGateway, cmdCheck, cmdDemo,
 	cmdApply, cmdGet, cmdList, cmdDelete, cmdHistory, cmdStatus,
-	cmdHealth, cmdQuery, cmdRecord, cmdTimeline, cmdVersion,
+	cmdHealth, cmdQuery, cmdRecord, cmdTimeline, cmdExplain, cmdVersion,
 }
--- a/internal/front/ingress/ingress.go
+++ b/internal/front/ingress/ingress.go
@@ -241,7 +241,7 @@
 		refuse(w, http.StatusRequestHeaderFieldsTooLarge)
 		return
 	}
-	if limits.MaxBodyBytes > 0 && r.ContentLength > limits.MaxBodyBytes {
+	if IsBodyTooLarge(limits, r.ContentLength) {
 		refuse(w, http.StatusRequestEntityTooLarge)
 		return
 	}
@@ -266,6 +266,9 @@
 	writeAnswer(w, a)
 }
 
+// IsBodyTooLarge reports whether a body of n bytes exceeds the limit.
+func IsBodyTooLarge(l routing.Limits, n int64) bool { return l.MaxBodyBytes > 0 && n > l.MaxBodyBytes }
+
 // refuse answers with the status and closes the connection.
 func refuse(w http.ResponseWriter, status int) {
 	w.Header().Set("Connection", "close")
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -181,6 +181,7 @@
 	ready.HandleFunc(g.c.ReadyPath, g.handleReady)
 	pages := http.NewServeMux()
 	pages.Handle("/metrics", g.metrics)
+	pages.HandleFunc("POST "+explainPath, g.handleExplain)
 	for addr, h := range map[string]http.Handler{s.ReadyAddr: ready, s.MetricsAddr: pages} {
 		srv, err := httpserver.New(httpserver.Config{Addr: addr, Handler: h, Events: g.log})
 		if err != nil {
--- /dev/null
+++ b/internal/query/explain/report.go
@@ -0,0 +1,88 @@
+// Package explain defines how a gateway tells what it would do with a request.
+//
+// A Report is computed by the functions that decide on requests, on the current snapshot.
+// Nothing is sent, and nothing is taken from a limit. Neither type holds what a client keeps
+// secret but Query, which has the key of a client account and must not be logged.
+//
+// # Usage
+//
+//	r := engine.Explain(explain.Query{Method: "GET", Host: "search.example", Path: "/all/x"})
+//	if !r.Admitted { fmt.Println(r.Status, r.Why) }
+package explain
+
+// Query describes a request.
+type Query struct {
+	Method string `json:"method"`
+	Host   string `json:"host"`
+	// Path is the path and query.
+	Path string `json:"path"`
+	// Key is the key of a client account; empty for none.
+	Key string `json:"key,omitempty"`
+	// BodyBytes is the size of the body.
+	BodyBytes int64 `json:"body_bytes,omitempty"`
+}
+
+// Report is what a gateway would do with a request. Times are in milliseconds.
+type Report struct {
+	// VM is the gateway that made the report.
+	VM            string  `json:"vm"`
+	ConfigVersion int64   `json:"config_version"`
+	ConfigAgeMS   float64 `json:"config_age_ms"`
+	Route         string  `json:"route,omitempty"`
+	// Account is the name of the client account; empty if the request has none.
+	Account string `json:"account,omitempty"`
+	// QuotaPerSecond and QuotaBurst are the account's quota over all VMs; 0 if it has none.
+	QuotaPerSecond float64 `json:"quota_per_s,omitempty"`
+	QuotaBurst     float64 `json:"quota_burst,omitempty"`
+	// Priority is the request's priority; 0 is the highest.
+	Priority int `json:"priority"`
+	// ObjectiveMS and DeadlineMS are the times after the request's arrival at which a
+	// fan-out is answered with the shards that it has, and at which a request fails.
+	ObjectiveMS float64 `json:"objective_ms,omitempty"`
+	DeadlineMS  float64 `json:"deadline_ms,omitempty"`
+	Admitted    bool    `json:"admitted"`
+	// Status, Reason and RetryAfterMS are the answer to a request that is not admitted, and
+	// Why says in words why it is or is not.
+	Status       int     `json:"status,omitempty"`
+	Reason       string  `json:"reason,omitempty"`
+	RetryAfterMS float64 `json:"retry_after_ms,omitempty"`
+	Why          string  `json:"why"`
+	// NeededShards is the number of shards that have to answer.
+	NeededShards int     `json:"needed_shards,omitempty"`
+	Shards       []Shard `json:"shards,omitempty"`
+}
+
+// Shard is what would happen with the part of a request that goes to one service.
+type Shard struct {
+	Service string `json:"service"`
+	// Why says why nothing would be sent; empty if something would be.
+	Why       string     `json:"why,omitempty"`
+	Searchers []Searcher `json:"searchers,omitempty"`
+	Hedge     Hedge      `json:"hedge"`
+}
+
+// Searcher is a searcher of a service.
+type Searcher struct {
+	ID     string `json:"id"`
+	Domain string `json:"domain"`
+	// Chosen reports whether the request would be sent to the searcher; Why says why not.
+	Chosen bool   `json:"chosen"`
+	Why    string `json:"why,omitempty"`
+	// EstimateMS is the expected time to an answer with all penalties, by which searchers
+	// are chosen; 0 if the searcher is not considered.
+	EstimateMS float64 `json:"estimate_ms,omitempty"`
+	// WaitMS is the part of it before the request is sent.
+	WaitMS   float64 `json:"wait_ms,omitempty"`
+	InFlight int     `json:"in_flight,omitempty"`
+	Cold     bool    `json:"cold,omitempty"`
+	Limited  bool    `json:"limited,omitempty"`
+}
+
+// Hedge is the second send that would be made if the first one had no answer in time.
+type Hedge struct {
+	// AfterMS is how long after the arrival it would be made.
+	AfterMS float64 `json:"after_ms,omitempty"`
+	// Searcher is where it would go; empty if there is none. Why says why.
+	Searcher string `json:"searcher,omitempty"`
+	Why      string `json:"why,omitempty"`
+}
--- a/internal/query/forward/client.go
+++ b/internal/query/forward/client.go
@@ -37,7 +37,11 @@
 // identify returns the client of a request by its key, which it removes from the request, or by
 // the account that another VM has named. It reports false if the key or account is unknown.
 func (e *Engine) identify(q *Request, c *routing.Config, r *routing.Route) (client, bool) {
-	key := e.c.Dialect.TakeKey(q.Header)
+	return identifyKey(q, e.c.Dialect.TakeKey(q.Header), c, r)
+}
+
+// identifyKey is identify for a key that was removed from the request.
+func identifyKey(q *Request, key string, c *routing.Config, r *routing.Route) (client, bool) {
 	if r.Public {
 		return client{}, true
 	}
--- a/internal/query/forward/dispatch.go
+++ b/internal/query/forward/dispatch.go
@@ -87,6 +87,15 @@
 
 // newDispatch computes the deadlines of a request and its subrequests.
 func (e *Engine) newDispatch(q Request, s *Snapshot, r *routing.Route, c client) *dispatch {
+	services := r.Shards
+	if !r.IsFanOut() {
+		services = []string{e.chooseService(s.Config.Version, r)}
+	}
+	return e.newDispatchTo(q, s, r, c, services)
+}
+
+// newDispatchTo is newDispatch for the given services.
+func (e *Engine) newDispatchTo(q Request, s *Snapshot, r *routing.Route, c client, services []string) *dispatch {
 	x := &dispatch{engine: e, req: q, snapshot: s, route: r, client: c, stats: e.statsFor(r), fingerprint: q.fingerprint(c.name())}
 	x.isolatedSince, x.isolated = e.isolation()
 	x.deadline = q.Arrived.Add(defaultTimeout)
@@ -105,10 +114,6 @@
 	// Quantiles of few samples are inaccurate, so the hedge delay is limited to
 	// the last moment at which a hedge is useful.
 	x.hedgeDelay = min(x.hedgeDelay, max(x.lastHedgeAt.Sub(q.Arrived), x.medianLatency))
-	services := r.Shards
-	if !r.IsFanOut() {
-		services = []string{e.chooseService(s.Config.Version, r)}
-	}
 	x.subrequests = make([]*subrequest, len(services))
 	for i, name := range services {
 		x.subrequests[i] = &subrequest{dispatch: x, service: name, budget: e.budgetFor(name), instances: s.Instances[name], sends: q.Sends}
--- /dev/null
+++ b/internal/query/forward/explain.go
@@ -0,0 +1,162 @@
+package forward
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"egrethaven/internal/back/instance"
+	"egrethaven/internal/back/quarantine"
+	"egrethaven/internal/query/explain"
+	"egrethaven/internal/query/placement"
+	"egrethaven/internal/query/retrybudget"
+	"egrethaven/internal/state/routing"
+)
+
+// Explain returns what would be done with a request that arrives now, without sending it.
+func (e *Engine) Explain(v explain.Query) explain.Report {
+	now := time.Now()
+	s := e.c.Current()
+	if s == nil {
+		return refusedReport(explain.Report{}, Answer{Status: http.StatusServiceUnavailable, Reason: NoConfig, RetryAfter: retryAfterUnknown}, "no configuration has been read yet")
+	}
+	out := explain.Report{ConfigVersion: int64(s.Config.Version), ConfigAgeMS: milliseconds(now.Sub(s.BuiltAt))}
+	r, ok := s.Config.Lookup(v.Host, v.Path)
+	if !ok {
+		return refusedReport(out, Answer{Status: http.StatusNotFound, Reason: NoRoute}, "no route has this host and a prefix of this path")
+	}
+	out.Route = r.Name
+	q := Request{Method: v.Method, Target: v.Path, Host: v.Host, Header: http.Header{}, Arrived: now}
+	var c client
+	if s.Config.Accounts != nil {
+		if c, ok = identifyKey(&q, v.Key, s.Config, r); !ok {
+			return refusedReport(out, Answer{Status: http.StatusUnauthorized, Reason: UnknownKey}, "the route needs the key of a client account, and this is none")
+		}
+	}
+	if out.Account = c.name(); c.account != nil {
+		out.QuotaPerSecond, out.QuotaBurst = c.account.RatePerSecond, c.account.Burst
+	}
+	services := r.Shards
+	if !r.IsFanOut() {
+		services = []string{e.peekService(s.Config.Version, r)}
+	}
+	x := e.newDispatchTo(q, s, r, c, services)
+	out.Priority, out.NeededShards = x.priority(), x.minShards()
+	out.ObjectiveMS, out.DeadlineMS = milliseconds(x.partialDeadline.Sub(now)), milliseconds(x.deadline.Sub(now))
+	if g := e.c.Guard.Verdict(x.fingerprint); g.Class == quarantine.Quarantined && v.BodyBytes == 0 {
+		return refusedReport(out, Answer{Status: http.StatusServiceUnavailable, Reason: Quarantined, RetryAfter: g.Until.Sub(now)}, "the request has crashed searchers")
+	}
+	a, ok := x.admit(now)
+	for _, p := range x.subrequests {
+		out.Shards = append(out.Shards, p.explain(now, ok))
+	}
+	if !ok {
+		return refusedReport(out, a, x.explainRefusal())
+	}
+	out.Admitted, out.Why = true, "enough searchers are expected to answer in time"
+	return out
+}
+
+// refusedReport returns the report on a request that gets an answer at once.
+func refusedReport(out explain.Report, a Answer, why string) explain.Report {
+	out.Status, out.Reason, out.RetryAfterMS, out.Why = a.Status, string(a.Reason), milliseconds(a.RetryAfter), why
+	return out
+}
+
+// explainRefusal returns why admission has refused the request.
+func (x *dispatch) explainRefusal() string {
+	f := x.refusal
+	if f.decision.TooFewShards {
+		why := fmt.Sprintf("%d of %d shards have a responsive searcher, %d needed", len(f.request.Shards), len(x.subrequests), f.request.MinShards)
+		if x.engine.c.HandOver != nil {
+			why += "; another VM is asked to answer it"
+		}
+		return why
+	}
+	return fmt.Sprintf("%d shards are expected to have answered after %s, later than the objective in %s", f.request.MinShards,
+		f.decision.ExpectedTime.Round(time.Millisecond), f.request.Objective.Round(time.Millisecond))
+}
+
+// explain returns what would happen with the subrequest once admission has decided.
+func (p *subrequest) explain(now time.Time, admitted bool) explain.Shard {
+	out := explain.Shard{Service: p.service}
+	switch {
+	case len(p.instances) == 0:
+		out.Why = "no searcher is in use"
+	case p.unavailable && (p.dispatch.route.IsFanOut() || !admitted):
+		out.Why = "no searcher responds"
+	case p.leftOut:
+		out.Why = "left out, as the limits of its searchers leave little"
+	case !admitted:
+		out.Why = "the request is not admitted"
+	}
+	best := time.Duration(0)
+	if p.preferred != nil {
+		best = placement.Estimate(p.candidate(p.preferred, now))
+	}
+	for _, i := range p.instances {
+		out.Searchers = append(out.Searchers, p.explainSearcher(i, now, i == p.preferred && out.Why == "", best))
+	}
+	if out.Why == "" {
+		out.Hedge = p.explainHedge(now)
+	}
+	return out
+}
+
+// explainSearcher returns why a searcher is chosen or not, given the lowest estimate.
+func (p *subrequest) explainSearcher(i *instance.Instance, now time.Time, chosen bool, best time.Duration) explain.Searcher {
+	s, c := i.Searcher(), p.candidate(i, now)
+	out := explain.Searcher{ID: s.ID, Domain: s.Domain, Chosen: chosen, InFlight: c.InFlight, Cold: c.Cold, Limited: c.Limited}
+	if !i.Usable() {
+		out.Why = "it is leaving, or another searcher has its address"
+		return out
+	}
+	wait, _ := placement.Predict(c)
+	estimate := placement.Estimate(c)
+	out.EstimateMS, out.WaitMS = milliseconds(estimate), milliseconds(wait)
+	switch {
+	case chosen:
+	case c.Suspect:
+		out.Why = "it does not respond"
+	case c.NamedWait > 0:
+		out.Why = fmt.Sprintf("it wants no request for %s", c.NamedWait.Round(time.Millisecond))
+	case c.LimitWait > 0:
+		out.Why = fmt.Sprintf("its limit permits the next request in %s", c.LimitWait.Round(time.Millisecond))
+	case i == p.preferred:
+		out.Why = "it would be chosen"
+	case estimate == best:
+		out.Why = "as good as the chosen one"
+	default:
+		out.Why = fmt.Sprintf("expected %s later than the best one", (estimate - best).Round(10*time.Microsecond))
+	}
+	return out
+}
+
+// explainHedge returns what a hedge would do if the chosen searcher did not answer.
+func (p *subrequest) explainHedge(now time.Time) explain.Hedge {
+	x := p.dispatch
+	switch {
+	case x.engine.c.Policy.NoHedges:
+		return explain.Hedge{Why: "hedges are disabled"}
+	case x.route.Idempotency != routing.Idempotent:
+		return explain.Hedge{Why: "requests of the route may run once only"}
+	case x.route.MaxAttempts < 2:
+		return explain.Hedge{Why: "the route permits one attempt"}
+	}
+	out := explain.Hedge{AfterMS: milliseconds(x.hedgeDelay)}
+	p.avoid = append(p.avoid, p.preferred)
+	i, _ := p.chooseSearcher(now, takesHedge)
+	p.avoid = nil
+	switch {
+	case i == nil:
+		out.Why = "no other searcher takes one now"
+	case !p.budget.WouldAllow(now, retrybudget.EarlyHedge):
+		out.Why = "the retry budget is used up; it would be tried again later"
+	default:
+		out.Searcher = i.Searcher().ID
+	}
+	return out
+}
+
+// milliseconds returns a time in milliseconds.
+func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
--- /dev/null
+++ b/internal/query/forward/explain_test.go
@@ -0,0 +1,127 @@
+package forward
+
+import (
+	"maps"
+	"net/http"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"egrethaven/internal/query/explain"
+	"egrethaven/internal/query/retrypool"
+	"egrethaven/internal/state/account"
+	"egrethaven/internal/state/routing"
+)
+
+// best returns the searchers of a shard that a report names as chosen, and those that are as
+// good, among which a request chooses at random.
+func best(s explain.Shard) (ids []string) {
+	for _, c := range s.Searchers {
+		if c.Chosen || c.Why == "as good as the chosen one" {
+			ids = append(ids, c.ID)
+		}
+	}
+	return ids
+}
+
+// counted returns the sends that the retry budgets count, by service.
+func (fx *fixture) counted() map[string]retrypool.Usage {
+	out := map[string]retrypool.Usage{}
+	for _, u := range fx.engine.Usage(time.Now()) {
+		out[u.Service] = u
+	}
+	return out
+}
+
+// TestExplain: a report must name what the next request does, and change nothing: no request
+// is sent, no limit, budget or share of a split is used.
+func TestExplain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fanOut, split, once := plainRoute(routing.Idempotent), plainRoute(routing.Idempotent), plainRoute(routing.AtMostOnce)
+		fanOut.Name, fanOut.Prefix, fanOut.WeightedServices, fanOut.Shards, fanOut.MinCoverage, fanOut.TopK = "f", "/f/", nil, []string{"s", "t"}, 1, 1
+		split.Name, split.Prefix, split.WeightedServices = "split", "/split/", []routing.WeightedService{{Service: "s", Weight: 2}, {Service: "t", Weight: 1}}
+		once.Name, once.Prefix, once.WeightedServices = "once", "/once/", []routing.WeightedService{{Service: "t", Weight: 1}}
+		all := map[string][]*fakeSearcher{"s": {}, "t": {}}
+		for i, id := range []string{"s-1", "s-2", "s-3", "t-1", "t-2", "t-3"} {
+			p := &fakeSearcher{id: id, answer: answerAfter(time.Duration(5*i+5)*time.Millisecond, "good")}
+			all[id[:1]] = append(all[id[:1]], p)
+		}
+		fx := newFixture(t, []routing.Route{fanOut, split, once}, all)
+		synctest.Wait()
+		requests := func() map[string]int {
+			out := map[string]int{}
+			for id, s := range fx.searchers {
+				out[id] = s.requests()
+			}
+			return out
+		}
+		for n := range 60 {
+			path := []string{"/f/x", "/split/x", "/once/x"}[n%3]
+			if n == 30 {
+				fx.snapshot.Instances["t"][0].RecordLimit(4)
+			}
+			time.Sleep(50 * time.Millisecond)
+			synctest.Wait()
+			before, counted := requests(), fx.counted()
+			q := explain.Query{Method: http.MethodGet, Host: "h", Path: path}
+			for range 5 {
+				fx.engine.Explain(q)
+			}
+			r := fx.engine.Explain(q)
+			if !maps.Equal(requests(), before) || !maps.Equal(fx.counted(), counted) {
+				t.Fatal("an explanation sent a request, or used a budget")
+			}
+			for _, h := range r.Shards {
+				if once := path == "/once/x"; once != (h.Hedge.AfterMS == 0) || h.Hedge.Searcher == "" && h.Hedge.Why == "" {
+					t.Errorf("%s: hedge %+v", path, h.Hedge)
+				}
+			}
+			req := newRequest(time.Second)
+			req.Target = path
+			if a := fx.engine.Do(t.Context(), req); !r.Admitted || a.Status != http.StatusOK {
+				t.Fatalf("%s: admitted %v, status %d", path, r.Admitted, a.Status)
+			}
+			after := requests()
+			for _, h := range r.Shards {
+				if !slices.ContainsFunc(best(h), func(id string) bool { return after[id] > before[id] }) {
+					t.Errorf("%d, %s: got %v after %v, explained as %+v", n, path, after, before, h)
+				}
+			}
+		}
+	})
+}
+
+// TestExplainRefusal checks the report on requests that get an answer at once.
+func TestExplainRefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &fakeSearcher{id: "s-1", answer: answerAfter(time.Millisecond, "good")}
+		fx := newFixture(t, []routing.Route{plainRoute(routing.Idempotent)}, map[string][]*fakeSearcher{"s": {p}})
+		synctest.Wait()
+		x, err := account.NewIndex([]account.Entry{{Account: account.Account{Name: "acme", Priority: 3, HasPriority: true, RatePerSecond: 7}, Keys: []string{"k"}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		fx.snapshot.Config.Accounts = x
+		q := explain.Query{Method: http.MethodGet, Host: "h", Path: "/x", Key: "k"}
+		check := func(name string, q explain.Query, status int, reason Reason) {
+			t.Helper()
+			req := newRequest(time.Second)
+			req.Target, req.Host, req.Header = q.Path, q.Host, http.Header{"Key": {q.Key}}
+			r, a := fx.engine.Explain(q), fx.engine.Do(t.Context(), req)
+			if r.Admitted != (status == http.StatusOK) || !r.Admitted && (r.Status != status || r.Reason != string(reason) || r.Why == "") || a.Status != status || a.Reason != reason {
+				t.Errorf("%s: explained as %d %s %q, answered %d %s, want %d %s", name, r.Status, r.Reason, r.Why, a.Status, a.Reason, status, reason)
+			}
+		}
+		check("account", q, http.StatusOK, Served)
+		if r := fx.engine.Explain(q); r.Account != "acme" || r.Priority != 3 || r.QuotaPerSecond != 7 {
+			t.Errorf("%+v", r)
+		}
+		check("wrong key", explain.Query{Method: q.Method, Host: "h", Path: "/x", Key: "K"}, http.StatusUnauthorized, UnknownKey)
+		check("other host", explain.Query{Method: q.Method, Host: "g", Path: "/x", Key: "k"}, http.StatusNotFound, NoRoute)
+		fx.snapshot.Instances["s"][0].Drain()
+		check("no searcher", q, http.StatusServiceUnavailable, NoSearcher)
+		fx.snapshot = nil
+		check("no configuration", q, http.StatusServiceUnavailable, NoConfig)
+	})
+}
--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -386,10 +386,27 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	s := e.splitFor(v, r)
+	n := s.best()
+	s.take(n)
+	return s.shares[n].Service
+}
+
+// peekService returns the service that chooseService would return, and leaves it for the next
+// request.
+func (e *Engine) peekService(v routing.Version, r *routing.Route) string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.splitFor(v, r)
+	return s.shares[s.best()].Service
+}
+
+// splitFor returns the split of a plain route. The lock is held.
+func (e *Engine) splitFor(v routing.Version, r *routing.Route) *weightedSplit {
 	s := e.splits[r.Name]
 	if s == nil || s.version != v {
 		s = newWeightedSplit(v, r.WeightedServices)
 		e.splits[r.Name] = s
 	}
-	return s.next()
+	return s
 }
--- a/internal/query/forward/forward_test.go
+++ b/internal/query/forward/forward_test.go
@@ -290,7 +290,7 @@
 			t.Run(name+", "+kind, func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					var sends atomic.Int64
-					respond := func(_ int, q *http.Request) fakeAnswer {
+					respond := func(_ int, _ *http.Request) fakeAnswer {
 						if sends.Add(1) == 1 {
 							return fakeAnswer{raw: raw}
 						}
--- a/internal/query/forward/weightedsplit.go
+++ b/internal/query/forward/weightedsplit.go
@@ -26,15 +26,21 @@
 	return s
 }
 
-// next returns the service of the next request.
-func (s *weightedSplit) next() string {
+// best returns the index of the service of the next request.
+func (s *weightedSplit) best() int {
 	best := 0
 	for i, h := range s.shares {
-		s.credit[i] += h.Weight
-		if s.credit[i] > s.credit[best] {
+		if s.credit[i]+h.Weight > s.credit[best]+s.shares[best].Weight {
 			best = i
 		}
 	}
-	s.credit[best] -= s.total
-	return s.shares[best].Service
+	return best
+}
+
+// take records that the next request goes to the service with an index.
+func (s *weightedSplit) take(n int) {
+	for i, h := range s.shares {
+		s.credit[i] += h.Weight
+	}
+	s.credit[n] -= s.total
 }
--- a/internal/query/retrybudget/budget.go
+++ b/internal/query/retrybudget/budget.go
@@ -146,6 +146,13 @@
 	return true
 }
 
+// WouldAllow reports whether AllowExtra would permit an extra send. It counts nothing.
+func (b *Budget) WouldAllow(now time.Time, p Purpose) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.remaining(now, p) >= 1
+}
+
 // remaining returns the number of extra sends that are still permitted for a
 // purpose. The lock is held.
 func (b *Budget) remaining(now time.Time, p Purpose) float64 {
