--- a/internal/back/instance/send.go
+++ b/internal/back/instance/send.go
@@ -5,7 +5,11 @@
 	"slices"
 	"time"
 
+	"github.com/juju/errors"
+
 	"egrethaven/internal/back/conn"
+	"egrethaven/internal/back/reply"
+	"egrethaven/internal/observe/event"
 )
 
 // Send sends a request, or queues it until a connection is idle. If it can do
@@ -102,7 +106,7 @@
 			i.mu.Unlock()
 			return
 		}
-		i.limiter.Take(now)
+		i.takePermit(now)
 		x := i.queue[0]
 		i.queue = slices.Delete(i.queue, 0, 1)
 		x.conn, x.startedAt = k, now
@@ -117,7 +121,7 @@
 	b := x.req.Build()
 	if b == nil {
 		i.mu.Lock()
-		i.limiter.Return()
+		i.returnPermit(x.startedAt)
 		i.idle = append(i.idle, x.conn)
 		i.mu.Unlock()
 		x.fail(context.DeadlineExceeded)
@@ -130,7 +134,7 @@
 	// The connection became unusable after dispatchQueued took it. Nothing was sent,
 	// so the request returns to the head of the queue.
 	i.mu.Lock()
-	i.limiter.Return()
+	i.returnPermit(x.startedAt)
 	x.conn = nil
 	i.queue = slices.Insert(i.queue, 0, x)
 	i.mu.Unlock()
@@ -155,6 +159,9 @@
 		i.recordContact(now)
 	case r.Lost():
 		i.lostCall = true
+		if errors.Is(r.Err, reply.ErrInvalid) {
+			i.c.Events.Emit(event.ResponseInvalid, i.s.ID, r.Err.Error())
+		}
 	}
 	i.closeSurplusConns(now)
 	i.mu.Unlock()
--- a/internal/front/ingress/ingress.go
+++ b/internal/front/ingress/ingress.go
@@ -26,6 +26,7 @@
 
 	"github.com/juju/errors"
 
+	"egrethaven/internal/back/reply"
 	"egrethaven/internal/front/httpserver"
 	"egrethaven/internal/infra/readbudget"
 	"egrethaven/internal/infra/readlimit"
@@ -240,7 +241,7 @@
 		refuse(w, http.StatusRequestHeaderFieldsTooLarge)
 		return
 	}
-	if limits.MaxBodyBytes > 0 && r.ContentLength > limits.MaxBodyBytes {
+	if IsBodyTooLarge(limits, r.ContentLength) {
 		refuse(w, http.StatusRequestEntityTooLarge)
 		return
 	}
@@ -258,9 +259,16 @@
 		// The client has disconnected; net/http closes the connection.
 		panic(http.ErrAbortHandler)
 	}
+	if reply.Check(a.Status, len(a.Body)) != nil {
+		// net/http panics below 100, and sends what no client expects above 599.
+		a = forward.Answer{Status: http.StatusBadGateway}
+	}
 	writeAnswer(w, a)
 }
 
+// IsBodyTooLarge reports whether a body of n bytes exceeds the limit.
+func IsBodyTooLarge(l routing.Limits, n int64) bool { return l.MaxBodyBytes > 0 && n > l.MaxBodyBytes }
+
 // refuse answers with the status and closes the connection.
 func refuse(w http.ResponseWriter, status int) {
 	w.Header().Set("Connection", "close")
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -132,6 +132,7 @@
 	})
 	g.storeView = newStoreView(storeViewConfig{
 		Self: vmRecord(s), Decode: c.Decode, EntryGrace: s.EntryGrace, CatchUp: s.CatchUp, Events: g.log, Budget: c.Budget, OnVMCount: g.setVMCount,
+		ColdOverage: s.ColdOverage, ColdSlack: s.ColdSlack,
 	})
 	g.isolation = &isolationMonitor{domain: s.Domain, current: g.storeView.Current, events: g.log,
 		onChange: func(isolated bool) { g.engine.SetIsolated(isolated) }}
@@ -181,6 +182,7 @@
 	ready.HandleFunc(g.c.ReadyPath, g.handleReady)
 	pages := http.NewServeMux()
 	pages.Handle("/metrics", g.metrics)
+	pages.HandleFunc("POST "+explainPath, g.handleExplain)
 	for addr, h := range map[string]http.Handler{s.ReadyAddr: ready, s.MetricsAddr: pages} {
 		srv, err := httpserver.New(httpserver.Config{Addr: addr, Handler: h, Events: g.log})
 		if err != nil {
@@ -201,6 +203,7 @@
 		{"egrethaven_store_age", "s", "age of the copy of the store: the time since it was known to have all changes", g.copyAge},
 		{"egrethaven_searchers", "{searcher}", "searchers in use", g.storeView.searcherCount},
 		{"egrethaven_searchers_leaving", "{searcher}", "searchers that said within ten minutes that they are about to stop", g.storeView.leavingCount},
+		{"egrethaven_domains_evacuated", "{domain}", "failure domains that operators have evacuated", g.storeView.evacuatedCount},
 		{"egrethaven_searchers_waiting", "{searcher}", "searchers that want no request from this VM now", g.storeView.waitingCount},
 		{"egrethaven_requests_suspected", "{request}", "requests suspected of crashing searchers, which run alone", g.suspectCount},
 		{"egrethaven_requests_quarantined", "{request}", "requests that are refused because they crash searchers", g.quarantinedCount},
@@ -307,6 +310,7 @@
 	// storeView calls setVMCount with its own lock held. To keep the lock order,
 	// call it before g.mu is locked.
 	g.storeView.SetGrace(s.EntryGrace)
+	g.storeView.SetColdBound(s.ColdOverage, s.ColdSlack)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.settings = s
--- a/internal/query/forward/subrequest.go
+++ b/internal/query/forward/subrequest.go
@@ -149,13 +149,12 @@
 // takesRetry reports whether a retry may go to a searcher.
 func takesRetry(c placement.Candidate) bool { return c.LimitWait == 0 }
 
-// takesHedge returns whether a hedge of an attempt may go to a searcher: one that is expected
-// to answer sooner than the attempt. One that is slow itself gets a hedge only of an attempt
-// that takes overdueFactor times as long as expected: where all searchers of a shard are slow,
-// more hedges would double the load under which they are.
-func (p *subrequest) takesHedge(f *attempt, now time.Time) func(placement.Candidate) bool {
-	_, expected := placement.Predict(p.candidate(f.searcher, now))
-	elapsed := now.Sub(f.startedAt)
+// takesHedge returns whether a hedge may go to a searcher: one that is expected to answer
+// sooner than the attempt, which is expected to take some time, of which some has elapsed. One
+// that is slow itself gets a hedge only of an attempt that takes overdueFactor times as long as
+// expected: where all searchers of a shard are slow, more hedges would double the load under
+// which they are.
+func takesHedge(expected, elapsed time.Duration) func(placement.Candidate) bool {
 	return func(c placement.Candidate) bool {
 		_, service := placement.Predict(c)
 		if c.LimitWait > 0 || c.LimitSpare < minHedgeSpare {
@@ -318,8 +317,8 @@
 	}
 }
 
-// recordStatements passes on what the searcher said of itself: that it is leaving, or
-// wants no requests for a while.
+// recordStatements passes on what the searcher said of itself: that it is leaving, wants no
+// requests for a while, or is cold.
 func (f *attempt) recordStatements(a *reply) {
 	switch {
 	case a.Misdirected:
@@ -329,6 +328,9 @@
 	case a.UnreadableWait != "":
 		f.searcher.RecordUnreadableWait(a.UnreadableWait)
 	}
+	if a.HasCold && (a.Cold > 0 || a.Stamp != "") {
+		f.searcher.RecordCold(f.startedAt, a.Cold)
+	}
 	if a.Leaving {
 		f.searcher.RecordLeaving()
 	}
@@ -442,7 +444,8 @@
 	if !now.Before(x.lastHedgeAt) {
 		purpose = retrybudget.LastHedge
 	}
-	eligible := p.takesHedge(f, now)
+	_, expected := placement.Predict(p.candidate(f.searcher, now))
+	eligible := takesHedge(expected, now.Sub(f.startedAt))
 	if !p.hasUntried(now, eligible) || !p.budget.AllowExtra(now, purpose) {
 		p.hedgeAt = now.Add(x.hedgeDelay / hedgeRetryDivisor)
 		if now.Before(x.lastHedgeAt) && x.lastHedgeAt.Before(p.hedgeAt) {
--- a/internal/state/gatewaysettings/fields.go
+++ b/internal/state/gatewaysettings/fields.go
@@ -54,6 +54,9 @@
 	milliseconds(field.Spec{Section: "store", Key: "drain_ms", Default: "3000",
 		Help: "time after its acknowledgement within which a searcher that leaves gets no more requests"},
 		200, 600_000, func(s *Settings) *time.Duration { return &s.DrainTime }),
+	milliseconds(field.Spec{Section: "store", Key: "evacuate_ms", Default: "5000",
+		Help: "time after its acknowledgement within which the searchers of an evacuated failure domain get no more requests"},
+		200, 600_000, func(s *Settings) *time.Duration { return &s.EvacuationTime }),
 
 	field.Float(field.Spec{Section: "retries", Key: "ratio", Default: "0.2",
 		Help: "extra sends of all VMs to a service, for each of its requests in a window"},
@@ -75,6 +78,13 @@
 		Help: "largest difference between the clocks of two VMs"},
 		0, 600_000, func(s *Settings) *time.Duration { return &s.MaxSkew }),
 
+	field.Float(field.Spec{Section: "cold", Key: "overage", Default: "1.5",
+		Help: "requests of all VMs to a cold searcher in any second, for each of its service's cold_per_s"},
+		0, 100, func(s *Settings) *float64 { return &s.ColdOverage }),
+	field.Float(field.Spec{Section: "cold", Key: "slack", Unit: "requests", Default: "5",
+		Help: "requests of all VMs to a cold searcher in any second beyond that"},
+		0, 1e6, func(s *Settings) *float64 { return &s.ColdSlack }),
+
 	seconds(field.Spec{Section: "process", Key: "stop_within_s", Default: "6",
 		Help: "how long the process may run once it is told to stop"},
 		0, 600, func(s *Settings) *time.Duration { return &s.ShutdownTimeout }),
--- a/internal/state/gatewaysettings/settings.go
+++ b/internal/state/gatewaysettings/settings.go
@@ -54,6 +54,9 @@
 	// DrainTime is the time after the acknowledgement of a searcher's departure by
 	// which it gets no more requests.
 	DrainTime time.Duration
+	// EvacuationTime is the time after the acknowledgement of an evacuation by which the
+	// searchers of that failure domain get no more requests.
+	EvacuationTime time.Duration
 	// RetryRatio, RetryWindow and RetryAllowance define the retry budget that all VMs
 	// share for a service: its requests in a window times the ratio, plus the allowance.
 	RetryRatio     float64
@@ -67,6 +70,10 @@
 	MaxSkew      time.Duration
 	// Regions holds the region of each failure domain.
 	Regions region.Map
+	// ColdOverage and ColdSlack define the requests of all VMs to a cold searcher in any
+	// second: its service's limit times the overage, plus the slack.
+	ColdOverage float64
+	ColdSlack   float64
 	// ShutdownTimeout is how long the process may keep running after it is told to stop.
 	ShutdownTimeout time.Duration
 	// MemoryMB is the memory that the process may use, in MiB, and Cores the number of
@@ -80,7 +87,9 @@
 
 // ChangeTime returns the time after its acknowledgement by which any change of the
 // store has to be in force.
-func (s Settings) ChangeTime() time.Duration { return min(s.ConfigApply, s.DrainTime) }
+func (s Settings) ChangeTime() time.Duration {
+	return min(s.ConfigApply, s.DrainTime, s.EvacuationTime)
+}
 
 // MaxKeyAge returns the age of the copy of the store from which on keys are not checked by
 // it; 0 for no limit.
