Request log lines name the resource that was short

Cause: the line of a late, incomplete or failed request did not say whether connections, slots, a pause, the retry budget, searchers, the client's time or the processor was short.

Change: field short_of, from what the request met (package shortage).

--- a/internal/query/admission/admission.go
+++ b/internal/query/admission/admission.go
@@ -46,6 +46,8 @@
 	// Queued reports whether requests are queued for this searcher, either in
 	// this process or at the searcher.
 	Queued bool
+	// NoConn reports whether the request would have to wait for a connection.
+	NoConn bool
 	// Limited reports whether all responsive searchers of the shard have named a limit,
 	// and LimitSpare which share of a burst that of this one permits at once, 0 to 1.
 	Limited    bool
--- a/internal/query/forward/admit.go
+++ b/internal/query/forward/admit.go
@@ -47,6 +47,7 @@
 		return Answer{}, true
 	}
 	x.refusal = &refusal{request: v, decision: d}
+	x.noteRefusal(v, d)
 	if d.TooFewShards {
 		return Answer{Status: http.StatusServiceUnavailable, Reason: NoSearcher, RetryAfter: retryAfterUnknown}, false
 	}
@@ -77,5 +78,5 @@
 	}
 	wait, service := placement.Predict(c)
 	return admission.Shard{ServiceTime: service, Wait: wait, Queued: c.Queued > 0 || c.Waiting >= c.Slots || c.LimitWait > 0,
-		Limited: limited, LimitSpare: c.LimitSpare, NamedWait: c.NamedWait}, true
+		NoConn: c.NoConn, Limited: limited, LimitSpare: c.LimitSpare, NamedWait: c.NamedWait}, true
 }
--- a/internal/query/forward/dispatch.go
+++ b/internal/query/forward/dispatch.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"egrethaven/internal/query/shortage"
 	"egrethaven/internal/state/routing"
 )
 
@@ -75,6 +76,8 @@
 	// is set if the request was a suspect when it came.
 	trial   *trial
 	suspect bool
+	// short holds the resources that the request ran short of.
+	short shortage.Set
 	// sent, hedges and retries count sends for the log.
 	sent, hedges, retries int
 }
@@ -101,6 +104,7 @@
 		x.partialDeadline = t
 	}
 	x.medianLatency, x.hedgeDelay = x.stats.latencies(q.Arrived)
+	x.noteTimeout()
 	x.lastHedgeAt = x.partialDeadline.Add(-time.Duration(lastHedgeFactor*float64(x.medianLatency)) - connectAllowance)
 	// Quantiles of few samples are inaccurate, so the hedge delay is limited to
 	// the last moment at which a hedge is useful.
@@ -145,7 +149,8 @@
 			x.abandonSends(x.deadline.Add(orphanGrace))
 			return x.orHandOver(ctx, a)
 		}
-		t.Reset(time.Until(x.nextWake(now)))
+		due := x.nextWake(now)
+		t.Reset(time.Until(due))
 		select {
 		case d := <-x.results:
 			now = time.Now()
@@ -153,6 +158,7 @@
 			x.drainResults(now)
 		case <-t.C:
 			now = time.Now()
+			x.noteWake(due, now)
 			x.drainResults(now)
 			for _, p := range x.subrequests {
 				p.hedgeIfLate(now)
--- a/internal/query/forward/report.go
+++ b/internal/query/forward/report.go
@@ -31,6 +31,9 @@
 		l.Int("status", a.Status).Str("reason", string(a.Reason)).Float64("elapsed_ms", float64(elapsed.Microseconds())/1000)
 		l.Bool("repeatable", x.route.Idempotency == routing.Idempotent).Int("attempts", x.route.MaxAttempts)
 		l.Int("sends", x.sent).Int("hedges", x.hedges).Int("retries", x.retries)
+		if s := x.shortOf(a, elapsed); len(s) > 0 {
+			l.Strs("short_of", s)
+		}
 		if a.Reason != Served {
 			l.Int64("patience_ms", x.req.Timeout.Milliseconds())
 		}
--- a/internal/query/forward/subrequest.go
+++ b/internal/query/forward/subrequest.go
@@ -11,6 +11,7 @@
 	"egrethaven/internal/back/instance"
 	"egrethaven/internal/query/placement"
 	"egrethaven/internal/query/retrybudget"
+	"egrethaven/internal/query/shortage"
 	"egrethaven/internal/state/routing"
 )
 
@@ -108,7 +109,11 @@
 	// Admission found enough other shards, so a fan-out does not wait for a
 	// shard without a responsive searcher.
 	switch {
-	case p.dispatch.route.IsFanOut() && p.unavailable, p.leftOut:
+	case p.dispatch.route.IsFanOut() && p.unavailable:
+		p.dispatch.short.Add(shortage.Searchers)
+		p.failed = true
+	case p.leftOut:
+		p.dispatch.short.Add(shortage.Slots)
 		p.failed = true
 	case p.preferred != nil:
 		p.sendTo(p.preferred, now)
@@ -328,7 +333,10 @@
 	p.survived = p.survived || ranToEnd(a)
 	switch {
 	case a.refused():
-		p.overloaded = p.overloaded || a.NotRun
+		if a.NotRun {
+			p.overloaded = true
+			p.dispatch.short.Add(shortage.Slots)
+		}
 		p.retry(now, true)
 	case a.Err == nil && p.isFinal(a):
 		p.answer, p.answeredAt = a, now
@@ -373,6 +381,7 @@
 func (p *subrequest) resendUnsent(err error, now time.Time) {
 	p.sends--
 	p.dispatch.sent--
+	p.dispatch.noteUnsent(err)
 	p.overloaded = p.overloaded || err == instance.ErrQueueFull
 	if p.unsentCount++; p.unsentCount <= maxUnsentResends && !p.dispatch.revoked.Load() && p.sendToBest(now) {
 		return
@@ -388,7 +397,13 @@
 		return
 	}
 	allowed = allowed && p.sends < max(p.dispatch.route.MaxAttempts, 1) && now.Before(p.dispatch.deadline)
-	if allowed && p.hasUntried(now, takesRetry) && p.budget.AllowExtra(now, retrybudget.Retry) && p.sendToBestOf(now, takesRetry) {
+	switch {
+	case !allowed:
+	case !p.hasUntried(now, takesRetry):
+		p.dispatch.short.Add(shortage.Searchers)
+	case !p.budget.AllowExtra(now, retrybudget.Retry):
+		p.dispatch.short.Add(shortage.Budget)
+	case p.sendToBestOf(now, takesRetry):
 		p.dispatch.retries++
 		return
 	}
@@ -406,12 +421,14 @@
 	p.hedgeAt = time.Time{}
 	f := p.attempts[len(p.attempts)-1]
 	if f.send.Queued() {
+		x.short.Add(shortage.Connection)
 		p.hedgeAt = now.Add(x.hedgeDelay)
 		if p.hasBetter(now, f.searcher) && f.send.CancelQueued() {
 			p.requeue(f, now)
 		}
 		return
 	}
+	x.noteLate(p.candidate(f.searcher, now))
 	if p.alone || x.route.Idempotency != routing.Idempotent || p.sends >= x.route.MaxAttempts || x.engine.c.Policy.NoHedges || !p.hasUntried(now, takesHedge) {
 		return
 	}
@@ -420,6 +437,7 @@
 		purpose = retrybudget.LastHedge
 	}
 	if !p.budget.AllowExtra(now, purpose) {
+		x.short.Add(shortage.Budget)
 		p.hedgeAt = now.Add(x.hedgeDelay / hedgeRetryDivisor)
 		if now.Before(x.lastHedgeAt) && x.lastHedgeAt.Before(p.hedgeAt) {
 			p.hedgeAt = x.lastHedgeAt
