Overload: order queues, admission and extra sends by value and priority

Cause: waiting requests were sent in order of arrival, all priorities were admitted alike, and shards that an answer can do without used up retry budgets.

Change: the queue of a searcher sends the request of the highest value first and keeps room for higher ranks; admission counts only waits that go ahead and refuses lower ranks earlier while queues build up; below half of a retry budget, the rest is kept for higher ranks and for shards that decide whether there is an answer in time. The times after which refused requests may return are spread also where searchers have named one.

--- a/internal/back/instance/instance.go
+++ b/internal/back/instance/instance.go
@@ -2,8 +2,8 @@
 // its requests in flight, and health statistics from its answers.
 //
 // Requests are sent over persistent connections, one at a time on each. When no
-// connection is idle, requests are queued in FIFO order; a queued request can
-// be canceled.
+// connection is idle, requests are queued, and those of the highest value are sent
+// first (package shedding); a queued request can be canceled.
 //
 // # Usage
 //
@@ -29,6 +29,7 @@
 	"egrethaven/internal/infra/readbudget"
 	"egrethaven/internal/observe/event"
 	"egrethaven/internal/platform/pause"
+	"egrethaven/internal/query/shedding"
 	"egrethaven/internal/state/registry"
 )
 
@@ -166,6 +167,9 @@
 	// Check returns an error if an answer with this header contradicts itself; nil accepts
 	// all.
 	Check func(http.Header) error
+	// Shed describes the request for the order of the queue. Requests without it are sent
+	// in order of arrival.
+	Shed shedding.Request
 	// Done is called once with the result, unless the call was canceled while
 	// queued.
 	Done func(conn.Result)
@@ -194,6 +198,8 @@
 	idle  []*conn.Conn
 	calls map[*Call]struct{}
 	queue []*Call
+	// picker orders queue.
+	picker shedding.Picker
 	// openConns does not include a connection that is being opened.
 	openConns int
 	dialing   bool
--- a/internal/back/instance/observe.go
+++ b/internal/back/instance/observe.go
@@ -9,6 +9,7 @@
 	"egrethaven/internal/back/isolation"
 	"egrethaven/internal/observe/event"
 	"egrethaven/internal/query/placement"
+	"egrethaven/internal/query/shedding"
 )
 
 // Outcome classifies the result of a request with respect to the searcher.
@@ -184,9 +185,16 @@
 // Candidate returns the searcher's state for request placement. domain is the
 // caller's failure domain, usual the usual service time of the request.
 func (i *Instance) Candidate(now time.Time, domain string, usual time.Duration) placement.Candidate {
+	return i.CandidateFor(now, domain, usual, &shedding.Request{})
+}
+
+// CandidateFor is like Candidate. It counts as ahead only those queued requests that are sent
+// before the given one.
+func (i *Instance) CandidateFor(now time.Time, domain string, usual time.Duration, r *shedding.Request) placement.Candidate {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	c := placement.Candidate{
+		Ahead:         i.ahead(now, r),
 		Local:         i.s.Domain == domain,
 		Slots:         i.s.Slots,
 		InFlight:      len(i.calls),
--- a/internal/back/instance/send.go
+++ b/internal/back/instance/send.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"egrethaven/internal/back/conn"
+	"egrethaven/internal/query/shedding"
 )
 
 // Send sends a request, or queues it until a connection is idle. If it can do
@@ -25,7 +26,7 @@
 		i.mu.Unlock()
 		x.fail(ErrUnreachable)
 		return x
-	case len(i.queue) >= maxQueuedPerConn*max(i.c.Conns.MaxOpen, 1):
+	case len(i.queue) >= i.maxQueued(q.Shed.Standing):
 		i.mu.Unlock()
 		x.fail(ErrQueueFull)
 		return x
@@ -38,6 +39,12 @@
 	return x
 }
 
+// maxQueued returns the length up to which a request may fill the queue. The caller holds the
+// lock.
+func (i *Instance) maxQueued(s shedding.Standing) int {
+	return int(s.QueueShare() * float64(maxQueuedPerConn*max(i.c.Conns.MaxOpen, 1)))
+}
+
 // Queued reports whether the request is waiting for a connection.
 func (x *Call) Queued() bool {
 	x.i.mu.Lock()
@@ -103,14 +110,33 @@
 			return
 		}
 		i.limiter.Take(now)
-		x := i.queue[0]
-		i.queue = slices.Delete(i.queue, 0, 1)
+		n := i.picker.Next(now, len(i.queue), i.queuedAt)
+		x := i.queue[n]
+		i.queue = slices.Delete(i.queue, n, n+1)
 		x.conn, x.startedAt = k, now
 		i.mu.Unlock()
 		x.start()
 	}
 }
 
+// queuedAt describes the n-th request of the queue. The caller holds the lock.
+func (i *Instance) queuedAt(n int) shedding.Request { return i.queue[n].req.Shed }
+
+// ahead returns the number of queued requests that are sent before a new one. The caller
+// holds the lock.
+func (i *Instance) ahead(now time.Time, r *shedding.Request) int {
+	if len(i.queue) == 0 {
+		return 0
+	}
+	n, v := 0, r.Value(now)
+	for _, x := range i.queue {
+		if x.req.Shed.Value(now) >= v {
+			n++
+		}
+	}
+	return n
+}
+
 // start sends the request on its connection.
 func (x *Call) start() {
 	i := x.i
--- a/internal/proof/shedmodel/run.go
+++ b/internal/proof/shedmodel/run.go
@@ -130,11 +130,11 @@
 		m.end(q, &q.count.Refused)
 		return
 	}
-	patience := 1.0
+	patience := r.Objective
 	if m.c.Order == ValuePerWork {
-		patience = q.shed.Standing.Patience()
+		patience = q.shed.Standing.Patience(r.Objective, r.Service)
 	}
-	if wait := waits[q.needed-1]; wait > 0 && wait+r.Service > time.Duration(patience*float64(r.Objective)) {
+	if wait := waits[q.needed-1]; wait > 0 && wait+r.Service > patience {
 		m.end(q, &q.count.Refused)
 		return
 	}
--- a/internal/query/admission/admission.go
+++ b/internal/query/admission/admission.go
@@ -7,7 +7,8 @@
 // if too few shards have a responsive searcher. The refusal says when the
 // queues are expected to have drained. A request that would be late only
 // because its searchers are slow is admitted, as a later retry would not be
-// faster.
+// faster. While queues build up, requests of lower priorities are refused earlier,
+// as later ones of higher priorities overtake them.
 //
 // A searcher may name a limit on the requests that it accepts. A shard whose searchers
 // all have one, and little left of it, is left out of fan-outs that can do without,
@@ -24,6 +25,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"egrethaven/internal/query/shedding"
 )
 
 const (
@@ -65,6 +68,8 @@
 	MinShards int
 	// Objective is the time left until the latency objective.
 	Objective time.Duration
+	// Standing lowers the time for which queues may delay a request.
+	Standing shedding.Standing
 	// TimeLeft is the time left until the deadline.
 	TimeLeft time.Duration
 }
@@ -96,7 +101,11 @@
 	slices.SortFunc(s, func(a, b Shard) int { return cmp.Compare(a.ServiceTime+a.Wait, b.ServiceTime+b.Wait) })
 	last := s[r.MinShards-1]
 	d := Decision{ExpectedTime: last.ServiceTime + last.Wait}
-	late := d.ExpectedTime - r.Objective
+	patience := r.Objective
+	if last.Queued {
+		patience = r.Standing.Patience(r.Objective, last.ServiceTime)
+	}
+	late := d.ExpectedTime - patience
 	d.Admit = late <= 0 || !last.Queued && d.ExpectedTime <= r.TimeLeft
 	if !d.Admit {
 		d.RetryAfter = min(max(late, minRetryAfter), maxRetryAfter)
--- a/internal/query/forward/admit.go
+++ b/internal/query/forward/admit.go
@@ -8,13 +8,7 @@
 
 	"egrethaven/internal/query/admission"
 	"egrethaven/internal/query/placement"
-)
-
-// minRetryJitter and maxRetryJitter are the range of the random factor applied
-// to Retry-After, so that refused requests are not retried all at once.
-const (
-	minRetryJitter = 0.7
-	maxRetryJitter = 1.6
+	"egrethaven/internal/query/shedding"
 )
 
 // refusal is an admission decision not to send, with its input for the log.
@@ -29,7 +23,7 @@
 	if x.engine.c.Policy.AdmitAll {
 		return Answer{}, true
 	}
-	v := admission.Request{MinShards: x.minShards(), Objective: x.partialDeadline.Sub(now), TimeLeft: x.deadline.Sub(now)}
+	v := admission.Request{MinShards: x.minShards(), Objective: x.partialDeadline.Sub(now), TimeLeft: x.deadline.Sub(now), Standing: x.shed.Standing}
 	responsive := make([]*subrequest, 0, len(x.subrequests))
 	for _, p := range x.subrequests {
 		s, ok := p.predict(now)
@@ -51,9 +45,8 @@
 	if d.TooFewShards {
 		return Answer{Status: http.StatusServiceUnavailable, Reason: NoSearcher, RetryAfter: retryAfterUnknown}, false
 	}
-	jitter := minRetryJitter + (maxRetryJitter-minRetryJitter)*rand.Float64()
 	return Answer{Status: http.StatusServiceUnavailable, Reason: Overloaded,
-		RetryAfter: max(time.Duration(float64(d.RetryAfter)*jitter), d.NotBefore)}, false
+		RetryAfter: shedding.ReturnAfter(d.RetryAfter, d.NotBefore, rand.Float64())}, false
 }
 
 // minShards returns the number of shards that have to answer; 1 for a plain request.
@@ -77,6 +70,6 @@
 		return admission.Shard{}, false
 	}
 	wait, service := placement.Predict(c)
-	return admission.Shard{ServiceTime: service, Wait: wait, Queued: c.Queued > 0 || c.Waiting >= c.Slots || c.LimitWait > 0,
+	return admission.Shard{ServiceTime: service, Wait: wait, Queued: c.Ahead > 0 || c.Waiting >= c.Slots || c.LimitWait > 0,
 		NoConn: c.NoConn, Limited: limited, LimitSpare: c.LimitSpare, NamedWait: c.NamedWait}, true
 }
--- a/internal/query/forward/answer.go
+++ b/internal/query/forward/answer.go
@@ -1,9 +1,11 @@
 package forward
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"time"
 
+	"egrethaven/internal/query/shedding"
 	"egrethaven/internal/query/topk"
 )
 
@@ -129,7 +131,7 @@
 	case !mayHaveRun && x.revoked.Load():
 		return Answer{Status: http.StatusUnauthorized, Reason: UnknownKey}
 	case !mayHaveRun && overloaded:
-		return Answer{Status: http.StatusServiceUnavailable, RetryAfter: max(retryAfterOverload, x.namedWait(now)), Reason: Overloaded}
+		return Answer{Status: http.StatusServiceUnavailable, RetryAfter: shedding.ReturnAfter(retryAfterOverload, x.namedWait(now), rand.Float64()), Reason: Overloaded}
 	case !mayHaveRun:
 		return Answer{Status: http.StatusServiceUnavailable, RetryAfter: retryAfterUnknown, Reason: NoSearcher}
 	case late:
--- a/internal/query/forward/dispatch.go
+++ b/internal/query/forward/dispatch.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"egrethaven/internal/query/shedding"
 	"egrethaven/internal/query/shortage"
 	"egrethaven/internal/state/routing"
 )
@@ -65,6 +66,8 @@
 	// lastHedgeAt is the last moment at which a hedge is expected to be answered by
 	// partialDeadline. From then on, hedges have the purpose retrybudget.LastHedge.
 	lastHedgeAt time.Time
+	// shed describes the request for the order of queues and for what it may spend.
+	shed shedding.Request
 	// refusal is set if admission refused the request.
 	refusal *refusal
 	// isolated is closed when this VM is found to be cut off from searchers, and
@@ -113,6 +116,7 @@
 	if !r.IsFanOut() {
 		services = []string{e.chooseService(s.Config.Version, r)}
 	}
+	x.shed = x.describeForQueues(len(services))
 	x.subrequests = make([]*subrequest, len(services))
 	for i, name := range services {
 		x.subrequests[i] = &subrequest{dispatch: x, service: name, budget: e.budgetFor(name), instances: s.Instances[name], sends: q.Sends}
--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -29,6 +29,7 @@
 	"egrethaven/internal/observe/event"
 	"egrethaven/internal/query/retrybudget"
 	"egrethaven/internal/query/retrypool"
+	"egrethaven/internal/query/shedding"
 	"egrethaven/internal/state/account"
 	"egrethaven/internal/state/routing"
 )
@@ -242,6 +243,8 @@
 type Engine struct {
 	c       Config
 	orphans *orphanedSends
+	// shedding knows how often the classes of requests were served.
+	shedding *shedding.Policy
 
 	mu      sync.Mutex
 	stats   map[string]*routeStats
@@ -265,7 +268,7 @@
 		c.Guard = crashguard.New(crashguard.Config{Quarantine: quarantine.New(quarantine.Config{MinIncidents: MinIncidents, TrustAnswered: true})})
 	}
 	return &Engine{
-		c: c, orphans: newOrphanedSends(), stats: map[string]*routeStats{},
+		c: c, orphans: newOrphanedSends(), shedding: shedding.NewPolicy(), stats: map[string]*routeStats{},
 		budgets: map[string]*retrybudget.Budget{}, splits: map[string]*weightedSplit{}, isolated: make(chan struct{}),
 	}
 }
--- a/internal/query/forward/report.go
+++ b/internal/query/forward/report.go
@@ -15,6 +15,7 @@
 func (x *dispatch) report(a Answer) {
 	elapsed := time.Since(x.req.Arrived)
 	x.engine.c.Observe(x.route.Name, a.Reason, elapsed)
+	x.recordService(a)
 	if x.engine.c.Log == nil {
 		return
 	}
--- /dev/null
+++ b/internal/query/forward/shed.go
@@ -0,0 +1,68 @@
+package forward
+
+import (
+	"time"
+
+	"egrethaven/internal/query/shedding"
+	"egrethaven/internal/query/shortage"
+)
+
+// scarceBudget is the share of a retry budget below which it is divided by priority and need.
+// Early hedges stop before it (package retrybudget), so it is reached under overload only.
+const scarceBudget = 0.5
+
+// class returns the requests as which this one has to be served about equally often.
+func (x *dispatch) class() shedding.Class {
+	return shedding.Class{Route: x.route.Name, Account: x.client.name()}
+}
+
+// describeForQueues returns the description of a request to a number of services.
+func (x *dispatch) describeForQueues(services int) shedding.Request {
+	r := shedding.Request{Arrived: x.req.Arrived, Deadline: x.deadline, Service: x.medianLatency, Sends: services}
+	r.Standing = x.engine.shedding.Standing(x.req.Arrived, x.class(), x.priority())
+	if o := x.route.LatencyObjective; o > 0 {
+		r.Objective = x.req.Arrived.Add(o)
+	}
+	return r
+}
+
+// recordService records whether the request was served, if it was not for reasons of its
+// own: a client whose requests fail or whose time is too short must not get a better
+// standing by it.
+func (x *dispatch) recordService(a Answer) {
+	switch a.Reason {
+	case Served, Overloaded:
+	case DeadlineReached, TooFewShards:
+		if x.short.Has(shortage.Deadline) || !x.short.Has(shortage.Connection) && !x.short.Has(shortage.Slots) && !x.short.Has(shortage.Budget) {
+			return
+		}
+	default:
+		return
+	}
+	x.engine.shedding.Ended(time.Now(), x.class(), x.priority(), a.Reason == Served)
+}
+
+// maySpend reports whether the subrequest may take an extra send from its budget. While it
+// is scarce, lower priorities leave the rest to higher ones, and shards that the answer can
+// do without leave it to those that decide whether there is one in time.
+func (p *subrequest) maySpend(now time.Time) bool {
+	left := p.budget.Left(now)
+	return left >= scarceBudget || p.dispatch.shed.Standing.MaySpend(left, p.isDecisive(now, left))
+}
+
+// isDecisive reports whether the shard is among those that are needed for minShards. Of the
+// late ones, these are the ones with the most left of their budgets.
+func (p *subrequest) isDecisive(now time.Time, left float64) bool {
+	x := p.dispatch
+	need, richer := x.minShards(), 0
+	for _, o := range x.subrequests {
+		switch {
+		case o == p || o.failed:
+		case o.answer != nil || o.inFlight > 1:
+			need--
+		case o.budget.Left(now) > left:
+			richer++
+		}
+	}
+	return richer < need
+}
--- a/internal/query/forward/subrequest.go
+++ b/internal/query/forward/subrequest.go
@@ -22,6 +22,9 @@
 	// hedgeRetryDivisor divides the hedge delay to give the delay before a hedge
 	// refused by the budget is tried again.
 	hedgeRetryDivisor = 2
+	// usualReplicas is the number of searchers of a shard up to which a choice needs no
+	// memory of its own.
+	usualReplicas = 4
 	// minHedgeSpare is the share of a burst that the limit of a searcher has to permit
 	// for a hedge to go there. The rest is kept for first sends and retries.
 	minHedgeSpare = 0.5
@@ -155,8 +158,7 @@
 // chooseSearcher returns the best usable searcher that was not tried yet and that
 // eligible accepts, with its state; nil if there is none.
 func (p *subrequest) chooseSearcher(now time.Time, eligible func(placement.Candidate) bool) (*instance.Instance, placement.Candidate) {
-	var cs []placement.Candidate
-	var is []*instance.Instance
+	cs, is := make([]placement.Candidate, 0, usualReplicas), make([]*instance.Instance, 0, usualReplicas)
 	for _, i := range p.instances {
 		if !i.Usable() || p.tried(i) {
 			continue
@@ -180,14 +182,14 @@
 	p.dispatch.sent++
 	f := &attempt{subrequest: p, searcher: i, startedAt: now, trial: p.dispatch.onTrial(p)}
 	p.attempts = append(p.attempts, f)
-	f.send = i.Send(instance.Request{Method: p.dispatch.req.Method, Build: f.buildRequest, Matches: f.matches, Check: p.dispatch.engine.c.Dialect.CheckReply, Done: f.onDone})
+	f.send = i.Send(instance.Request{Method: p.dispatch.req.Method, Shed: p.dispatch.shed, Build: f.buildRequest, Matches: f.matches, Check: p.dispatch.engine.c.Dialect.CheckReply, Done: f.onDone})
 }
 
 // candidate returns the state of a searcher as input for placement. While this VM is cut
 // off, searchers that do not react are not tried again and again.
 func (p *subrequest) candidate(i *instance.Instance, now time.Time) placement.Candidate {
 	x := p.dispatch
-	c := i.Candidate(now, x.engine.c.Domain, x.medianLatency)
+	c := i.CandidateFor(now, x.engine.c.Domain, x.medianLatency, &x.shed)
 	if !x.isolatedSince.IsZero() {
 		k := i.Contact()
 		remote := k.Domain != x.engine.c.Domain
@@ -401,7 +403,7 @@
 	case !allowed:
 	case !p.hasUntried(now, takesRetry):
 		p.dispatch.short.Add(shortage.Searchers)
-	case !p.budget.AllowExtra(now, retrybudget.Retry):
+	case !p.maySpend(now) || !p.budget.AllowExtra(now, retrybudget.Retry):
 		p.dispatch.short.Add(shortage.Budget)
 	case p.sendToBestOf(now, takesRetry):
 		p.dispatch.retries++
@@ -436,7 +438,7 @@
 	if !now.Before(x.lastHedgeAt) {
 		purpose = retrybudget.LastHedge
 	}
-	if !p.budget.AllowExtra(now, purpose) {
+	if !p.maySpend(now) || !p.budget.AllowExtra(now, purpose) {
 		x.short.Add(shortage.Budget)
 		p.hedgeAt = now.Add(x.hedgeDelay / hedgeRetryDivisor)
 		if now.Before(x.lastHedgeAt) && x.lastHedgeAt.Before(p.hedgeAt) {
--- a/internal/query/placement/placement.go
+++ b/internal/query/placement/placement.go
@@ -54,6 +54,8 @@
 	InFlight int
 	// Queued is the number of requests in InFlight that wait for a connection.
 	Queued int
+	// Ahead is the number of requests in Queued that are sent before a new one.
+	Ahead int
 	// Conns is the maximum number of connections to the searcher.
 	Conns int
 	// Waiting is the queue length in the searcher's last load report.
@@ -96,7 +98,7 @@
 		service = time.Duration(float64(service) * coldFactor)
 	}
 	if c.NoConn {
-		wait = time.Duration(float64(service) * (1 + float64(c.Queued)/float64(max(c.Conns, 1))))
+		wait = time.Duration(float64(service) * (1 + float64(c.Ahead)/float64(max(c.Conns, 1))))
 	}
 	return max(wait, c.LimitWait), service
 }
--- a/internal/query/retrybudget/budget.go
+++ b/internal/query/retrybudget/budget.go
@@ -146,6 +146,17 @@
 	return true
 }
 
+// Left returns the share of the permitted extra sends that is left for retries, 0 to 1.
+func (b *Budget) Left(now time.Time) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	left := b.remaining(now, Retry)
+	if left <= 0 {
+		return 0
+	}
+	return left / (left + float64(b.extra.Total(now)))
+}
+
 // remaining returns the number of extra sends that are still permitted for a
 // purpose. The lock is held.
 func (b *Budget) remaining(now time.Time, p Purpose) float64 {
--- a/internal/query/shedding/policy_test.go
+++ b/internal/query/shedding/policy_test.go
@@ -39,10 +39,10 @@
 		p.Ended(now, poor, 1, n%4 > 0)
 		p.Ended(now, shedding.Class{Route: "first"}, 0, true)
 	}
-	if s := standing(poor); !s.Behind || s.Starved || s.Patience() != 1 {
+	if s := standing(poor); !s.Behind || s.Starved || s.Patience(time.Second, 0) != time.Second {
 		t.Errorf("served 3 of 4: %+v", s)
 	}
-	if s := standing(rich); s.Behind || s.Patience() == 1 {
+	if s := standing(rich); s.Behind || s.Patience(time.Second, 0) == time.Second {
 		t.Errorf("served always: %+v", s)
 	}
 	for range 60 {
--- a/internal/query/shedding/standing.go
+++ b/internal/query/shedding/standing.go
@@ -16,6 +16,10 @@
 	// than half of those that the load scenarios served were late.
 	patienceStep = 0.4
 	minPatience  = 0.2
+	// patienceServices is the lower bound on the patience in service times.
+	patienceServices = 2
+	// queueStep is the part of a queue that each rank leaves to the next higher one.
+	queueStep = 0.25
 	// nonDecisiveShare is the part of a budget that is kept for sends that decide whether
 	// a request is answered in time, and rankShare the part that each rank leaves to
 	// higher ones.
@@ -52,13 +56,25 @@
 	return w
 }
 
-// Patience returns the share of the time to the objective that queues may take before a
-// request is refused on arrival.
-func (s Standing) Patience() float64 {
+// Patience returns the time up to which an answer may be expected while queues build up, if
+// the objective is due after the given time; a request whose answer is expected later is
+// refused on arrival. A request that waits for one other of its kind is never refused for
+// its rank.
+func (s Standing) Patience(objective, service time.Duration) time.Duration {
+	if s.Behind || s.Starved || s.Rank == 0 {
+		return objective
+	}
+	share := max(minPatience, 1-patienceStep*float64(s.Rank))
+	return min(objective, max(time.Duration(share*float64(objective)), patienceServices*service))
+}
+
+// QueueShare returns the share of a bounded queue up to which the request may fill it. The
+// rest is kept for higher ranks.
+func (s Standing) QueueShare() float64 {
 	if s.Behind || s.Starved {
 		return 1
 	}
-	return max(minPatience, 1-patienceStep*float64(s.Rank))
+	return 1 - queueStep*float64(min(s.Rank, maxRank))
 }
 
 // MaySpend reports whether a request may take an extra send from a budget of which the
