Try a refused or lost send again later instead of failing the request

Cause: a send that a searcher had refused or lost, and that the retry budget or full searchers did not let be repeated at once, ended the request with 502 or 503, with nearly all of its time left.

Change: such a part is tried again, with growing delays, while the deadline leaves time and the request cannot be answered without it; a searcher that has refused it may get it again. A last permitted send waits about 60 ms after a refusal, unless the answer can do without the shard or a searcher has just reported free slots. The number of sends stays within max_attempts, and the budget permits each.

--- a/internal/query/forward/dispatch.go
+++ b/internal/query/forward/dispatch.go
@@ -149,6 +149,7 @@
 	defer t.Stop()
 	for {
 		x.continueTrial(now)
+		x.resumeFailed(now)
 		if a, ok := x.tryAnswer(now); ok {
 			x.abandonSends(x.deadline.Add(orphanGrace))
 			return x.orHandOver(ctx, a)
@@ -165,6 +166,7 @@
 			x.noteWake(due, now)
 			x.drainResults(now)
 			for _, p := range x.subrequests {
+				p.resumeIfDue(now)
 				p.hedgeIfLate(now)
 			}
 		case <-x.isolated:
@@ -202,7 +204,7 @@
 	}
 }
 
-// nextWake returns the time of the next hedge or deadline.
+// nextWake returns the time of the next hedge, resumption or deadline.
 func (x *dispatch) nextWake(now time.Time) time.Time {
 	t := x.deadline
 	if x.partialDeadline.After(now) && x.partialDeadline.Before(t) && x.route.IsFanOut() {
@@ -215,6 +217,9 @@
 		if !p.finished() && !p.held && !p.hedgeAt.IsZero() && p.hedgeAt.Before(t) {
 			t = p.hedgeAt
 		}
+		if !p.resumeAt.IsZero() && p.resumeAt.Before(t) {
+			t = p.resumeAt
+		}
 	}
 	return t
 }
--- /dev/null
+++ b/internal/query/forward/resume.go
@@ -0,0 +1,153 @@
+package forward
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"egrethaven/internal/query/placement"
+)
+
+const (
+	// maxRefusedWait is how long a subrequest that was refused waits before its last
+	// permitted send. Searchers have stalled together for 50 ms, and two of them then
+	// refused a request at once.
+	maxRefusedWait = 60 * time.Millisecond
+	// freshReport is the age up to which a load report shows that a searcher does not stall.
+	freshReport = 20 * time.Millisecond
+	// minResumeDelay and maxResumeDelay bound the delay before a subrequest is tried again.
+	// It doubles each time, because a budget refills over seconds.
+	minResumeDelay = 20 * time.Millisecond
+	maxResumeDelay = 250 * time.Millisecond
+	// resumeJitter is the relative spread of these times.
+	resumeJitter = 0.25
+)
+
+// spread returns d with a random deviation of up to resumeJitter.
+func spread(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 - resumeJitter + 2*resumeJitter*rand.Float64()))
+}
+
+// awaitsRefused reports whether a retry has to wait: it is the last permitted one, the
+// attempt before was refused without being run, no searcher is known to be free, and the
+// request cannot do without the shard.
+func (p *subrequest) awaitsRefused(now time.Time) bool {
+	x := p.dispatch
+	if x.suspect || p.resumes > 0 || len(p.attempts) == 0 || p.sends+1 != x.route.MaxAttempts {
+		return false
+	}
+	last := p.attempts[len(p.attempts)-1]
+	if last.reply == nil || last.reply.Err != nil || !last.reply.NotRun || last.reply.Misdirected {
+		return false
+	}
+	return x.unrefused() < x.minShards() && p.refusedWait(now) > 0 && !p.hasUntried(now, func(c placement.Candidate) bool {
+		return takesRetry(c) && c.ReportAge <= freshReport && c.Waiting == 0
+	})
+}
+
+// refusedWait returns the wait before the last permitted send; 0 if the deadline leaves no
+// time for one.
+func (p *subrequest) refusedWait(now time.Time) time.Duration {
+	spare := p.dispatch.deadline.Sub(now) - p.dispatch.medianLatency
+	return max(0, min(spread(maxRefusedWait), spare/2))
+}
+
+// unrefused returns the number of shards that have answered, or may yet answer without a
+// refusal so far.
+func (x *dispatch) unrefused() int {
+	n := 0
+	for _, p := range x.subrequests {
+		if p.answer != nil || p.inFlight > 0 && !p.overloaded {
+			n++
+		}
+	}
+	return n
+}
+
+// mayTakeAgain reports whether a searcher that had the subrequest may get it again: it has
+// refused it, or the connection was lost.
+func (p *subrequest) mayTakeAgain() bool {
+	if len(p.attempts) == 0 {
+		return false
+	}
+	a := p.attempts[len(p.attempts)-1].reply
+	return a != nil && (a.Err != nil || a.NotRun && !a.Misdirected)
+}
+
+// isFree reports whether a send needs no budget, because none has arrived so far.
+func (p *subrequest) isFree() bool { return p.sends == 0 }
+
+// resumeFailed schedules new trials of failed parts if the request cannot be answered
+// without them.
+func (x *dispatch) resumeFailed(now time.Time) {
+	if x.suspect {
+		return
+	}
+	possible, resumable := 0, 0
+	for _, p := range x.subrequests {
+		switch {
+		case !p.failed:
+			possible++
+		case p.canResume(now):
+			resumable++
+		}
+	}
+	if need := x.minShards(); possible >= need || possible+resumable < need {
+		return
+	}
+	for _, p := range x.subrequests {
+		if p.failed && p.canResume(now) {
+			p.failed, p.resumable = false, false
+			p.resumeAt = now.Add(spread(min(minResumeDelay<<min(p.resumes, 8), maxResumeDelay)))
+			// The last trial ends the request with its own failure instead of the deadline.
+			if last := x.deadline.Add(-x.medianLatency); p.resumeAt.After(last) {
+				p.resumeAt = last
+			}
+		}
+	}
+}
+
+// canResume reports whether a failed subrequest may be tried again later.
+func (p *subrequest) canResume(now time.Time) bool {
+	x := p.dispatch
+	switch {
+	case !p.resumable || p.alone || !now.Add(x.medianLatency).Before(x.deadline):
+		return false
+	case p.isFree() && !x.hasRun():
+		// Nothing has run: a refusal lets the client try again elsewhere.
+		return false
+	}
+	// Another VM may reach the searchers.
+	return p.hasResponsive(now) || x.engine.c.HandOver == nil || x.req.HandedOver
+}
+
+// hasRun reports whether a searcher may have run a part of the request.
+func (x *dispatch) hasRun() bool {
+	for _, p := range x.subrequests {
+		if p.answer != nil || p.mayHaveRun || p.inFlight > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// resumeIfDue tries a subrequest again once resumeAt has passed. Searchers that had it may
+// get it again if no other one is free.
+func (p *subrequest) resumeIfDue(now time.Time) {
+	if p.resumeAt.IsZero() || now.Before(p.resumeAt) {
+		return
+	}
+	p.resumeAt = time.Time{}
+	p.resumes++
+	if !p.hasUntried(now, takesRetry) {
+		p.again, p.avoid = true, nil
+	}
+	if last := len(p.attempts) - 1; last >= 0 && p.attempts[last].lost() {
+		p.retryLost(now, true)
+	} else {
+		p.retry(now, true)
+	}
+	p.again = false
+	if p.inFlight > 0 {
+		p.hedgeAt = now.Add(p.dispatch.hedgeDelay)
+	}
+}
--- a/internal/query/forward/subrequest.go
+++ b/internal/query/forward/subrequest.go
@@ -53,8 +53,15 @@
 	firstFailure *reply
 	// answeredAt is when the final answer arrived.
 	answeredAt time.Time
-	// failed is set once no answer can arrive any more.
+	// failed is set once no answer can arrive any more, unless the subrequest is resumed.
 	failed bool
+	// resumable reports whether a failed subrequest may be tried again later. resumeAt is
+	// when it is tried again; zero if it is not. resumes counts these trials, and again is
+	// set while searchers that have had it may be chosen.
+	resumable bool
+	resumeAt  time.Time
+	resumes   int
+	again     bool
 	// preferred is the searcher that admission chose for the first send; nil if
 	// there is none.
 	preferred *instance.Instance
@@ -150,6 +157,9 @@
 // takesRetry reports whether a retry may go to a searcher.
 func takesRetry(c placement.Candidate) bool { return c.LimitWait == 0 }
 
+// anySearcher accepts every searcher.
+func anySearcher(placement.Candidate) bool { return true }
+
 // takesHedge reports whether a hedge may go to a searcher.
 func takesHedge(c placement.Candidate) bool {
 	return c.LimitWait == 0 && c.LimitSpare >= minHedgeSpare
@@ -207,9 +217,11 @@
 }
 
 // tried reports whether a searcher has an attempt of this subrequest, or had
-// one that was withdrawn from its queue.
+// one that was withdrawn from its queue. While again is set, only attempts in flight count.
 func (p *subrequest) tried(i *instance.Instance) bool {
-	return slices.Contains(p.avoid, i) || slices.ContainsFunc(p.attempts, func(f *attempt) bool { return f.searcher == i })
+	return slices.Contains(p.avoid, i) || slices.ContainsFunc(p.attempts, func(f *attempt) bool {
+		return f.searcher == i && (f.reply == nil || !p.again)
+	})
 }
 
 // buildRequest encodes the HTTP request. It returns nil if the deadline has
@@ -389,27 +401,33 @@
 		return
 	}
 	p.failed = p.inFlight == 0
+	p.resumable = p.failed && p.unsentCount <= maxUnsentResends && !p.dispatch.revoked.Load()
 }
 
 // retry resends after a failure if the caller, the route's attempts, the
 // deadline and the budget allow it; otherwise the subrequest fails. It does
-// nothing while another attempt is in flight.
+// nothing while another attempt is in flight. A subrequest that only has to wait, for the
+// budget or for a full searcher, is resumable.
 func (p *subrequest) retry(now time.Time, allowed bool) {
 	if p.inFlight > 0 {
 		return
 	}
 	allowed = allowed && p.sends < max(p.dispatch.route.MaxAttempts, 1) && now.Before(p.dispatch.deadline)
+	p.failed, p.resumable = true, false
 	switch {
 	case !allowed:
+	case p.awaitsRefused(now):
+		p.failed, p.resumeAt = false, now.Add(p.refusedWait(now))
 	case !p.hasUntried(now, takesRetry):
 		p.dispatch.short.Add(shortage.Searchers)
-	case !p.maySpend(now) || !p.budget.AllowExtra(now, retrybudget.Retry):
+		p.resumable = p.mayTakeAgain() || p.hasUntried(now, anySearcher)
+	case !p.isFree() && (!p.maySpend(now) || !p.budget.AllowExtra(now, retrybudget.Retry)):
 		p.dispatch.short.Add(shortage.Budget)
+		p.resumable = true
 	case p.sendToBestOf(now, takesRetry):
+		p.failed = false
 		p.dispatch.retries++
-		return
 	}
-	p.failed = true
 }
 
 // hedgeIfLate sends a hedge once hedgeAt has passed. If the last attempt still
@@ -421,6 +439,9 @@
 		return
 	}
 	p.hedgeAt = time.Time{}
+	if p.inFlight == 0 {
+		return
+	}
 	f := p.attempts[len(p.attempts)-1]
 	if f.send.Queued() {
 		x.short.Add(shortage.Connection)
--- a/internal/query/forward/suspect.go
+++ b/internal/query/forward/suspect.go
@@ -144,7 +144,7 @@
 			return
 		case !p.failed:
 			return
-		case p.mayHaveRun:
+		case p.mayHaveRun && !p.resumable:
 			if t.losses++; x.suspect || t.losses >= maxTrialLosses {
 				x.failHeld()
 				t.part, t.lost = nil, true
