--- a/internal/proof/shedmodel/model_test.go
+++ b/internal/proof/shedmodel/model_test.go
@@ -50,7 +50,7 @@
 }
 
 // TestOrders plays the load scenarios with each order, and checks for the order in use what
-// callers get by route and account: it is worth more than with the others except strict
+// callers get by route, account and failure domain: it is worth more than with the others except strict
 // priority, which starves the lowest priority, and nobody is starved. -v -seeds 3
 // prints the table of docs/design/overload.md.
 func TestOrders(t *testing.T) {
@@ -89,8 +89,8 @@
 	}
 }
 
-// checkFairness checks that no account is served less than 0.8 times as often as all, no
-// route less than 0.8 times as often as those of its priority, and none less than a quarter
+// checkFairness checks that no account and no failure domain is served less than 0.8 times as
+// often as all, no route less than 0.8 times as often as those of its priority, and none less than a quarter
 // of the mean.
 func checkFairness(t *testing.T, c shedmodel.Config, r shedmodel.Result) {
 	all := r.Total(nil).Served()
@@ -99,6 +99,11 @@
 			t.Errorf("account %q is served %.2f, all %.2f", a, s, all)
 		}
 	}
+	for d := 1; d <= c.Domains; d++ {
+		if s := r.Total(func(k shedmodel.Key) bool { return k.Domain == d }).Served(); s < 0.8*all {
+			t.Errorf("domain %d is served %.2f, all %.2f", d, s, all)
+		}
+	}
 	priority := map[string]int{}
 	for _, route := range c.Routes {
 		priority[route.Name] = route.Priority
--- a/internal/proof/shedmodel/run.go
+++ b/internal/proof/shedmodel/run.go
@@ -298,5 +298,5 @@
 	q.done = true
 	*result++
 	served := result == &q.count.InTime || result == &q.count.Late
-	m.vms[q.vm].policy.Ended(at(m.now), q.class, q.route.Priority, served)
+	m.vms[q.vm].policy.Ended(q.class, q.route.Priority, served)
 }
--- a/internal/query/forward/decision_test.go
+++ b/internal/query/forward/decision_test.go
@@ -43,3 +43,29 @@
 		}
 	}
 }
+
+// BenchmarkScarceBudget measures the choice of the shards that get extra sends when all of
+// 54 are late, 49 of them are needed, and most of each budget is spent, for each shard.
+func BenchmarkScarceBudget(b *testing.B) {
+	r := fanOutRoute(54)
+	c, err := routing.New(1, []routing.Route{r}, nil, routing.Limits{})
+	if err != nil {
+		b.Fatal(err)
+	}
+	s := &Snapshot{Config: c, Instances: map[string][]*instance.Instance{}}
+	e := New(Config{Dialect: testDialect{}, Domain: "a", Current: func() *Snapshot { return s }, Budget: retrybudget.Config{Allowance: 10, Window: time.Hour}})
+	b.Cleanup(e.Close)
+	x := e.newDispatch(newRequest(time.Second), s, &s.Config.Routes[0], client{})
+	now := time.Now()
+	for _, p := range x.subrequests {
+		for range 9 {
+			p.budget.AllowExtra(now, retrybudget.Retry)
+		}
+	}
+	for n := 0; b.Loop(); n++ {
+		if n%len(x.subrequests) == 0 {
+			now = time.Now()
+		}
+		x.subrequests[n%len(x.subrequests)].maySpend(now)
+	}
+}
--- a/internal/query/forward/resume.go
+++ b/internal/query/forward/resume.go
@@ -18,6 +18,8 @@
 	// It doubles each time, because a budget refills over seconds.
 	minResumeDelay = 20 * time.Millisecond
 	maxResumeDelay = 250 * time.Millisecond
+	// inTimeFactor is the number of median latencies that are left for an answer in time.
+	inTimeFactor = 2
 	// resumeJitter is the relative spread of these times.
 	resumeJitter = 0.25
 )
@@ -45,10 +47,17 @@
 }
 
 // refusedWait returns the wait before the last permitted send; 0 if the deadline leaves no
-// time for one.
+// time for one. A plain request whose answer can still be in time does not become late by it:
+// nothing shows that its other searchers are full too, and a refusal would be true.
 func (p *subrequest) refusedWait(now time.Time) time.Duration {
-	spare := p.dispatch.deadline.Sub(now) - p.dispatch.medianLatency
-	return max(0, min(spread(maxRefusedWait), spare/2))
+	x := p.dispatch
+	wait := min(spread(maxRefusedWait), (x.deadline.Sub(now)-x.medianLatency)/2)
+	if o := x.shed.Objective; !x.route.IsFanOut() && !o.IsZero() {
+		if inTime := o.Sub(now) - inTimeFactor*x.medianLatency; inTime >= minResumeDelay {
+			wait = min(wait, inTime)
+		}
+	}
+	return max(0, wait)
 }
 
 // unrefused returns the number of shards that have answered, or may yet answer without a
--- a/internal/query/forward/shed.go
+++ b/internal/query/forward/shed.go
@@ -39,30 +39,56 @@
 	default:
 		return
 	}
-	x.engine.shedding.Ended(time.Now(), x.class(), x.priority(), a.Reason == Served)
+	x.engine.shedding.Ended(x.class(), x.priority(), a.Reason == Served)
 }
 
 // maySpend reports whether the subrequest may take an extra send from its budget. While it
 // is scarce, lower priorities leave the rest to higher ones, and shards that the answer can
 // do without leave it to those that decide whether there is one in time.
 func (p *subrequest) maySpend(now time.Time) bool {
-	left := p.budget.Left(now)
-	return left >= scarceBudget || p.dispatch.shed.Standing.MaySpend(left, p.isDecisive(now, left))
+	left, s := p.budgetLeft(now), p.dispatch.shed.Standing
+	switch {
+	case left >= scarceBudget, s.MaySpend(left, false):
+		return true
+	case !s.MaySpend(left, true):
+		return false
+	}
+	return p.isDecisive(now, left)
+}
+
+// budgetLeft returns the share of the budget that is left. It is read once for all decisions
+// of one moment, because with 54 late shards the reads took longer than the rest.
+func (p *subrequest) budgetLeft(now time.Time) float64 {
+	if !now.Equal(p.budgetReadAt) {
+		p.budgetShare, p.budgetReadAt = p.budget.Left(now), now
+	}
+	return p.budgetShare
 }
 
 // isDecisive reports whether the shard is among those that are needed for minShards. Of the
 // late ones, these are the ones with the most left of their budgets.
 func (p *subrequest) isDecisive(now time.Time, left float64) bool {
 	x := p.dispatch
-	need, richer := x.minShards(), 0
+	need, late := x.minShards(), 0
 	for _, o := range x.subrequests {
 		switch {
 		case o == p || o.failed:
 		case o.answer != nil || o.inFlight > 1:
 			need--
-		case o.budget.Left(now) > left:
-			richer++
+		default:
+			late++
+		}
+	}
+	if need <= 0 || late < need {
+		return need > 0
+	}
+	richer := 0
+	for _, o := range x.subrequests {
+		if o != p && !o.failed && o.answer == nil && o.inFlight <= 1 && o.budgetLeft(now) > left {
+			if richer++; richer >= need {
+				return false
+			}
 		}
 	}
-	return richer < need
+	return true
 }
--- a/internal/query/forward/subrequest.go
+++ b/internal/query/forward/subrequest.go
@@ -53,6 +53,9 @@
 	firstFailure *reply
 	// answeredAt is when the final answer arrived.
 	answeredAt time.Time
+	// budgetShare is the share of budget that was left at budgetReadAt.
+	budgetShare  float64
+	budgetReadAt time.Time
 	// failed is set once no answer can arrive any more, unless the subrequest is resumed.
 	failed bool
 	// resumable reports whether a failed subrequest may be tried again later. resumeAt is
--- a/internal/query/shedding/policy.go
+++ b/internal/query/shedding/policy.go
@@ -79,7 +79,7 @@
 }
 
 // Ended counts a request that was served or not.
-func (p *Policy) Ended(now time.Time, c Class, priority int, served bool) {
+func (p *Policy) Ended(c Class, priority int, served bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := p.recordOf(key{c, priority})
--- a/internal/query/shedding/policy_test.go
+++ b/internal/query/shedding/policy_test.go
@@ -35,9 +35,9 @@
 		return p.Standing(now, c, 1)
 	}
 	for n := range 20 {
-		p.Ended(now, rich, 1, true)
-		p.Ended(now, poor, 1, n%4 > 0)
-		p.Ended(now, shedding.Class{Route: "first"}, 0, true)
+		p.Ended(rich, 1, true)
+		p.Ended(poor, 1, n%4 > 0)
+		p.Ended(shedding.Class{Route: "first"}, 0, true)
 	}
 	if s := standing(poor); !s.Behind || s.Starved || s.Patience(time.Second, 0) != time.Second {
 		t.Errorf("served 3 of 4: %+v", s)
@@ -46,14 +46,14 @@
 		t.Errorf("served always: %+v", s)
 	}
 	for range 60 {
-		p.Ended(now, poor, 1, false)
+		p.Ended(poor, 1, false)
 	}
 	low, high := shedding.Request{Standing: standing(poor), Service: time.Millisecond}, shedding.Request{Service: time.Millisecond}
 	if !low.Standing.Starved || low.Value(now) <= high.Value(now) {
 		t.Errorf("served 1 of 5: %+v", low.Standing)
 	}
 	for range 600 {
-		p.Ended(now, poor, 1, true)
+		p.Ended(poor, 1, true)
 	}
 	if s := standing(poor); s.Behind || s.Starved {
 		t.Errorf("after it has caught up: %+v", s)
--- a/internal/query/shedding/request.go
+++ b/internal/query/shedding/request.go
@@ -22,7 +22,7 @@
 //	p := shedding.NewPolicy()
 //	r := shedding.Request{Standing: p.Standing(now, class, priority), Arrived: now, Deadline: d, Service: s, Sends: 36}
 //	next := picker.Next(now, len(queue), func(n int) shedding.Request { return queue[n].request })
-//	p.Ended(now, class, priority, served)
+//	p.Ended(class, priority, served)
 package shedding
 
 import (
