--- a/internal/query/forward/dispatch.go
+++ b/internal/query/forward/dispatch.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"egrethaven/internal/query/shedding"
+	"egrethaven/internal/query/shortage"
 	"egrethaven/internal/state/region"
 	"egrethaven/internal/state/routing"
 )
@@ -65,6 +67,8 @@
 	// lastHedgeAt is the last moment at which a hedge is expected to be answered by
 	// partialDeadline. From then on, hedges have the purpose retrybudget.LastHedge.
 	lastHedgeAt time.Time
+	// shed describes the request for the order of queues and for what it may spend.
+	shed shedding.Request
 	// refusal is set if admission refused the request.
 	refusal *refusal
 	// isolated is closed when this VM is found to be cut off from searchers, and
@@ -79,6 +83,8 @@
 	// revoked is set once a newer configuration no longer permits the request as it is, or
 	// the copy of the store is too old to tell.
 	revoked atomic.Bool
+	// short holds the resources that the request ran short of.
+	short shortage.Set
 	// sent, hedges and retries count sends for the log.
 	sent, hedges, retries int
 }
@@ -115,10 +121,12 @@
 		x.partialDeadline = t
 	}
 	x.medianLatency, x.hedgeDelay = x.stats.latencies(q.Arrived)
+	x.noteTimeout()
 	x.lastHedgeAt = x.partialDeadline.Add(-time.Duration(lastHedgeFactor*float64(x.medianLatency)) - connectAllowance)
 	// Quantiles of few samples are inaccurate, so the hedge delay is limited to
 	// the last moment at which a hedge is useful.
 	x.hedgeDelay = min(x.hedgeDelay, max(x.lastHedgeAt.Sub(q.Arrived), x.medianLatency))
+	x.shed = x.describeForQueues(len(services))
 	x.subrequests = make([]*subrequest, len(services))
 	for i, name := range services {
 		x.subrequests[i] = &subrequest{dispatch: x, service: name, budget: e.budgetFor(name), instances: x.permittedInstances(name), sends: q.Sends}
@@ -151,11 +159,13 @@
 	defer t.Stop()
 	for {
 		x.continueTrial(now)
+		x.resumeFailed(now)
 		if a, ok := x.tryAnswer(now); ok {
 			x.abandonSends(x.deadline.Add(orphanGrace))
 			return x.orHandOver(ctx, a)
 		}
-		t.Reset(time.Until(x.nextWake(now)))
+		due := x.nextWake(now)
+		t.Reset(time.Until(due))
 		select {
 		case d := <-x.results:
 			now = time.Now()
@@ -163,8 +173,10 @@
 			x.drainResults(now)
 		case <-t.C:
 			now = time.Now()
+			x.noteWake(due, now)
 			x.drainResults(now)
 			for _, p := range x.subrequests {
+				p.resumeIfDue(now)
 				p.hedgeIfLate(now)
 			}
 		case <-x.isolated:
@@ -202,7 +214,7 @@
 	}
 }
 
-// nextWake returns the time of the next hedge or deadline.
+// nextWake returns the time of the next hedge, resumption or deadline.
 func (x *dispatch) nextWake(now time.Time) time.Time {
 	t := x.deadline
 	if x.partialDeadline.After(now) && x.partialDeadline.Before(t) && x.route.IsFanOut() {
@@ -215,6 +227,9 @@
 		if !p.finished() && !p.held && !p.hedgeAt.IsZero() && p.hedgeAt.Before(t) {
 			t = p.hedgeAt
 		}
+		if !p.resumeAt.IsZero() && p.resumeAt.Before(t) {
+			t = p.resumeAt
+		}
 	}
 	return t
 }
--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -30,6 +30,7 @@
 	"egrethaven/internal/observe/event"
 	"egrethaven/internal/query/retrybudget"
 	"egrethaven/internal/query/retrypool"
+	"egrethaven/internal/query/shedding"
 	"egrethaven/internal/state/account"
 	"egrethaven/internal/state/region"
 	"egrethaven/internal/state/routing"
@@ -266,6 +267,8 @@
 	orphans *orphanedSends
 	// maxKeyAge is the limit of SetMaxKeyAge in nanoseconds.
 	maxKeyAge atomic.Int64
+	// shedding knows how often the classes of requests were served.
+	shedding *shedding.Policy
 
 	mu      sync.Mutex
 	stats   map[string]*routeStats
@@ -295,7 +298,7 @@
 		c.Guard = crashguard.New(crashguard.Config{Quarantine: quarantine.New(quarantine.Config{MinIncidents: MinIncidents, TrustAnswered: true})})
 	}
 	return &Engine{
-		c: c, orphans: newOrphanedSends(), stats: map[string]*routeStats{},
+		c: c, orphans: newOrphanedSends(), shedding: shedding.NewPolicy(), stats: map[string]*routeStats{},
 		budgets: map[string]*retrybudget.Budget{}, splits: map[string]*weightedSplit{}, isolated: make(chan struct{}),
 	}
 }
--- a/internal/query/forward/report.go
+++ b/internal/query/forward/report.go
@@ -18,6 +18,7 @@
 	if x.client.account != nil && !x.req.HandedOver {
 		x.engine.c.ObserveAccount(x.client.name(), a.Reason)
 	}
+	x.recordService(a)
 	if x.engine.c.Log == nil {
 		return
 	}
@@ -38,6 +39,9 @@
 		l.Int("status", a.Status).Str("reason", string(a.Reason)).Float64("elapsed_ms", float64(elapsed.Microseconds())/1000)
 		l.Bool("repeatable", x.route.Idempotency == routing.Idempotent).Int("attempts", x.route.MaxAttempts)
 		l.Int("sends", x.sent).Int("hedges", x.hedges).Int("retries", x.retries)
+		if s := x.shortOf(a, elapsed); len(s) > 0 {
+			l.Strs("short_of", s)
+		}
 		if a.Reason != Served {
 			l.Int64("patience_ms", x.req.Timeout.Milliseconds()).Int("priority", x.priority())
 		}
--- a/internal/query/forward/subrequest.go
+++ b/internal/query/forward/subrequest.go
@@ -11,6 +11,7 @@
 	"egrethaven/internal/back/instance"
 	"egrethaven/internal/query/placement"
 	"egrethaven/internal/query/retrybudget"
+	"egrethaven/internal/query/shortage"
 	"egrethaven/internal/state/routing"
 )
 
@@ -21,6 +22,9 @@
 	// hedgeRetryDivisor divides the hedge delay to give the delay before a hedge
 	// refused by the budget is tried again.
 	hedgeRetryDivisor = 2
+	// usualReplicas is the number of searchers of a shard up to which a choice needs no
+	// memory of its own.
+	usualReplicas = 4
 	// minHedgeSpare is the share of a burst that the limit of a searcher has to permit
 	// for a hedge to go there. The rest is kept for first sends and retries.
 	minHedgeSpare = 0.5
@@ -53,8 +57,18 @@
 	firstFailure *reply
 	// answeredAt is when the final answer arrived.
 	answeredAt time.Time
-	// failed is set once no answer can arrive any more.
+	// budgetShare is the share of budget that was left at budgetReadAt.
+	budgetShare  float64
+	budgetReadAt time.Time
+	// failed is set once no answer can arrive any more, unless the subrequest is resumed.
 	failed bool
+	// resumable reports whether a failed subrequest may be tried again later. resumeAt is
+	// when it is tried again; zero if it is not. resumes counts these trials, and again is
+	// set while searchers that have had it may be chosen.
+	resumable bool
+	resumeAt  time.Time
+	resumes   int
+	again     bool
 	// preferred is the searcher that admission chose for the first send; nil if
 	// there is none.
 	preferred *instance.Instance
@@ -115,7 +129,11 @@
 	// Admission found enough other shards, so a fan-out does not wait for a
 	// shard without a responsive searcher.
 	switch {
-	case p.dispatch.route.IsFanOut() && p.unavailable, p.leftOut:
+	case p.dispatch.route.IsFanOut() && p.unavailable:
+		p.dispatch.short.Add(shortage.Searchers)
+		p.failed = true
+	case p.leftOut:
+		p.dispatch.short.Add(shortage.Slots)
 		p.failed = true
 	case p.preferred != nil:
 		p.sendTo(p.preferred, now)
@@ -168,11 +186,13 @@
 	}
 }
 
+// anySearcher accepts every searcher.
+func anySearcher(placement.Candidate) bool { return true }
+
 // chooseSearcher returns the best usable searcher that was not tried yet and that
 // eligible accepts, with its state; nil if there is none.
 func (p *subrequest) chooseSearcher(now time.Time, eligible func(placement.Candidate) bool) (*instance.Instance, placement.Candidate) {
-	var cs []placement.Candidate
-	var is []*instance.Instance
+	cs, is := make([]placement.Candidate, 0, usualReplicas), make([]*instance.Instance, 0, usualReplicas)
 	for _, i := range p.instances {
 		if !i.Usable() || p.tried(i) {
 			continue
@@ -196,14 +216,14 @@
 	p.dispatch.sent++
 	f := &attempt{subrequest: p, searcher: i, startedAt: now, trial: p.dispatch.onTrial(p)}
 	p.attempts = append(p.attempts, f)
-	f.send = i.Send(instance.Request{Method: p.dispatch.req.Method, Build: f.buildRequest, Matches: f.matches, Check: p.dispatch.engine.c.Dialect.CheckReply, Done: f.onDone})
+	f.send = i.Send(instance.Request{Method: p.dispatch.req.Method, Shed: p.dispatch.shed, Build: f.buildRequest, Matches: f.matches, Check: p.dispatch.engine.c.Dialect.CheckReply, Done: f.onDone})
 }
 
 // candidate returns the state of a searcher as input for placement. While this VM is cut
 // off, searchers that do not react are not tried again and again.
 func (p *subrequest) candidate(i *instance.Instance, now time.Time) placement.Candidate {
 	x := p.dispatch
-	c := i.Candidate(now, x.engine.c.Domain, x.medianLatency)
+	c := i.CandidateFor(now, x.engine.c.Domain, x.medianLatency, &x.shed)
 	c.LastAttempt = p.sends > 0 && p.sends+1 >= x.route.MaxAttempts
 	if !x.isolatedSince.IsZero() {
 		k := i.Contact()
@@ -222,9 +242,11 @@
 }
 
 // tried reports whether a searcher has an attempt of this subrequest, or had
-// one that was withdrawn from its queue.
+// one that was withdrawn from its queue. While again is set, only attempts in flight count.
 func (p *subrequest) tried(i *instance.Instance) bool {
-	return slices.Contains(p.avoid, i) || slices.ContainsFunc(p.attempts, func(f *attempt) bool { return f.searcher == i })
+	return slices.Contains(p.avoid, i) || slices.ContainsFunc(p.attempts, func(f *attempt) bool {
+		return f.searcher == i && (f.reply == nil || !p.again)
+	})
 }
 
 // buildRequest encodes the HTTP request. It returns nil if the deadline has
@@ -353,7 +375,10 @@
 	p.survived = p.survived || ranToEnd(a)
 	switch {
 	case a.refused():
-		p.overloaded = p.overloaded || a.NotRun
+		if a.NotRun {
+			p.overloaded = true
+			p.dispatch.short.Add(shortage.Slots)
+		}
 		p.retry(now, true)
 	case a.Err == nil && p.isFinal(a):
 		p.answer, p.answeredAt = a, now
@@ -398,26 +423,39 @@
 func (p *subrequest) resendUnsent(err error, now time.Time) {
 	p.sends--
 	p.dispatch.sent--
+	p.dispatch.noteUnsent(err)
 	p.overloaded = p.overloaded || err == instance.ErrQueueFull
 	if p.unsentCount++; p.unsentCount <= maxUnsentResends && !p.dispatch.revoked.Load() && p.sendToBest(now) {
 		return
 	}
 	p.failed = p.inFlight == 0
+	p.resumable = p.failed && p.unsentCount <= maxUnsentResends && !p.dispatch.revoked.Load()
 }
 
 // retry resends after a failure if the caller, the route's attempts, the
 // deadline and the budget allow it; otherwise the subrequest fails. It does
-// nothing while another attempt is in flight.
+// nothing while another attempt is in flight. A subrequest that only has to wait, for the
+// budget or for a full searcher, is resumable.
 func (p *subrequest) retry(now time.Time, allowed bool) {
 	if p.inFlight > 0 {
 		return
 	}
 	allowed = allowed && p.sends < max(p.dispatch.route.MaxAttempts, 1) && now.Before(p.dispatch.deadline)
-	if allowed && p.hasUntried(now, takesRetry) && p.budget.AllowExtra(now, retrybudget.Retry) && p.sendToBestOf(now, takesRetry) {
+	p.failed, p.resumable = true, false
+	switch {
+	case !allowed:
+	case p.awaitsRefused(now):
+		p.failed, p.resumeAt = false, now.Add(p.refusedWait(now))
+	case !p.hasUntried(now, takesRetry):
+		p.dispatch.short.Add(shortage.Searchers)
+		p.resumable = p.mayTakeAgain() || p.hasUntried(now, anySearcher)
+	case !p.isFree() && (!p.maySpend(now) || !p.budget.AllowExtra(now, retrybudget.Retry)):
+		p.dispatch.short.Add(shortage.Budget)
+		p.resumable = true
+	case p.sendToBestOf(now, takesRetry):
+		p.failed = false
 		p.dispatch.retries++
-		return
 	}
-	p.failed = true
 }
 
 // hedgeIfLate sends a hedge once hedgeAt has passed. If the last attempt still
@@ -429,14 +467,20 @@
 		return
 	}
 	p.hedgeAt = time.Time{}
+	if p.inFlight == 0 {
+		return
+	}
 	f := p.attempts[len(p.attempts)-1]
 	if f.send.Queued() {
+		x.short.Add(shortage.Connection)
 		p.hedgeAt = now.Add(x.hedgeDelay)
 		if p.hasBetter(now, f.searcher) && f.send.CancelQueued() {
 			p.requeue(f, now)
 		}
 		return
 	}
+	current := p.candidate(f.searcher, now)
+	x.noteLate(current)
 	if p.alone || x.route.Idempotency != routing.Idempotent || p.sends >= x.route.MaxAttempts || x.engine.c.Policy.NoHedges || !p.hasUntried(now, takesRetry) {
 		return
 	}
@@ -444,9 +488,13 @@
 	if !now.Before(x.lastHedgeAt) {
 		purpose = retrybudget.LastHedge
 	}
-	_, expected := placement.Predict(p.candidate(f.searcher, now))
+	_, expected := placement.Predict(current)
 	eligible := takesHedge(expected, now.Sub(f.startedAt))
-	if !p.hasUntried(now, eligible) || !p.budget.AllowExtra(now, purpose) {
+	helps := p.hasUntried(now, eligible)
+	if !helps || !p.maySpend(now) || !p.budget.AllowExtra(now, purpose) {
+		if helps {
+			x.short.Add(shortage.Budget)
+		}
 		p.hedgeAt = now.Add(x.hedgeDelay / hedgeRetryDivisor)
 		if now.Before(x.lastHedgeAt) && x.lastHedgeAt.Before(p.hedgeAt) {
 			p.hedgeAt = x.lastHedgeAt
