Fan-outs: no busy loop after two lost retries

Cause: after maxTrialLosses lost retries, trial.part is nil and trial.releaseAt stays in the past. nextWake returned it, so the request's goroutine was woken at once again and again until the request ended.

Change: nextWake ignores the time while no part runs.

Measured: TestNoWakeAfterTrial fails without the change.

--- a/internal/query/forward/dispatch.go
+++ b/internal/query/forward/dispatch.go
@@ -210,7 +210,8 @@
 	if x.partialDeadline.After(now) && x.partialDeadline.Before(t) && x.route.IsFanOut() {
 		t = x.partialDeadline
 	}
-	if x.trial != nil && !x.trial.releaseAt.IsZero() && x.trial.releaseAt.Before(t) {
+	// Without a part that runs, nothing is released, and the time may have passed.
+	if x.trial != nil && x.trial.part != nil && !x.trial.releaseAt.IsZero() && x.trial.releaseAt.Before(t) {
 		t = x.trial.releaseAt
 	}
 	for _, p := range x.subrequests {
--- a/internal/query/forward/suspect_test.go
+++ b/internal/query/forward/suspect_test.go
@@ -181,3 +181,14 @@
 	}
 	synctest.Wait()
 }
+
+// TestNoWakeAfterTrial: once two retries of a fan-out were lost, the time at which its trial
+// would have been released stayed in the past, and the request's goroutine used the processor
+// until the request ended.
+func TestNoWakeAfterTrial(t *testing.T) {
+	now := time.Now()
+	x := &dispatch{route: &routing.Route{}, deadline: now.Add(time.Second), trial: &trial{losses: maxTrialLosses, releaseAt: now.Add(-time.Millisecond)}}
+	if w := x.nextWake(now); w != x.deadline {
+		t.Errorf("the request is woken %s after now, want at its deadline", w.Sub(now))
+	}
+}
