Cold searchers: an entry that is read again does not make them cold again

TestColdSearchers waited for requests to warm searchers and timed out once: egrethaven explain showed them as cold at all three gateways, for 1 s to 4 s more. cold_left_ms of an entry counted from each reading, 2 s late at gateways that have just started and the whole time again at one that is restarted, and an answer that said 0 did not end it. Now the first reading of an entry counts, and an answer to a request sent after it replaces it.

--- a/internal/back/instance/cold.go
+++ b/internal/back/instance/cold.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"egrethaven/internal/back/windowlimit"
+	"egrethaven/internal/state/registry"
 )
 
 // ColdWindow is the window in which requests to a cold searcher are counted. Their
@@ -30,8 +31,7 @@
 }
 
 // RecordCold records that the searcher said in the answer to a request that it will be cold
-// for a time; 0 ends what it said before the request was sent. It does not shorten the time
-// in the searcher's registry entry.
+// for a time. It replaces what was known before the request was sent.
 func (i *Instance) RecordCold(sentAt time.Time, d time.Duration) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -40,16 +40,30 @@
 	if sentAt.Before(i.coldSaidAt) && until.Before(i.coldUntil) {
 		return
 	}
-	i.coldUntil = until
+	i.coldUntil, i.coldByEntry = until, false
 	if d > 0 {
 		i.coldSaidAt = now
 	}
 }
 
+// noteColdEntry records what a registry entry says of coldness. An entry that is read again
+// says nothing new: its time counts from when it was written, so that the first reading is
+// the most accurate. A new entry may have been written before the last answer, and only
+// prolongs what that said. The caller holds the lock.
+func (i *Instance) noteColdEntry(now time.Time, s registry.Searcher) {
+	switch {
+	case s.StartedMs != 0 && s.Seq == i.s.Seq && !i.coldSaidAt.IsZero():
+	case s.ColdUntil.After(i.coldUntil):
+		i.coldUntil, i.coldSaidAt, i.coldByEntry = s.ColdUntil, now, true
+	case i.coldByEntry && s.StartedMs != 0:
+		i.coldUntil = s.ColdUntil
+	}
+}
+
 // coldFor returns how long the searcher will be cold; 0 if it is not. The caller holds the
 // lock.
 func (i *Instance) coldFor(now time.Time) time.Duration {
-	return max(i.s.ColdUntil.Sub(now), i.coldUntil.Sub(now), 0)
+	return max(i.coldUntil.Sub(now), 0)
 }
 
 // coldWait returns the time until a request may be sent if others are queued ahead of it, by
--- a/internal/back/instance/cold_test.go
+++ b/internal/back/instance/cold_test.go
@@ -113,3 +113,39 @@
 		}
 	})
 }
+
+// TestColdEntryReadAgain: a searcher stayed cold for its whole time again whenever its entry
+// was read again, and after it had said in an answer that it is warm.
+func TestColdEntryReadAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &fakeSearcher{}
+		entry := func(seq int64, cold time.Duration) registry.Searcher {
+			return registry.Searcher{ID: "i-1", Slots: 2, State: registry.Ready, StartedMs: 7, Seq: seq, ColdUntil: time.Now().Add(cold)}
+		}
+		i := instance.New(instance.Config{Conns: instance.ConnLimits{MinOpen: 2, MaxOpen: 2}, Dial: p.dial, Searcher: entry(1, 4*time.Second)})
+		defer i.Close()
+		synctest.Wait()
+		for n, c := range []struct {
+			change func()
+			cold   bool
+		}{
+			{func() {}, true},
+			{func() { i.Update(entry(1, 4*time.Second), instance.ConnLimits{}) }, true},
+			{func() { time.Sleep(4 * time.Second) }, false},
+			{func() { i.Update(entry(2, time.Minute), instance.ConnLimits{}) }, true},
+			{func() { i.RecordCold(time.Now().Add(-time.Second), 0) }, true},
+			{func() { i.RecordCold(time.Now(), 0) }, false},
+			{func() { i.Update(entry(2, time.Minute), instance.ConnLimits{}) }, false},
+			{func() { i.Update(entry(3, time.Minute), instance.ConnLimits{}) }, true},
+			{func() { i.Update(entry(4, 0), instance.ConnLimits{}) }, false},
+			{func() { i.RecordCold(time.Now(), time.Minute) }, true},
+			{func() { i.Update(entry(5, 0), instance.ConnLimits{}) }, true},
+		} {
+			time.Sleep(time.Millisecond)
+			c.change()
+			if got := i.Candidate(time.Now(), "a", time.Millisecond).Cold; got != c.cold {
+				t.Errorf("step %d: cold %t, want %t", n, got, c.cold)
+			}
+		}
+	})
+}
--- a/internal/back/instance/instance.go
+++ b/internal/back/instance/instance.go
@@ -213,9 +213,11 @@
 	stats            stats
 	limiter          *sendlimit.Limiter
 	// coldLimiter limits the requests while the searcher is cold; nil means no limit.
-	// coldUntil is until when the searcher said that it is, and coldSaidAt when it last did.
+	// coldUntil is until when it is, and coldSaidAt when that was last said. coldByEntry is
+	// set if the registry entry said it, and not an answer.
 	coldLimiter           *windowlimit.Limiter
 	coldUntil, coldSaidAt time.Time
+	coldByEntry           bool
 	// limitTimer runs dispatchQueued when the limit permits the next request.
 	limitTimer *time.Timer
 	// loggedLimit is the last limit in the log, in requests/s.
@@ -280,6 +282,7 @@
 	limiter := sendlimit.New(func(perSecond float64) float64 { return c.LimitShare(c.Searcher.ID, perSecond) })
 	i := &Instance{c: c, s: c.Searcher, limiter: limiter, calls: map[*Call]struct{}{}, stats: stats{slowdown: 1},
 		sharedScoreDecay: minSharedScoreDecay + rand.N(maxSharedScoreDecay-minSharedScoreDecay)}
+	i.noteColdEntry(time.Now(), c.Searcher)
 	i.ctx, i.stop = context.WithCancel(context.Background())
 	i.wg.Go(func() {
 		if c.OpenDelay > 0 && !pause.Sleep(i.ctx, c.OpenDelay) {
@@ -305,8 +308,9 @@
 func (i *Instance) Update(s registry.Searcher, conns ConnLimits) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.s, i.c.Conns = s, conns
 	now := time.Now()
+	i.noteColdEntry(now, s)
+	i.s, i.c.Conns = s, conns
 	i.limiter.Refresh(now)
 	i.closeSurplusConns(now)
 	i.openMissingConn(now)
