--- a/internal/state/gatewaysettings/settings.go
+++ b/internal/state/gatewaysettings/settings.go
@@ -60,6 +60,10 @@
 	// processor cores.
 	MemoryMB int
 	Cores    int
+	// MaxFDs is the number of file descriptors that the process may use.
+	MaxFDs int
+	// MaxHeaderLines is the maximum number of header lines of a request.
+	MaxHeaderLines int
 	// LinkMbps is the bandwidth of the VM's network link, in Mbit/s.
 	LinkMbps float64
 	LogLevel settings.LogLevel
