Check the heads of requests before net/http parses them, and bound connections

Cause: net/http keeps a head until it ends and parses it before a limit in force is checked, and nothing bounded the number of connections.

Change: listeners of HTTP ports pass on a head once all of it has arrived and was found to be within the limits and to have one reading; they refuse others (400, 408, 431, 501, 503, 505). Connections are bounded by max_fds; the longest silent one is closed. Handshakes under way at the port for other VMs are bounded.

--- a/internal/front/httpserver/server.go
+++ b/internal/front/httpserver/server.go
@@ -13,12 +13,16 @@
 	stdlog "log"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/juju/errors"
 
+	"egrethaven/internal/front/framing"
+	"egrethaven/internal/front/headlimit"
+	"egrethaven/internal/infra/readbudget"
 	"egrethaven/internal/observe/event"
 )
 
@@ -31,6 +35,8 @@
 	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes limits the size of the request headers.
 	maxHeaderBytes = 16 << 10
+	// defaultMaxConns limits the open connections.
+	defaultMaxConns = 1024
 	// closeTimeout limits how long Close waits for requests in flight.
 	closeTimeout = 2 * time.Second
 )
@@ -41,6 +47,10 @@
 	Addr    string
 	Handler http.Handler
 	Events  event.Sink
+	// HeadBudget bounds the memory for heads of requests; nil means no bound.
+	HeadBudget *readbudget.Budget
+	// MaxConns is the maximum number of open connections; 0 means 1024.
+	MaxConns int
 }
 
 // Server is an HTTP server on one listener.
@@ -56,13 +66,20 @@
 	if c.Events == nil {
 		c.Events = event.Discard{}
 	}
+	if c.MaxConns == 0 {
+		c.MaxConns = defaultMaxConns
+	}
 	l, err := Listen(c.Addr, c.Events)
 	if err != nil {
 		return nil, err
 	}
-	return &Server{c: c, lis: l, srv: &http.Server{
-		Handler: c.Handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout,
-		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: ErrorLog(c.Events, c.Addr),
+	limited := headlimit.New(headlimit.Config{Listener: l, Budget: c.HeadBudget, MaxConns: c.MaxConns, OnRefuse: RefusalLog(c.Events),
+		Limits: func() headlimit.Limits {
+			return headlimit.Limits{Bytes: maxHeaderBytes, HeadTimeout: headerTimeout}
+		}})
+	return &Server{c: c, lis: limited, srv: &http.Server{
+		Handler: c.Handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, ConnState: headlimit.ConnState,
+		IdleTimeout: idleTimeout, MaxHeaderBytes: headlimit.NoMaxHeaderBytes, ErrorLog: ErrorLog(c.Events, c.Addr),
 	}}, nil
 }
 
@@ -99,6 +116,13 @@
 	return stdlog.New(errorWriter{events, addr}, "", 0)
 }
 
+// RefusalLog returns a function that emits an event for each connection that is refused.
+func RefusalLog(events event.Sink) func(client string, f *framing.Fault) {
+	return func(client string, f *framing.Fault) {
+		events.Emit(event.ClientRefused, client, strconv.Itoa(f.Status)+": "+f.Reason)
+	}
+}
+
 // errorWriter emits each log line as an event.
 type errorWriter struct {
 	events event.Sink
--- a/internal/front/ingress/ingress.go
+++ b/internal/front/ingress/ingress.go
@@ -26,6 +26,7 @@
 
 	"github.com/juju/errors"
 
+	"egrethaven/internal/front/headlimit"
 	"egrethaven/internal/front/httpserver"
 	"egrethaven/internal/infra/readbudget"
 	"egrethaven/internal/infra/readlimit"
@@ -38,11 +39,10 @@
 const (
 	// connCheckInterval is the time between two checks of the open connections.
 	connCheckInterval = 500 * time.Millisecond
-	// defaultMaxHeaderBytes is the value of http.Server.MaxHeaderBytes, which
-	// limits headers before a configuration is known.
-	defaultMaxHeaderBytes = 64 << 10
 	// defaultIdleTimeout applies if the configuration sets no idle timeout.
 	defaultIdleTimeout = 15 * time.Second
+	// defaultBodyTimeout limits the time for a request's body if the client names none.
+	defaultBodyTimeout = 30 * time.Second
 	// retryAfterNoMemory is the Retry-After if there is no memory for a request's body: the
 	// time in which most requests end.
 	retryAfterNoMemory = 100 * time.Millisecond
@@ -62,8 +62,8 @@
 	Dialect Dialect
 	// Do answers a request.
 	Do func(context.Context, forward.Request) forward.Answer
-	// Limits returns the current limits. A zero header or body size and a zero
-	// header timeout mean no limit.
+	// Limits returns the current limits. A zero body size and a zero header timeout mean
+	// no limit, a zero header size the default of headlimit.
 	Limits func() routing.Limits
 	// CloseConns reports whether each answer closes its connection, so that
 	// clients connect anew through the balancer; nil means never.
@@ -71,7 +71,14 @@
 	// Budget bounds the memory for the bodies of all requests, beside responses; nil means
 	// no bound.
 	Budget *readbudget.Budget
-	Events event.Sink
+	// HeadBudget bounds the memory for the heads of all requests; nil means no bound.
+	HeadBudget *readbudget.Budget
+	// MaxHeaderLines is the maximum number of header lines of a request; 0 means the default
+	// of headlimit.
+	MaxHeaderLines int
+	// MaxConns is the maximum number of open connections; 0 means no limit.
+	MaxConns int
+	Events   event.Sink
 }
 
 // Server is the HTTP server for clients.
@@ -92,9 +99,8 @@
 type connState struct {
 	// changedAt is when the state last changed.
 	changedAt time.Time
-	// reading is set from the first byte of a request until its header has
-	// been read, idle while there is no request.
-	reading, idle bool
+	// idle is set while there is no request.
+	idle bool
 	// requests counts the requests whose header was read.
 	requests int
 	// rtt is the round-trip time to the client, measured at the first request; 0
@@ -117,16 +123,23 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	s := &Server{c: c, listener: l, done: make(chan struct{}), conns: map[net.Conn]*connState{}}
+	s := &Server{c: c, done: make(chan struct{}), conns: map[net.Conn]*connState{}}
+	s.listener = headlimit.New(headlimit.Config{Listener: l, Limits: s.headLimits, Budget: c.HeadBudget, MaxConns: c.MaxConns, OnRefuse: httpserver.RefusalLog(c.Events)})
 	s.srv = &http.Server{
 		Handler: http.HandlerFunc(s.handle), ConnState: s.onConnState,
 		ConnContext:    func(ctx context.Context, k net.Conn) context.Context { return context.WithValue(ctx, connKey{}, k) },
-		MaxHeaderBytes: defaultMaxHeaderBytes, ErrorLog: httpserver.ErrorLog(c.Events, c.Addr),
+		MaxHeaderBytes: headlimit.NoMaxHeaderBytes, ErrorLog: httpserver.ErrorLog(c.Events, c.Addr),
 		DisableGeneralOptionsHandler: true,
 	}
 	return s, nil
 }
 
+// headLimits returns the current limits on heads.
+func (s *Server) headLimits() headlimit.Limits {
+	l := s.c.Limits()
+	return headlimit.Limits{Bytes: l.MaxHeaderBytes, Lines: s.c.MaxHeaderLines, HeadTimeout: l.HeaderTimeout}
+}
+
 // Addr returns the IP and port that the server listens on.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
@@ -152,6 +165,7 @@
 
 // onConnState tracks the states of connections.
 func (s *Server) onConnState(conn net.Conn, state http.ConnState) {
+	headlimit.ConnState(conn, state)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	k := s.conns[conn]
@@ -162,9 +176,9 @@
 	k.changedAt = time.Now()
 	switch state {
 	case http.StateNew, http.StateIdle:
-		k.reading, k.idle = false, true
+		k.idle = true
 	case http.StateActive:
-		k.reading, k.idle = true, false
+		k.idle = false
 	case http.StateClosed, http.StateHijacked:
 		delete(s.conns, conn)
 	}
@@ -184,7 +198,7 @@
 	if k == nil {
 		return 0
 	}
-	k.reading, k.idle = false, false
+	k.idle = false
 	if k.requests++; k.requests > 1 {
 		return k.rtt
 	}
@@ -207,8 +221,7 @@
 	}
 }
 
-// closeExpired closes the connections that exceed the idle timeout or the header
-// timeout.
+// closeExpired closes the connections that exceed the idle timeout.
 func (s *Server) closeExpired(now time.Time) {
 	limits := s.c.Limits()
 	idleTimeout := limits.IdleTimeout
@@ -218,9 +231,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for conn, state := range s.conns {
-		expired := state.idle && now.Sub(state.changedAt) > idleTimeout ||
-			state.reading && limits.HeaderTimeout > 0 && now.Sub(state.changedAt) > limits.HeaderTimeout
-		if expired {
+		if state.idle && now.Sub(state.changedAt) > idleTimeout {
 			_ = conn.Close()
 			delete(s.conns, conn)
 		}
@@ -303,10 +314,11 @@
 		return nil, 0
 	}
 	c := http.NewResponseController(w)
-	if timeout > 0 {
-		if err := c.SetReadDeadline(time.Now().Add(timeout)); err == nil {
-			defer func() { _ = c.SetReadDeadline(time.Time{}) }()
-		}
+	if timeout <= 0 {
+		timeout = defaultBodyTimeout
+	}
+	if err := c.SetReadDeadline(time.Now().Add(timeout)); err == nil {
+		defer func() { _ = c.SetReadDeadline(time.Time{}) }()
 	}
 	body := r.Body
 	if limits.MaxBodyBytes > 0 {
@@ -322,6 +334,8 @@
 		return nil, http.StatusServiceUnavailable
 	case errors.As(err, &large):
 		return nil, http.StatusRequestEntityTooLarge
+	case headlimit.Status(err) != 0:
+		return nil, headlimit.Status(err)
 	case err != nil:
 		return nil, http.StatusRequestTimeout
 	}
--- a/internal/infra/readbudget/readbudget.go
+++ b/internal/infra/readbudget/readbudget.go
@@ -40,6 +40,9 @@
 type Config struct {
 	// Limit is the number of bytes.
 	Limit int64
+	// ByAge has the claim give way whose size times its age is largest, instead of the
+	// largest one. It is for what should arrive at once, such as heads of requests.
+	ByAge bool
 }
 
 // Budget is the memory for responses. It is safe for concurrent use. A nil Budget has no
@@ -79,13 +82,16 @@
 type Claim struct {
 	b     *Budget
 	abort func()
-	// size is in bytes, and aborted is set once abort was called. Both are guarded by b.mu.
+	// size is in bytes, and aborted is set once abort was called. Both are guarded by b.mu,
+	// and so is since, when the claim began to hold memory; it is kept by ByAge only.
 	size    int64
 	aborted bool
+	since   time.Time
 }
 
 // Open returns an empty claim. It may be used for one response after the other. abort ends
 // the response, so that its reader calls Release soon; it must not block or call the Budget.
+// A claim without abort does not give way to others; Grow fails if there is no room for it.
 func (b *Budget) Open(abort func()) *Claim {
 	if b == nil {
 		return nil
@@ -93,6 +99,14 @@
 	return &Claim{b: b, abort: abort}
 }
 
+// Limit returns the limit in bytes; 0 if there is none.
+func (b *Budget) Limit() int64 {
+	if b == nil {
+		return 0
+	}
+	return b.c.Limit
+}
+
 // Used returns the number of bytes in use.
 func (b *Budget) Used() int64 {
 	if b == nil {
@@ -144,23 +158,30 @@
 		return false, false
 	}
 	if b.used+n <= b.c.Limit {
+		if b.c.ByAge && c.size == 0 {
+			c.since = time.Now()
+		}
 		b.used += n
 		c.size += n
 		b.claims[c] = struct{}{}
 		return true, false
 	}
-	pending, largest := int64(0), (*Claim)(nil)
+	var now time.Time
+	if b.c.ByAge {
+		now = time.Now()
+	}
+	pending, largest, most := int64(0), (*Claim)(nil), 0.0
 	for o := range b.claims {
-		switch {
+		switch w := o.weight(o.size, now); {
 		case o.aborted:
 			pending += o.size
-		case largest == nil || o.size > largest.size:
-			largest = o
+		case o.abort != nil && w > most:
+			largest, most = o, w
 		}
 	}
 	switch {
 	case b.used-pending+n <= b.c.Limit:
-	case largest != nil && largest != c && largest.size > c.size+n:
+	case largest != nil && largest != c && most > c.weight(c.size+n, now):
 		b.abort(largest)
 	case b.kept > 0 && b.used-pending-b.kept+n <= b.c.Limit:
 		b.collect()
@@ -174,10 +195,28 @@
 	return false, true
 }
 
+// minAge is added to the ages of claims, so that size decides among those of one moment.
+const minAge = time.Millisecond
+
+// weight returns how much a claim of the given size has to give way. The lock is held.
+func (c *Claim) weight(size int64, now time.Time) float64 {
+	w := float64(size)
+	if !c.b.c.ByAge {
+		return w
+	}
+	age := minAge
+	if c.size > 0 {
+		age += now.Sub(c.since)
+	}
+	return w * age.Seconds()
+}
+
 // abort makes a response give way. The lock is held.
 func (b *Budget) abort(c *Claim) {
 	c.aborted = true
-	c.abort()
+	if c.abort != nil {
+		c.abort()
+	}
 	b.onAbort(c.size)
 	b.notify()
 }
--- a/internal/infra/readbudget/readbudget_test.go
+++ b/internal/infra/readbudget/readbudget_test.go
@@ -43,6 +43,27 @@
 	})
 }
 
+// TestOldestGivesWay checks with ages that what has held memory for longest gives way to what
+// has just come, also if that is larger, and that a claim without abort never does.
+func TestOldestGivesWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := readbudget.New(readbudget.Config{Limit: 100, ByAge: true})
+		var old *readbudget.Claim
+		old = b.Open(func() { time.AfterFunc(time.Millisecond, func() { old.Release() }) })
+		kept, fresh := b.Open(nil), b.Open(func() { t.Error("the one that has just come was aborted") })
+		if kept.Grow(50) != nil || old.Grow(20) != nil {
+			t.Fatal("no room though the limit is not reached")
+		}
+		time.Sleep(time.Second)
+		if err := fresh.Grow(45); err != nil || b.Used() != 95 {
+			t.Errorf("got %v, %d bytes in use", err, b.Used())
+		}
+		if err := b.Open(nil).Grow(101); !errors.Is(err, readbudget.ErrExhausted) {
+			t.Errorf("got %v for more than the limit", err)
+		}
+	})
+}
+
 // TestLargestFails checks that a response which would become the largest fails itself.
 func TestLargestFails(t *testing.T) {
 	b := readbudget.New(readbudget.Config{Limit: 100})
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -85,6 +85,8 @@
 	Dialect  Dialect
 	// Budget bounds the memory for what searchers and other VMs send; nil means no bound.
 	Budget *readbudget.Budget
+	// HeadBudget bounds the memory for heads of requests; nil means no bound.
+	HeadBudget *readbudget.Budget
 	// ReadyPath is the path of the readiness check.
 	ReadyPath string
 	// LogOutput receives the structured log; nil disables it.
@@ -168,12 +170,13 @@
 	if g.ingress, err = ingress.New(ingress.Config{
 		Addr: s.ClientAddr, Dialect: g.c.Dialect, Do: g.engine.Do, Limits: g.clientLimits, Budget: g.c.Budget, Events: g.log,
 		CloseConns: g.isolation.isolated.Load,
+		HeadBudget: g.c.HeadBudget, MaxHeaderLines: s.MaxHeaderLines, MaxConns: s.MaxClientConns(),
 	}); err != nil {
 		return errors.Trace(err)
 	}
 	if g.peerComponents, err = newPeerComponents(peerConfig{ListenAddr: s.PeerAddr, Seeds: s.SeedAddrs, Store: g.c.Store, RumorStore: g.c.Store, ChangeTime: s.ChangeTime(), StoreView: g.storeView,
 		Engine: g.engine, Rumors: rumors, GroupLimit: g.groupLimit, Isolated: g.isolation.isolated.Load, ObserveHandover: g.metrics.RecordHandover,
-		Events: g.log, Budget: g.c.Budget}); err != nil {
+		Events: g.log, Budget: g.c.Budget, MaxPending: s.MaxOtherConns()}); err != nil {
 		return errors.Trace(err)
 	}
 	ready := http.NewServeMux()
@@ -181,7 +184,7 @@
 	pages := http.NewServeMux()
 	pages.Handle("/metrics", g.metrics)
 	for addr, h := range map[string]http.Handler{s.ReadyAddr: ready, s.MetricsAddr: pages} {
-		srv, err := httpserver.New(httpserver.Config{Addr: addr, Handler: h, Events: g.log})
+		srv, err := httpserver.New(httpserver.Config{Addr: addr, Handler: h, Events: g.log, HeadBudget: g.c.HeadBudget, MaxConns: s.MaxOtherConns()})
 		if err != nil {
 			return errors.Trace(err)
 		}
--- a/internal/node/gateway/peers.go
+++ b/internal/node/gateway/peers.go
@@ -81,6 +81,8 @@
 	Events          event.Sink
 	// Budget bounds the memory for messages of other VMs.
 	Budget *readbudget.Budget
+	// MaxPending is the maximum number of connections of other VMs whose handshake is not done.
+	MaxPending int
 }
 
 // newPeerComponents creates the components and binds ListenAddr.
@@ -101,7 +103,7 @@
 		return p, nil
 	}
 	var err error
-	if p.server, err = rpc.NewServer(rpc.ServerConfig{Listen: c.ListenAddr, IsKnownAddr: v.isKnownAddr, Events: c.Events, MaxMessageBytes: maxPeerMessageBytes, Budget: c.Budget}); err != nil {
+	if p.server, err = rpc.NewServer(rpc.ServerConfig{Listen: c.ListenAddr, IsKnownAddr: v.isKnownAddr, Events: c.Events, MaxMessageBytes: maxPeerMessageBytes, Budget: c.Budget, MaxPending: c.MaxPending}); err != nil {
 		return p, errors.Trace(err)
 	}
 	p.sender = handover.New(handover.Config{Dialer: p.dialer, Domain: v.c.Self.Domain, Peers: v.peers, Observe: c.ObserveHandover, Events: c.Events})
--- a/internal/observe/event/number.go
+++ b/internal/observe/event/number.go
@@ -11,6 +11,7 @@
 	ListenerFailed  Number = 106
 	InvariantBroken Number = 107
 	SettingsChanged Number = 108
+	ClientRefused   Number = 109
 
 	QueryIncomplete Number = 200
 	QueryRestarted  Number = 201
@@ -98,7 +99,7 @@
 var names = map[Number]string{
 	NodeStarted: "node_started", NodeReady: "node_ready", NodeNotReady: "node_not_ready",
 	NodeDraining: "node_draining", NodeStopped: "node_stopped", SettingsRefused: "settings_refused",
-	ListenerFailed: "listener_failed", InvariantBroken: "invariant_broken", SettingsChanged: "settings_changed",
+	ListenerFailed: "listener_failed", InvariantBroken: "invariant_broken", SettingsChanged: "settings_changed", ClientRefused: "client_refused",
 
 	QueryIncomplete: "query_incomplete", QueryRestarted: "query_restarted",
 	AnswerDropped: "answer_dropped", QueryRefused: "query_refused", BudgetSpent: "budget_spent",
--- a/internal/peer/rpc/server.go
+++ b/internal/peer/rpc/server.go
@@ -13,6 +13,7 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"egrethaven/internal/infra/connlimit"
 	"egrethaven/internal/infra/readbudget"
 	"egrethaven/internal/infra/tcpdial"
 	"egrethaven/internal/observe/event"
@@ -21,6 +22,9 @@
 const (
 	// DefaultMaxMessageBytes is the default limit for the size of one message.
 	DefaultMaxMessageBytes = 4 << 20
+	// DefaultMaxPending is the default limit for the number of connections whose handshake is
+	// not done.
+	DefaultMaxPending = 256
 	// handshakeTimeout is the deadline of a handshake on the server.
 	handshakeTimeout = 2 * time.Second
 	// acceptBackoff is the wait after a failed accept.
@@ -45,12 +49,16 @@
 	MaxMessageBytes int
 	// Budget bounds the memory for the messages of all connections; nil means no bound.
 	Budget *readbudget.Budget
+	// MaxPending is the maximum number of connections whose handshake is not done; 0 means
+	// DefaultMaxPending.
+	MaxPending int
 }
 
 // Server accepts connections and runs calls from other entry VMs.
 type Server struct {
 	c           ServerConfig
 	mux         *drpcmux.Mux
+	pending     *connlimit.Limit
 	listener    net.Listener
 	ctx         context.Context
 	cancel      context.CancelFunc
@@ -66,6 +74,7 @@
 	if c.MaxMessageBytes == 0 {
 		c.MaxMessageBytes = DefaultMaxMessageBytes
 	}
+	c.MaxPending = valueOrDefault(c.MaxPending, DefaultMaxPending)
 	if c.Events == nil {
 		c.Events = event.Discard{}
 	}
@@ -74,7 +83,7 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "listening on %s", c.Listen)
 	}
-	s := &Server{c: c, mux: drpcmux.New(), listener: listener}
+	s := &Server{c: c, mux: drpcmux.New(), listener: listener, pending: connlimit.New(c.MaxPending)}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	return s, nil
 }
@@ -128,16 +137,20 @@
 			time.Sleep(acceptBackoff)
 			continue
 		}
-		s.wg.Go(func() { s.serveConn(h, c) })
+		e, _ := s.pending.Add(func() { _ = c.Close() })
+		s.wg.Go(func() { s.serveConn(h, c, e) })
 	}
 }
 
-func (s *Server) serveConn(h *drpcserver.Server, c net.Conn) {
+// serveConn serves a connection, which is pending until its handshake is done.
+func (s *Server) serveConn(h *drpcserver.Server, c net.Conn, pending *connlimit.Entry) {
 	defer c.Close()
 	stop := context.AfterFunc(s.ctx, func() { c.Close() })
 	defer stop()
 	t := newCountedConn(c, &s.counters, s.c.Budget)
-	if err := serverHandshake(t, s.c.SharedKey, s.isKnownAddr(c), handshakeTimeout); err != nil {
+	err := serverHandshake(t, s.c.SharedKey, s.isKnownAddr(c), handshakeTimeout)
+	pending.Remove()
+	if err != nil {
 		s.refused.Add(1)
 		if s.ctx.Err() == nil {
 			s.c.Events.Emit(event.PeerRefused, c.RemoteAddr().String(), err.Error())
--- a/internal/state/gatewaysettings/settings.go
+++ b/internal/state/gatewaysettings/settings.go
@@ -73,6 +73,25 @@
 // store has to be in force.
 func (s Settings) ChangeTime() time.Duration { return min(s.ConfigApply, s.DrainTime) }
 
+const (
+	// fileFDs is the number of descriptors that are kept for files.
+	fileFDs = 200
+	// clientConnShare and otherConnShare are the shares of the others that connections of
+	// clients may take, and those at each other listener. Connections to searchers take
+	// the rest.
+	clientConnShare = 0.75
+	otherConnShare  = 1. / 32
+)
+
+// MaxClientConns returns the maximum number of open connections of clients.
+func (s Settings) MaxClientConns() int { return s.conns(clientConnShare) }
+
+// MaxOtherConns returns the maximum number of open connections at each other listener.
+func (s Settings) MaxOtherConns() int { return s.conns(otherConnShare) }
+
+// conns returns a share of the descriptors for connections, at least one.
+func (s Settings) conns(share float64) int { return max(1, int(share*float64(s.MaxFDs-fileFDs))) }
+
 // Parse parses the contents b of a settings file; name is the file name to report in
 // problems. The settings are valid only if there are no problems.
 func Parse(name string, b []byte) (Settings, []problem.Problem) {
