--- a/internal/front/headlimit/conn.go
+++ b/internal/front/headlimit/conn.go
@@ -174,12 +174,12 @@
 		if k := c.skipEmpty(c.buf); k > 0 {
 			c.drop(k)
 		}
-		if c.empty > maxEmpty {
-			return false, c.refuse(errEmpty)
-		}
-		if len(c.buf) == 0 {
-			return true, nil
-		}
+	}
+	if c.empty > maxEmpty {
+		return false, c.refuse(errEmpty)
+	}
+	if len(c.buf) == 0 {
+		return true, nil
 	}
 	limits, _ := c.l.limits()
 	size, err := c.head.Scan(c.buf, limits)
@@ -205,7 +205,9 @@
 		if limit := c.l.c.Budget.Limit(); limit > 0 && m > limit {
 			return errCost
 		}
-		if !c.claim(c.parsed, m) {
+		// What was read is held until it has been passed on, so that it cannot give way to
+		// what parsing makes of it.
+		if !c.reading.Pin() || !c.claim(c.parsed, m) {
 			return errMemory
 		}
 	}
--- a/internal/infra/readbudget/readbudget.go
+++ b/internal/infra/readbudget/readbudget.go
@@ -83,15 +83,17 @@
 	b     *Budget
 	abort func()
 	// size is in bytes, and aborted is set once abort was called. Both are guarded by b.mu,
-	// and so is since, when the claim began to hold memory; it is kept by ByAge only.
+	// and so are since, when the claim began to hold memory, kept by ByAge only, and pinned.
 	size    int64
 	aborted bool
 	since   time.Time
+	pinned  bool
 }
 
 // Open returns an empty claim. It may be used for one response after the other. abort ends
 // the response, so that its reader calls Release soon; it must not block or call the Budget.
-// A claim without abort does not give way to others; Grow fails if there is no room for it.
+// A claim without abort does not give way to others, and all others give way to it; Grow
+// fails if that does not make room.
 func (b *Budget) Open(abort func()) *Claim {
 	if b == nil {
 		return nil
@@ -170,17 +172,23 @@
 	if b.c.ByAge {
 		now = time.Now()
 	}
-	pending, largest, most := int64(0), (*Claim)(nil), 0.0
+	// fixed is what does not give way.
+	pending, fixed, largest, most := int64(0), int64(0), (*Claim)(nil), 0.0
 	for o := range b.claims {
 		switch w := o.weight(o.size, now); {
 		case o.aborted:
 			pending += o.size
-		case o.abort != nil && w > most:
+		case o.isFixed():
+			fixed += o.size
+		case w > most:
 			largest, most = o, w
 		}
 	}
 	switch {
 	case b.used-pending+n <= b.c.Limit:
+	case fixed+n > b.c.Limit:
+		b.abort(c)
+		return false, false
 	case largest != nil && largest != c && most > c.weight(c.size+n, now):
 		b.abort(largest)
 	case b.kept > 0 && b.used-pending-b.kept+n <= b.c.Limit:
@@ -198,8 +206,12 @@
 // minAge is added to the ages of claims, so that size decides among those of one moment.
 const minAge = time.Millisecond
 
-// weight returns how much a claim of the given size has to give way. The lock is held.
+// weight returns how much a claim of the given size has to give way; 0 if it never does, so
+// that all others give way to it. The lock is held.
 func (c *Claim) weight(size int64, now time.Time) float64 {
+	if c.isFixed() {
+		return 0
+	}
 	w := float64(size)
 	if !c.b.c.ByAge {
 		return w
@@ -211,6 +223,21 @@
 	return w * age.Seconds()
 }
 
+// isFixed reports whether the claim does not give way. The lock is held.
+func (c *Claim) isFixed() bool { return c.pinned || c.abort == nil }
+
+// Pin has the claim not give way until it is released. It returns false if it had to give way
+// before.
+func (c *Claim) Pin() bool {
+	if c == nil {
+		return true
+	}
+	c.b.mu.Lock()
+	defer c.b.mu.Unlock()
+	c.pinned = !c.aborted
+	return c.pinned
+}
+
 // abort makes a response give way. The lock is held.
 func (b *Budget) abort(c *Claim) {
 	c.aborted = true
@@ -252,6 +279,7 @@
 // release returns the memory of the claim. The lock is held.
 func (c *Claim) release() (aborted bool) {
 	aborted = c.aborted
+	c.pinned = false
 	if c.size == 0 && !aborted {
 		return false
 	}
