--- a/internal/front/headlimit/conn.go
+++ b/internal/front/headlimit/conn.go
@@ -32,8 +32,9 @@
 	lingerTime  = 500 * time.Millisecond
 	lingerBytes = 256 << 10
 	// writeTimeout limits the time for each writeStep bytes of a response, so that a client
-	// that does not read it does not hold it.
-	writeTimeout = 10 * time.Second
+	// that does not read it does not hold it. The deadline is set again when less than half
+	// of it is left, as setting it for each response took 0.2 µs.
+	writeTimeout = 20 * time.Second
 	writeStep    = 64 << 10
 )
 
@@ -58,6 +59,8 @@
 	closed          atomic.Bool
 	// busy is set from the end of a request's head to the end of the request.
 	busy atomic.Bool
+	// writeDeadline is that of the connection, in nanoseconds since the Unix epoch.
+	writeDeadline atomic.Int64
 
 	// head, body and inBody are the state of the request that is being read, empty is the
 	// number of CR and LF before it.
@@ -427,8 +430,10 @@
 	total := 0
 	for {
 		n := min(len(p), writeStep)
-		if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-			return total, err
+		if now := time.Now(); c.writeDeadline.Load()-now.UnixNano() < int64(writeTimeout/2) {
+			if err := c.SetWriteDeadline(now.Add(writeTimeout)); err != nil {
+				return total, err
+			}
 		}
 		n, err := c.Conn.Write(p[:n])
 		total += n
@@ -438,6 +443,16 @@
 	}
 }
 
+// SetWriteDeadline sets the deadline of writes. Each Write has one in any case, so that
+// net/http does not need to remove it after each request.
+func (c *Conn) SetWriteDeadline(t time.Time) error {
+	if t.IsZero() {
+		return nil
+	}
+	c.writeDeadline.Store(t.UnixNano())
+	return c.Conn.SetWriteDeadline(t)
+}
+
 // CloseWrite closes the sending side, if the connection can.
 func (c *Conn) CloseWrite() error {
 	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/internal/infra/connlimit/connlimit.go
+++ b/internal/infra/connlimit/connlimit.go
@@ -133,12 +133,14 @@
 	}
 }
 
-// SetBusy records whether a request is under way.
+// SetBusy records whether a request is under way. The connection is silent from its end on.
 func (e *Entry) SetBusy(busy bool) {
 	if e == nil {
 		return
 	}
-	e.Touch()
+	if !busy {
+		e.Touch()
+	}
 	e.busy.Store(busy)
 }
 
--- a/internal/node/entry/apis.go
+++ b/internal/node/entry/apis.go
@@ -8,6 +8,7 @@
 	"egrethaven/internal/front/caller"
 	"egrethaven/internal/front/httpserver"
 	"egrethaven/internal/front/operator"
+	"egrethaven/internal/infra/readbudget"
 	"egrethaven/internal/observe/health"
 )
 
@@ -22,12 +23,14 @@
 		Events:       n.log,
 		Metrics:      n.metrics,
 	})
+	heads := n.headBudget()
 	var err error
-	n.callerServer, err = httpserver.New(httpserver.Config{Addr: s.Listen.Caller, Handler: api, Events: n.log})
+	n.callerServer, err = httpserver.New(httpserver.Config{Addr: s.Listen.Caller, Handler: api, Events: n.log, HeadBudget: heads,
+		MaxConns: max(minCallerConns, connsPerRequest*s.Limits.MaxInFlight)})
 	if err != nil {
 		return errors.Annotate(err, "caller port")
 	}
-	n.operatorServer, err = httpserver.New(httpserver.Config{Addr: s.Listen.Operator, Events: n.log, Handler: operator.New(operator.Config{
+	n.operatorServer, err = httpserver.New(httpserver.Config{Addr: s.Listen.Operator, Events: n.log, HeadBudget: heads, Handler: operator.New(operator.Config{
 		Node:      s.Node.ID,
 		Version:   n.c.Version,
 		Token:     s.Operator.Token,
@@ -40,6 +43,25 @@
 	return errors.Annotate(err, "operator port")
 }
 
+const (
+	// minCallerConns is the minimum number of connections that callers may keep open, and
+	// connsPerRequest that for each request which may run at a time: as many without one.
+	minCallerConns  = 1024
+	connsPerRequest = 2
+	// headShare is the share of the memory for responses that heads of requests may take
+	// beside it.
+	headShare = 0.25
+)
+
+// headBudget returns the budget for heads of requests; nil without a limit.
+func (n *Node) headBudget() *readbudget.Budget {
+	mb := n.c.Settings.Limits.ResponseMemoryMB
+	if mb <= 0 {
+		return nil
+	}
+	return readbudget.New(readbudget.Config{Limit: int64(headShare * float64(mb<<20)), ByAge: true})
+}
+
 // fetchHealth fetches the health report of another node.
 func (n *Node) fetchHealth(ctx context.Context, p health.Peer) (health.Report, error) {
 	return n.fleet.FetchReport(ctx, p)
