Connections whose request has not arrived whole count as silent

Cause: a request whose body never came kept its connection from being closed, so that such requests could take all connections for 30 s.

Result, go test -race ./internal/front/headlimit -run Silent -count 5: passed.

--- a/internal/front/headlimit/conn.go
+++ b/internal/front/headlimit/conn.go
@@ -216,12 +216,18 @@
 	}
 	c.body, c.head, c.empty = c.head.Body(), framing.Head{}, 0
 	_, done, _ := c.body.Scan(nil, framing.Limits{})
-	c.inBody = !done
 	c.busy.Store(true)
-	c.entry.SetBusy(true)
+	c.setInBody(!done)
 	return nil
 }
 
+// setInBody records whether more of a body has to arrive. A request does not run before: until
+// then its connection may be closed as a silent one.
+func (c *Conn) setInBody(inBody bool) {
+	c.inBody = inBody
+	c.entry.SetBusy(!inBody)
+}
+
 // readBody reads a part of a body.
 func (c *Conn) readBody(p []byte) (int, error) {
 	limits, _ := c.l.limits()
@@ -251,10 +257,13 @@
 // caller answers the request.
 func (c *Conn) scanBody(b []byte, l framing.Limits) int {
 	n, done, err := c.body.Scan(b, l)
-	if err != nil {
-		c.failed = err
+	if f, ok := err.(*framing.Fault); ok {
+		c.failed = f
+		c.l.c.OnRefuse(c.RemoteAddr().String(), f)
+	}
+	if done {
+		c.setInBody(false)
 	}
-	c.inBody = !done
 	return n
 }
 
@@ -393,6 +402,10 @@
 
 // endRequest is called when the request under way has ended.
 func (c *Conn) endRequest() {
+	if f, ok := c.failed.(*framing.Fault); ok {
+		// The request was answered; net/http must not answer the error once more.
+		c.failed = c.readError(f)
+	}
 	c.parsed.Release()
 	c.busy.Store(false)
 	c.entry.SetBusy(false)
@@ -402,7 +415,7 @@
 // reads, which net/http takes for one of the network.
 func (c *Conn) refuse(f *framing.Fault) error {
 	c.interrupted()
-	c.failed = &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: f}
+	c.failed = c.readError(f)
 	if len(c.buf) > 0 {
 		c.drop(len(c.buf))
 	}
@@ -425,6 +438,11 @@
 	return c.failed
 }
 
+// readError returns an error that net/http takes for one of the network.
+func (c *Conn) readError(f *framing.Fault) error {
+	return &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: f}
+}
+
 // Write writes a part of a response. It fails if the client does not read it.
 func (c *Conn) Write(p []byte) (int, error) {
 	total := 0
--- a/internal/front/headlimit/headlimit_test.go
+++ b/internal/front/headlimit/headlimit_test.go
@@ -236,8 +236,8 @@
 	}
 }
 
-// TestSilentConnections: connections without a request took all descriptors. The one that is
-// silent for longest gives way, and none with a request under way.
+// TestSilentConnections: connections without a whole request took all descriptors. The one
+// that is silent for longest gives way, and none with a request under way.
 func TestSilentConnections(t *testing.T) {
 	const maximum = 4
 	s := start(t, headlimit.Config{MaxConns: maximum}, time.Second)
@@ -249,14 +249,15 @@
 		c := s.dial(t)
 		defer c.Close()
 		silent = append(silent, c)
+		_, _ = io.WriteString(c, "POST /last HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\n")
 	}
 	if _, err := silent[0].r.ReadByte(); err != io.EOF {
 		t.Errorf("the connection that was silent for longest: %v", err)
 	}
 	busy.expect(http.StatusOK, "GET /busy ")
 	last := silent[len(silent)-1]
-	_, _ = io.WriteString(last, "GET /last HTTP/1.1\r\nHost: h\r\n\r\n")
-	last.expect(http.StatusOK, "GET /last ")
+	_, _ = io.WriteString(last, "hello")
+	last.expect(http.StatusOK, "POST /last hello")
 }
 
 // FuzzConn checks that a request which may be passed on is answered in the same way however
--- a/internal/infra/connlimit/connlimit.go
+++ b/internal/infra/connlimit/connlimit.go
@@ -138,10 +138,9 @@
 	if e == nil {
 		return
 	}
-	if !busy {
+	if e.busy.Swap(busy) && !busy {
 		e.Touch()
 	}
-	e.busy.Store(busy)
 }
 
 // Remove removes the connection, unless it was removed before.
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -208,6 +208,7 @@
 		{"egrethaven_requests_quarantined", "{request}", "requests that are refused because they crash searchers", g.quarantinedCount},
 		{"egrethaven_vms", "{vm}", "VMs of the tier that are counted", g.storeView.registeredVMs},
 		{"egrethaven_response_memory", "By", "memory in use for responses that are being read, and for long ones until they are passed on", g.responseMemory},
+		{"egrethaven_head_memory", "By", "memory in use for heads of requests that are not ordinary: unfinished ones above 4 KB, finished ones above 8 KB once parsed", g.headMemory},
 		{"egrethaven_log_lines_dropped", "{line}", "log lines that found no room", g.droppedLogLines},
 	} {
 		if err := g.metrics.RegisterGauge(v.name, v.unit, v.help, v.read); err != nil {
@@ -235,6 +236,9 @@
 // responseMemory returns the memory in use for responses, in bytes.
 func (g *Gateway) responseMemory() float64 { return float64(g.c.Budget.Used()) }
 
+// headMemory returns the memory in use for heads of requests, in bytes.
+func (g *Gateway) headMemory() float64 { return float64(g.c.HeadBudget.Used()) }
+
 // droppedLogLines returns the number of log lines dropped from a full buffer.
 func (g *Gateway) droppedLogLines() float64 {
 	if g.pipe == nil {
