--- a/internal/infra/connlimit/connlimit.go
+++ b/internal/infra/connlimit/connlimit.go
@@ -36,8 +36,8 @@
 // Entry is one open connection. Its methods are safe for concurrent use, and do nothing on a
 // nil Entry.
 type Entry struct {
-	l     *Limit
-	close func()
+	l   *Limit
+	end func()
 	// touched is when bytes last arrived, in nanoseconds since start.
 	touched atomic.Int64
 	busy    atomic.Bool
@@ -54,10 +54,10 @@
 func New(maximum int) *Limit { return &Limit{maximum: maximum} }
 
 // Add adds a connection, and closes another one if there are too many. It waits until that
-// one has been silent for a moment. close must not block. Add returns false if there is no
-// room, as all have a request under way.
-func (l *Limit) Add(close func()) (*Entry, bool) {
-	e := &Entry{l: l, close: close}
+// one has been silent for a moment. end closes the connection; it must not block. Add
+// returns false if there is no room, as all have a request under way.
+func (l *Limit) Add(end func()) (*Entry, bool) {
+	e := &Entry{l: l, end: end}
 	for {
 		wait, ok := l.add(e)
 		if !ok || wait == 0 {
@@ -73,7 +73,7 @@
 	defer func() {
 		// Closing takes the lock.
 		if victim != nil {
-			victim.close()
+			victim.end()
 		}
 	}()
 	l.mu.Lock()
