--- a/internal/front/ingress/ingress.go
+++ b/internal/front/ingress/ingress.go
@@ -330,7 +330,7 @@
 	b, err := io.ReadAll(l)
 	var large *http.MaxBytesError
 	switch aborted := l.Keep(b); {
-	case aborted:
+	case aborted, errors.Is(err, readbudget.ErrExhausted):
 		return nil, http.StatusServiceUnavailable
 	case errors.As(err, &large):
 		return nil, http.StatusRequestEntityTooLarge
