--- a/internal/state/gatewaysettings/settings.go
+++ b/internal/state/gatewaysettings/settings.go
@@ -80,6 +80,10 @@
 	// processor cores.
 	MemoryMB int
 	Cores    int
+	// MaxFDs is the number of file descriptors that the process may use.
+	MaxFDs int
+	// MaxHeaderLines is the maximum number of header lines of a request.
+	MaxHeaderLines int
 	// LinkMbps is the bandwidth of the VM's network link, in Mbit/s.
 	LinkMbps float64
 	LogLevel settings.LogLevel
@@ -100,6 +104,25 @@
 	return s.RevokeTime + s.MaxSkew
 }
 
+const (
+	// fileFDs is the number of descriptors that are kept for files.
+	fileFDs = 200
+	// clientConnShare and otherConnShare are the shares of the others that connections of
+	// clients may take, and those at each other listener. Connections to searchers take
+	// the rest.
+	clientConnShare = 0.75
+	otherConnShare  = 1. / 32
+)
+
+// MaxClientConns returns the maximum number of open connections of clients.
+func (s Settings) MaxClientConns() int { return s.conns(clientConnShare) }
+
+// MaxOtherConns returns the maximum number of open connections at each other listener.
+func (s Settings) MaxOtherConns() int { return s.conns(otherConnShare) }
+
+// conns returns a share of the descriptors for connections, at least one.
+func (s Settings) conns(share float64) int { return max(1, int(share*float64(s.MaxFDs-fileFDs))) }
+
 // Parse parses the contents b of a settings file; name is the file name to report in
 // problems. The settings are valid only if there are no problems.
 func Parse(name string, b []byte) (Settings, []problem.Problem) {
