Quota: permits of client accounts over all VMs, as a pure package

A limit per account has to hold over all VMs, also while they cannot reach each other. Each VM delegates its part of the quota to a coordinator by a lease; quota.Pool grants permits that expire, quota.Member holds them. boottime gets Before and Later, and the zero Instant is older than any other in both operands.

--- a/internal/infra/boottime/instant.go
+++ b/internal/infra/boottime/instant.go
@@ -89,9 +89,23 @@
 	if o.IsZero() {
 		return maxAge
 	}
+	if i.IsZero() {
+		return -maxAge
+	}
 	d := i.steady.Sub(o.steady)
 	if s := i.suspended - o.suspended; s.Abs() >= minSuspension {
 		d += s
 	}
 	return d
 }
+
+// Before reports whether i is earlier than o.
+func (i Instant) Before(o Instant) bool { return i.Sub(o) < 0 }
+
+// Later returns the later one of two Instants.
+func Later(a, b Instant) Instant {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/internal/query/quota/member.go
@@ -0,0 +1,323 @@
+package quota
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"egrethaven/internal/infra/boottime"
+)
+
+const (
+	// minStart is the shortest time after which a new process's fraction counts. The other VMs
+	// count this one by then.
+	minStart = 3 * time.Second
+	// idleAccount is the time without requests after which no permits are held in advance.
+	idleAccount = 10 * time.Second
+	// burstCalls calls may follow each other at once, and then one every minGap.
+	burstCalls = 3
+	minGap     = 20 * time.Millisecond
+	// minRefusal is the shortest time for which requests are refused after a reply without
+	// permits, so that an account over its quota does not cost a call for each request.
+	minRefusal = 100 * time.Millisecond
+	// refillShare is the share of the granted permits below which more are asked for.
+	refillShare = 0.25
+)
+
+// MemberConfig configures a Member.
+type MemberConfig struct {
+	VM string
+	// Session is a random number.
+	Session uint64
+	// Start is when the process started.
+	Start boottime.Instant
+}
+
+// Member holds the permits of a VM. It is safe for concurrent use.
+type Member struct {
+	c  MemberConfig
+	mu sync.Mutex
+	// vms is the number of VMs; 0 if it is not known yet.
+	vms         int
+	coordinator string
+	session     uint64
+	// seq is the number of the latest call, and acked of the latest one of the session with
+	// a reply, which came from process and had the time clock. It was received at echoAt.
+	seq, acked uint64
+	process    uint64
+	clock      time.Duration
+	echoAt     boottime.Instant
+	// leaseEnd is when the fraction is back from this session's coordinator at the latest, and
+	// freeAt from the coordinators of earlier sessions.
+	leaseEnd, freeAt boottime.Instant
+	delegates        bool
+	// called are the times of the last calls, the newest first.
+	called [burstCalls]boottime.Instant
+	// urgent reports whether a call is due as soon as allowed.
+	urgent   bool
+	accounts map[uint64]*stock
+}
+
+// permits is a number of permits that expire, of which taken more are in use or used.
+type permits struct {
+	n, taken int
+	until    boottime.Instant
+}
+
+// stock is what a VM holds of an account.
+type stock struct {
+	limit Limit
+	// current are the permits of this session's coordinator, of which granted were held after the
+	// last reply; earlier are those of earlier sessions.
+	current permits
+	granted int
+	earlier []permits
+	// used and asked count since the last acknowledged call, whose reply took away what the
+	// call had reported.
+	used, asked                 int
+	reportedUsed, reportedAsked int
+	waiting                     int
+	lastAsked                   boottime.Instant
+	// fitsAt is when another permit fits; requests are refused until refusedUntil.
+	fitsAt, refusedUntil boottime.Instant
+}
+
+// NewMember returns a member without permits.
+func NewMember(c MemberConfig) *Member {
+	return &Member{c: c, session: c.Session, accounts: map[uint64]*stock{}}
+}
+
+// SetVMs sets the number of VMs; 0 if it is not known yet.
+func (m *Member) SetVMs(n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.vms = n
+}
+
+// Take takes a permit for a new request. If there is none, retryAfter is the time after which
+// one fits, or 0 if the coordinator may have one: then the request can wait for a call.
+func (m *Member) Take(now boottime.Instant, account uint64, l Limit) (ok bool, retryAfter time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.accounts[account]
+	if s == nil {
+		s = &stock{limit: l}
+		m.accounts[account] = s
+	}
+	if l.Rate < s.limit.Rate || l.Burst < s.limit.Burst {
+		s.current.n, s.earlier = 0, nil
+	}
+	s.limit = l
+	s.asked++
+	s.lastAsked = now
+	return m.take(now, s)
+}
+
+// TakeAgain is like Take for a request that has waited for a call.
+func (m *Member) TakeAgain(now boottime.Instant, account uint64) (ok bool, retryAfter time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if s := m.accounts[account]; s != nil {
+		return m.take(now, s)
+	}
+	return false, 0
+}
+
+// take takes a permit. The lock is held.
+func (m *Member) take(now boottime.Instant, s *stock) (ok bool, retryAfter time.Duration) {
+	refused := now.Before(s.refusedUntil)
+	s.earlier = slices.DeleteFunc(s.earlier, func(p permits) bool { return !now.Before(p.until) })
+	for i := range s.earlier {
+		if e := &s.earlier[i]; e.n > 0 {
+			e.n--
+			e.taken++
+			return true, 0
+		}
+	}
+	if s.current.n > 0 && now.Before(s.current.until) {
+		s.current.n--
+		s.current.taken++
+		s.used++
+		if !refused && float64(s.current.n) < refillShare*float64(s.granted) {
+			m.urgent = true
+		}
+		return true, 0
+	}
+	if refused {
+		return false, max(s.fitsAt.Sub(now), time.Millisecond)
+	}
+	m.urgent = true
+	return false, 0
+}
+
+// Wait adds to the number of requests of an account that wait for a permit.
+func (m *Member) Wait(account uint64, n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if s := m.accounts[account]; s != nil {
+		s.waiting += n
+	}
+}
+
+// Return gives back a permit whose request was not sent. A permit that has expired meanwhile is
+// lost.
+func (m *Member) Return(now boottime.Instant, account uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.accounts[account]
+	if s == nil {
+		return
+	}
+	for i := range s.earlier {
+		if e := &s.earlier[i]; e.taken > 0 && now.Before(e.until) {
+			e.n++
+			e.taken--
+			return
+		}
+	}
+	if s.current.taken > 0 && now.Before(s.current.until) {
+		s.current.n++
+		s.current.taken--
+		s.used--
+	}
+}
+
+// Next returns when the next call is due.
+func (m *Member) Next(now boottime.Instant) boottime.Instant {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.called[0].IsZero() {
+		return now
+	}
+	next := m.called[0].Add(Interval(m.vms))
+	if m.urgent {
+		next = boottime.Later(m.called[0], m.called[burstCalls-1].Add(burstCalls*minGap))
+	}
+	if free := m.freeAt; !m.delegates && now.Before(free) && free.Before(next) {
+		next = free
+	}
+	return next
+}
+
+// Begin returns the call to make now. The previous one is given up.
+func (m *Member) Begin(now boottime.Instant, coordinator string) Call {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if coordinator != m.coordinator {
+		m.startSession(coordinator)
+	}
+	return m.begin(now, false)
+}
+
+// Release returns a call that ends the delegation to the current coordinator.
+func (m *Member) Release(now boottime.Instant) Call {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.begin(now, true)
+}
+
+// startSession starts to use a coordinator. The lock is held.
+func (m *Member) startSession(coordinator string) {
+	m.coordinator = coordinator
+	m.session++
+	m.acked, m.process, m.clock, m.echoAt = 0, 0, 0, boottime.Instant{}
+	m.freeAt, m.leaseEnd = boottime.Later(m.freeAt, m.leaseEnd), boottime.Instant{}
+	m.delegates = false
+	for _, s := range m.accounts {
+		if s.current.n > 0 || s.current.taken > 0 {
+			s.earlier = append(s.earlier, s.current)
+		}
+		s.current, s.granted, s.used, s.asked = permits{}, 0, 0, 0
+		s.refusedUntil = boottime.Instant{}
+	}
+}
+
+// begin returns a call. The lock is held.
+func (m *Member) begin(now boottime.Instant, release bool) Call {
+	m.seq++
+	copy(m.called[1:], m.called[:])
+	m.called[0], m.urgent = now, false
+	c := Call{VM: m.c.VM, Session: m.session, Seq: m.seq, Acked: m.acked, Coordinator: m.process, Clock: m.clock,
+		Lease: Lease(m.vms), sentAt: now, echoAt: m.echoAt}
+	counts := m.vms > 0 && now.Sub(m.c.Start) >= max(c.Lease, minStart)
+	if m.delegates = counts && !release && m.acked > 0 && !now.Before(m.freeAt); m.delegates {
+		c.VMs = m.vms
+		m.leaseEnd = boottime.Later(m.leaseEnd, m.echoAt.Add(c.Lease))
+	}
+	for account, s := range m.accounts {
+		if !now.Before(s.current.until) {
+			s.current.n = 0
+		}
+		if s.used == 0 && s.waiting == 0 && now.Sub(s.lastAsked) > idleAccount {
+			delete(m.accounts, account)
+			continue
+		}
+		s.reportedUsed, s.reportedAsked = s.used, s.asked
+		c.Reports = append(c.Reports, Report{Account: account, Held: s.current.n, Used: s.used, Asked: s.asked, Waiting: s.waiting})
+	}
+	return c
+}
+
+// End applies the reply to a call. A reply to another than the last call is ignored.
+func (m *Member) End(now boottime.Instant, c Call, r Reply) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if c.Seq != m.seq || c.Session != m.session {
+		return
+	}
+	if m.process != 0 && m.process != r.Coordinator {
+		// The coordinator's process is another one. It does not know what this VM holds.
+		m.startSession(m.coordinator)
+		m.urgent = true
+		return
+	}
+	m.urgent = m.urgent || m.acked == 0
+	m.acked, m.process, m.clock, m.echoAt = c.Seq, r.Coordinator, r.Clock, now
+	if c.VMs == 0 {
+		m.leaseEnd = boottime.Instant{}
+	}
+	for _, a := range c.Reports {
+		if s := m.accounts[a.Account]; s != nil {
+			s.used -= s.reportedUsed
+			s.asked -= s.reportedAsked
+		}
+	}
+	until := c.sentAt.Add(c.Lease)
+	for _, g := range r.Grants {
+		s := m.accounts[g.Account]
+		if s == nil {
+			continue
+		}
+		s.current.n, s.current.until = max(0, g.Permits-s.used), until
+		s.granted = g.Permits
+		s.fitsAt, s.refusedUntil = now.Add(g.Wait), boottime.Instant{}
+		if g.Wait > 0 {
+			s.refusedUntil = now.Add(max(g.Wait, minRefusal))
+		}
+	}
+}
+
+// Standing is what a VM holds of an account.
+type Standing struct {
+	Permits int
+	// For is how long the permits last; 0 if there are none.
+	For time.Duration
+}
+
+// Held returns what the VM holds of an account.
+func (m *Member) Held(now boottime.Instant, account uint64) Standing {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.accounts[account]
+	if s == nil {
+		return Standing{}
+	}
+	var out Standing
+	for _, p := range append([]permits{s.current}, s.earlier...) {
+		if p.n > 0 && now.Before(p.until) {
+			out.Permits += p.n
+			out.For = max(out.For, p.until.Sub(now))
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/query/quota/pool.go
@@ -0,0 +1,376 @@
+package quota
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"egrethaven/internal/infra/boottime"
+)
+
+const (
+	// demandTime is the time constant of the moving average of demand.
+	demandTime = 2 * time.Second
+	// standingTime is how much demand a VM's permits in advance cover, and standingShare the
+	// share of a bucket that all VMs may hold in advance. The rest is for bursts at single VMs.
+	standingTime  = time.Second
+	standingShare = 0.5
+	// maxWait limits the time after which a permit fits.
+	maxWait = 5 * time.Second
+	// idleTime is how long an unused bucket is kept, at least.
+	idleTime = time.Minute
+	// maxCuts is the number of losses of fractions that are kept, for buckets that are created
+	// later.
+	maxCuts = 16
+)
+
+// PoolConfig configures a Pool.
+type PoolConfig struct {
+	// Incarnation identifies this process; it is not 0.
+	Incarnation uint64
+	// Rule returns the rule in force.
+	Rule func() Rule
+	// Start is the origin of the pool's clock.
+	Start boottime.Instant
+	// Limit returns the limit of an account. It reports false if the account has none.
+	Limit func(account uint64) (Limit, bool)
+}
+
+// Pool holds the quota that VMs have delegated to this one. It is safe for concurrent use.
+type Pool struct {
+	c  PoolConfig
+	mu sync.Mutex
+	// clock is the time since Start of the latest call.
+	clock   time.Duration
+	vms     map[session]*delegation
+	buckets map[uint64]*bucket
+	// sum is the sum of the fractions, and settled that of those among them that were delegated
+	// for the time of a lease.
+	sum, settled float64
+	// filled is the integral of sum over time, in seconds.
+	filled float64
+	// cuts are the last losses of fractions, the oldest first, and clippedAt is the time of
+	// the last one or of the last removal of unused buckets.
+	cuts      []cut
+	clippedAt time.Duration
+}
+
+// cut is a loss of fractions, after which buckets are cut to the capacity of the rest.
+type cut struct{ filled, sum, settled float64 }
+
+// session identifies a period in which a VM uses this coordinator.
+type session struct {
+	vm string
+	id uint64
+}
+
+// delegation is what is known of a VM's session.
+type delegation struct {
+	// seq is the number of the latest call, read at seenAt.
+	seq    uint64
+	seenAt time.Duration
+	// fraction is delegated from since until until; it is 0 if none is.
+	fraction     float64
+	since, until time.Duration
+	lease        time.Duration
+	// accounts holds the accounts of which the VM may hold permits.
+	accounts map[uint64]*holding
+}
+
+// holding is the permits that a VM may hold of an account.
+type holding struct {
+	permits int
+	until   time.Duration
+	// used is what the latest call reported.
+	used int
+	// demand is a moving average in requests per second, of the time demandAt.
+	demand   float64
+	demandAt time.Duration
+}
+
+// bucket is the token bucket of an account.
+type bucket struct {
+	limit Limit
+	// level is the number of permits that can be granted, and filled the pool's integral
+	// up to which it was filled.
+	level, filled float64
+	// held holds the permits that VMs may hold; outstanding is their sum.
+	held        map[session]*holding
+	outstanding int
+	// demand is the sum of the VMs' demands, of the time demandAt.
+	demand   float64
+	demandAt time.Duration
+}
+
+// NewPool returns a pool to which nothing is delegated.
+func NewPool(c PoolConfig) *Pool {
+	return &Pool{c: c, vms: map[session]*delegation{}, buckets: map[uint64]*bucket{}}
+}
+
+// Serve answers a call. It reports false if the call is older than one that was served.
+func (p *Pool) Serve(now boottime.Instant, c Call) (Reply, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.advance(now)
+	id := session{c.VM, c.Session}
+	d := p.vms[id]
+	if d == nil {
+		d = &delegation{accounts: map[uint64]*holding{}}
+		p.vms[id] = d
+	}
+	if c.Seq <= d.seq {
+		return Reply{}, false
+	}
+	// The reply to the previous call did not arrive if it is not acknowledged. The VM then
+	// reports what it had used before once more.
+	repeated := c.Acked != d.seq
+	d.seq, d.seenAt, d.lease = c.Seq, p.clock, min(c.Lease, maxLease)
+	p.delegate(d, c)
+	r := Reply{Coordinator: p.c.Incarnation, Clock: p.clock}
+	reported := make(map[uint64]bool, len(c.Reports))
+	for _, a := range c.Reports {
+		reported[a.Account] = true
+		if g, ok := p.grant(id, d, a, repeated); ok {
+			r.Grants = append(r.Grants, g)
+		}
+	}
+	for account := range d.accounts {
+		if !reported[account] {
+			p.giveBack(id, d, account)
+		}
+	}
+	return r, true
+}
+
+// advance moves the clock to now. Leases that have ended stop counting at their end.
+func (p *Pool) advance(now boottime.Instant) {
+	before := p.clock
+	p.clock = max(p.clock, now.Sub(p.c.Start))
+	phi, ended := 0.0, false
+	for id, d := range p.vms {
+		if d.fraction > 0 {
+			phi += d.fraction * (min(p.clock, d.until) - before).Seconds()
+		}
+		if d.fraction > 0 && d.until <= p.clock {
+			d.fraction, ended = 0, true
+		}
+		if d.fraction == 0 && p.clock-d.seenAt > 2*maxLease {
+			p.forget(id, d)
+		}
+	}
+	p.filled += min(phi, (p.clock - before).Seconds())
+	p.addFractions()
+	if ended || p.clock-p.clippedAt > idleTime {
+		p.clip()
+	}
+}
+
+// forget removes a session whose permits have all expired.
+func (p *Pool) forget(id session, d *delegation) {
+	for account, h := range d.accounts {
+		p.buckets[account].drop(id, h)
+	}
+	delete(p.vms, id)
+}
+
+// delegate records the fraction that a call delegates, or that it delegates none.
+func (p *Pool) delegate(d *delegation, c Call) {
+	if c.VMs <= 0 {
+		if d.fraction > 0 {
+			d.fraction = 0
+			p.addFractions()
+			p.clip()
+		}
+		return
+	}
+	until := c.Clock + d.lease
+	if c.Coordinator != p.c.Incarnation || c.Clock > p.clock || until <= p.clock {
+		return
+	}
+	if d.fraction == 0 {
+		d.since = p.clock
+	}
+	f := 1 / float64(c.VMs)
+	less := f < d.fraction
+	d.fraction, d.until = f, until
+	p.addFractions()
+	if less {
+		p.clip()
+	}
+}
+
+// clip cuts all buckets to their capacity after the loss of a fraction. Otherwise what they
+// held of it would count again when the fraction is back. Full buckets that are not in use are
+// removed.
+func (p *Pool) clip() {
+	p.clippedAt = p.clock
+	if p.cuts = append(p.cuts, cut{p.filled, p.sum, p.settled}); len(p.cuts) > maxCuts {
+		p.cuts = p.cuts[1:]
+	}
+	for account, b := range p.buckets {
+		limited := p.update(account, b)
+		if len(b.held) == 0 && p.clock-b.demandAt > idleTime && (!limited || b.level >= p.capacity(b.limit)) {
+			delete(p.buckets, account)
+		}
+	}
+}
+
+// newBucket returns the bucket of an account that had no requests: as full as if it had
+// existed since the oldest known cut, and empty then.
+func (p *Pool) newBucket(account uint64) *bucket {
+	l, _ := p.c.Limit(account)
+	b := &bucket{limit: l, held: map[session]*holding{}, demandAt: p.clock}
+	for i, c := range p.cuts {
+		if i > 0 || len(p.cuts) < maxCuts {
+			b.level = min(b.level+l.Rate*(c.filled-b.filled), p.capacityOf(l, c.sum, c.settled))
+		}
+		b.filled = c.filled
+	}
+	return b
+}
+
+// addFractions computes the sums of fractions. They count as at most 1 together.
+func (p *Pool) addFractions() {
+	p.sum, p.settled = 0, 0
+	for _, d := range p.vms {
+		p.sum += d.fraction
+		if p.clock-d.since >= d.lease {
+			p.settled += d.fraction
+		}
+	}
+	if p.sum > 1 {
+		p.sum, p.settled = 1, p.settled/p.sum
+	}
+}
+
+// capacity returns the capacity of a bucket in permits.
+func (p *Pool) capacity(l Limit) float64 {
+	return p.capacityOf(l, p.sum, p.settled)
+}
+
+// capacityOf returns the capacity for a sum of fractions.
+func (p *Pool) capacityOf(l Limit, sum, settled float64) float64 {
+	return sum*p.c.Rule().margin(l)/2 + settled*l.Burst
+}
+
+// update fills a bucket, drops permits that have expired and cuts the level. It reports false
+// if the account has no limit.
+func (p *Pool) update(account uint64, b *bucket) bool {
+	l, ok := p.c.Limit(account)
+	b.limit = l
+	for id, h := range b.held {
+		if h.until <= p.clock {
+			b.drop(id, h)
+			delete(p.vms[id].accounts, account)
+		}
+	}
+	b.level += l.Rate * (p.filled - b.filled)
+	b.filled = p.filled
+	b.level = max(0, min(b.level, p.capacity(l)-float64(b.outstanding)))
+	return ok
+}
+
+// drop removes the permits of a VM.
+func (b *bucket) drop(id session, h *holding) {
+	b.outstanding -= h.permits
+	delete(b.held, id)
+}
+
+// giveBack returns the permits of an account that a VM no longer reports: it has none.
+func (p *Pool) giveBack(id session, d *delegation, account uint64) {
+	b, h := p.buckets[account], d.accounts[account]
+	delete(d.accounts, account)
+	b.drop(id, h)
+	b.level += float64(h.permits)
+	p.update(account, b)
+}
+
+// grant answers a report. It reports false if the account has no limit.
+func (p *Pool) grant(id session, d *delegation, r Report, repeated bool) (Grant, bool) {
+	b := p.buckets[r.Account]
+	if b == nil {
+		b = p.newBucket(r.Account)
+		p.buckets[r.Account] = b
+	}
+	if !p.update(r.Account, b) {
+		return Grant{}, false
+	}
+	h := b.held[id]
+	held := r.Held
+	if h == nil {
+		// What it holds has expired here, and is granted again.
+		held = 0
+		h = &holding{demandAt: p.clock}
+		b.held[id], d.accounts[r.Account] = h, h
+	} else {
+		used := r.Used
+		if repeated {
+			used -= h.used
+		}
+		b.level += float64(max(0, h.permits-held-max(0, used)))
+	}
+	b.outstanding += held - h.permits
+	h.permits, h.used, h.until = held, r.Used, p.clock+d.lease
+	p.update(r.Account, b)
+	p.addDemand(b, h, r.Asked)
+	total, wait := p.divide(b, h, r)
+	b.level -= float64(max(0, total-held))
+	b.outstanding += max(held, total) - held
+	h.permits = max(held, total)
+	return Grant{Account: r.Account, Permits: total, Wait: wait}, true
+}
+
+// addDemand adds a number of requests to the averages of a VM and of all VMs.
+func (p *Pool) addDemand(b *bucket, h *holding, asked int) {
+	decay := func(since time.Duration) float64 {
+		return math.Exp(-float64(p.clock-since) / float64(demandTime))
+	}
+	added := float64(asked) / demandTime.Seconds()
+	h.demand = h.demand*decay(h.demandAt) + added
+	b.demand = b.demand*decay(b.demandAt) + added
+	h.demandAt, b.demandAt = p.clock, p.clock
+}
+
+// divide returns how many permits a VM is to hold, at most those it has and the bucket's level,
+// and the time after which another one fits if that is fewer than it needs.
+func (p *Pool) divide(b *bucket, h *holding, r Report) (total int, wait time.Duration) {
+	capacity, rate := p.capacity(b.limit), b.limit.Rate*p.sum
+	part := 1.0
+	if b.demand > 0 {
+		part = min(1, h.demand/b.demand)
+	}
+	standing := math.Min(math.Ceil(h.demand*standingTime.Seconds()), math.Floor(standingShare*capacity*part))
+	if standing < 1 && float64(len(b.held)) <= standingShare*capacity {
+		standing = 1
+	}
+	need := standing + float64(r.Waiting)
+	if b.demand > rate {
+		need = min(need, max(1, math.Ceil(capacity*part)))
+	}
+	total = int(min(need, float64(h.permits)+math.Floor(b.level)))
+	if total >= int(standing)+r.Waiting {
+		return total, 0
+	}
+	if rate <= 0 {
+		return total, waitOf(1)
+	}
+	left := b.level - float64(total-h.permits)
+	seconds := max(0, 1-left) / rate
+	if b.demand > rate && part > 0 {
+		seconds = max(seconds, 1/(rate*part))
+	}
+	return total, waitOf(seconds)
+}
+
+// waitOf returns a wait of some seconds, at least a millisecond and at most maxWait.
+func waitOf(seconds float64) time.Duration {
+	return time.Duration(min(maxWait.Seconds(), max(0.001, seconds)) * float64(time.Second))
+}
+
+// Fraction returns the sum of the fractions that are delegated to this VM.
+func (p *Pool) Fraction(now boottime.Instant) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.advance(now)
+	return p.sum
+}
