Quota: hold the limits of client accounts over all gateways

Gateways counted nothing across VMs, so an account's limit had no effect. quotapool calls the coordinator through the quota part of Share and implements forward.Quota; the gateway wires it with the settings [quota], events 420 and 421 and gauges per account. An empty setting now means the default, as a placeholder without a value renders as empty text.

--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -31,6 +31,7 @@
 	"egrethaven/internal/observe/gatewaymetric"
 	"egrethaven/internal/observe/logger"
 	"egrethaven/internal/observe/logpipe"
+	"egrethaven/internal/peer/quotapool"
 	"egrethaven/internal/peer/rumor"
 	"egrethaven/internal/peer/suspects"
 	"egrethaven/internal/peer/upstream"
@@ -105,6 +106,7 @@
 	peerComponents *peerComponents
 	isolation      *isolationMonitor
 	suspects       *suspects.Sharing
+	quota          *quotapool.Limiter
 
 	stopping  atomic.Bool
 	wg        sync.WaitGroup
@@ -155,7 +157,9 @@
 	}})
 	guard := crashguard.New(crashguard.Config{Quarantine: g.suspects.Quarantine(), Events: g.log})
 	g.storeView.onSearcherEnded = guard.SearcherEnded
+	g.quota = g.newQuota()
 	g.engine = forward.New(forward.Config{
+		Quota: g.quota,
 		Guard: guard, Dialect: g.c.Dialect, Current: g.storeView.Current, Domain: s.Domain, Log: g.log,
 		Budget: g.vmBudget(s, g.vms), HandOver: g.handOver,
 		Observe: func(route string, r forward.Reason, d time.Duration) {
@@ -172,7 +176,7 @@
 		return errors.Trace(err)
 	}
 	if g.peerComponents, err = newPeerComponents(peerConfig{ListenAddr: s.PeerAddr, Seeds: s.SeedAddrs, Store: g.c.Store, RumorStore: g.c.Store, ChangeTime: s.ChangeTime(), StoreView: g.storeView,
-		Engine: g.engine, Rumors: rumors, GroupLimit: g.groupLimit, Isolated: g.isolation.isolated.Load, ObserveHandover: g.metrics.RecordHandover,
+		Engine: g.engine, Rumors: rumors, GroupLimit: g.groupLimit, Quota: g.quota.Serve, Isolated: g.isolation.isolated.Load, ObserveHandover: g.metrics.RecordHandover,
 		Events: g.log, Budget: g.c.Budget}); err != nil {
 		return errors.Trace(err)
 	}
@@ -187,6 +191,9 @@
 		}
 		g.httpServers = append(g.httpServers, srv)
 	}
+	if err := g.registerQuotaGauges(); err != nil {
+		return errors.Trace(err)
+	}
 	return errors.Trace(g.registerGauges())
 }
 
@@ -327,6 +334,7 @@
 	g.wg.Go(func() { g.register(background) })
 	g.wg.Go(func() { g.isolation.run(background) })
 	g.wg.Go(func() { g.peerComponents.sharing.Run(background) })
+	g.wg.Go(func() { g.quota.Run(background) })
 	g.wg.Go(func() { g.peerComponents.passOnRumors(background) })
 	<-ctx.Done()
 	err := g.stop()
@@ -387,6 +395,9 @@
 	if g.engine != nil {
 		g.engine.Close()
 	}
+	if g.quota != nil {
+		g.quota.Close()
+	}
 	g.storeView.Close()
 	for _, s := range g.httpServers {
 		if err := s.Close(); err != nil {
--- a/internal/node/gateway/peers.go
+++ b/internal/node/gateway/peers.go
@@ -74,6 +74,8 @@
 	// GroupLimit returns the number of extra sends to a service that the given
 	// number of VMs may make for the given number of first sends.
 	GroupLimit func(vms, first int) float64
+	// Quota answers the calls of VMs whose quotas this one coordinates.
+	Quota func(vm string, in *relayrpc.QuotaCall) (*relayrpc.QuotaReply, error)
 	// Isolated reports whether this VM is cut off from searchers.
 	Isolated func() bool
 	// ObserveHandover is called with the outcome of each try to hand a request over.
@@ -116,7 +118,7 @@
 	if err := rumorrpc.DRPCRegisterRumors(p.server.Mux(), p.gossip); err != nil {
 		return p, errors.Trace(err)
 	}
-	return p, errors.Trace(relayrpc.DRPCRegisterRelay(p.server.Mux(), relay.New(relay.Config{Log: log, HealthScores: board, RetryPool: pool})))
+	return p, errors.Trace(relayrpc.DRPCRegisterRelay(p.server.Mux(), relay.New(relay.Config{Log: log, HealthScores: board, RetryPool: pool, Quota: c.Quota})))
 }
 
 // newStoreSource returns the source through which this VM follows the store, and the
--- a/internal/node/gateway/storeview.go
+++ b/internal/node/gateway/storeview.go
@@ -19,6 +19,7 @@
 	"egrethaven/internal/observe/event"
 	"egrethaven/internal/peer/peerchoice"
 	"egrethaven/internal/query/forward"
+	"egrethaven/internal/query/quota"
 	"egrethaven/internal/state/follow"
 	"egrethaven/internal/state/registry"
 	"egrethaven/internal/state/routing"
@@ -97,6 +98,8 @@
 	knownAddrs atomic.Pointer[map[netip.Addr]bool]
 	// otherVMs are the other VMs that accept calls.
 	otherVMs atomic.Pointer[[]peerchoice.Peer]
+	// otherCandidates are the same as coordinators of quotas.
+	otherCandidates atomic.Pointer[[]quota.Candidate]
 	// sharesScores reports whether the VMs of the domain share their
 	// measurements of searchers.
 	sharesScores atomic.Bool
--- a/internal/node/gateway/vms.go
+++ b/internal/node/gateway/vms.go
@@ -6,6 +6,7 @@
 
 	"egrethaven/internal/observe/event"
 	"egrethaven/internal/peer/peerchoice"
+	"egrethaven/internal/query/quota"
 	"egrethaven/internal/state/follow"
 	"egrethaven/internal/state/vmregistry"
 )
@@ -38,10 +39,12 @@
 	vms := make([]vmregistry.VM, 0, len(v.vms))
 	known := make(map[netip.Addr]bool, len(v.vms))
 	var others []peerchoice.Peer
+	var candidates []quota.Candidate
 	for _, r := range v.vms {
 		vms = append(vms, r)
 		if r.PeerAddr != "" && r.ID != v.c.Self.ID {
 			others = append(others, peerchoice.Peer{Addr: r.PeerAddr, Domain: r.Domain})
+			candidates = append(candidates, candidate(r))
 		}
 		if a, err := netip.ParseAddrPort(r.PeerAddr); err == nil {
 			known[a.Addr()] = true
@@ -55,6 +58,7 @@
 	v.relayAddrs.Store(&addrs)
 	v.knownAddrs.Store(&known)
 	v.otherVMs.Store(&others)
+	v.otherCandidates.Store(&candidates)
 }
 
 // peers returns the other VMs that accept calls.
--- a/internal/observe/event/number.go
+++ b/internal/observe/event/number.go
@@ -63,6 +63,8 @@
 	CopyCurrent       Number = 414
 	StoreRestored     Number = 415
 	HandoverFailed    Number = 416
+	QuotaCoordinator  Number = 420
+	QuotaCallFailed   Number = 421
 
 	ConfigAdopted  Number = 500
 	ConfigRefused  Number = 501
@@ -118,6 +120,7 @@
 	SearcherWaiting: "searcher_waiting", WaitUnreadable: "wait_unreadable",
 	PoisonHeard: "poison_heard", PoisonCleared: "poison_cleared", PoisonEnded: "poison_ended", SearcherLost: "searcher_lost", EntryOutdated: "entry_outdated", ResponseAborted: "response_aborted",
 	CopyOutdated: "copy_outdated", CopyCurrent: "copy_current", StoreRestored: "store_restored", HandoverFailed: "handover_failed",
+	QuotaCoordinator: "quota_coordinator", QuotaCallFailed: "quota_call_failed",
 
 	ConfigAdopted: "config_adopted", ConfigRefused: "config_refused", ConfigAccepted: "config_accepted",
 	ConfigConflict: "config_conflict", ConfigUnsure: "config_unsure", ConfigFromPeer: "config_from_peer",
--- a/internal/observe/gatewaymetric/metric.go
+++ b/internal/observe/gatewaymetric/metric.go
@@ -94,3 +94,22 @@
 		}))
 	return errors.Annotatef(err, "registering the gauge %s", name)
 }
+
+// AccountValue is the value of a gauge for one client account.
+type AccountValue struct {
+	Account string
+	Value   float64
+}
+
+// RegisterAccountGauge registers a gauge with a value for each of some accounts, which are read
+// whenever the metrics page is requested.
+func (m *Metrics) RegisterAccountGauge(name, unit, help string, read func() []AccountValue) error {
+	_, err := m.Float64ObservableGauge(name, metric.WithUnit(unit), metric.WithDescription(help),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			for _, v := range read() {
+				o.Observe(v.Value, metric.WithAttributes(attribute.String("account", v.Account)))
+			}
+			return nil
+		}))
+	return errors.Annotatef(err, "registering the gauge %s", name)
+}
--- a/internal/peer/relay/relay.go
+++ b/internal/peer/relay/relay.go
@@ -32,6 +32,8 @@
 	HealthScores *healthscore.Aggregator
 	// RetryPool aggregates the numbers of first and extra sends to services.
 	RetryPool *retrypool.Pool
+	// Quota answers the calls of VMs whose quotas this VM coordinates; nil for none.
+	Quota func(vm string, in *relayrpc.QuotaCall) (*relayrpc.QuotaReply, error)
 }
 
 // Relay implements the Relay service of relay.proto. Its methods are called by drpc.
@@ -81,8 +83,12 @@
 }
 
 // Share adds a VM's observations and retry usage to the aggregate of all VMs, and
-// returns it.
+// returns it. A call about quotas has only that part, and so has the reply.
 func (r *Relay) Share(_ context.Context, in *relayrpc.ShareRequest) (*relayrpc.ShareReply, error) {
+	if c := in.GetQuota(); c != nil && r.c.Quota != nil {
+		q, err := r.c.Quota(in.GetVm(), c)
+		return &relayrpc.ShareReply{Quota: q}, errors.Trace(err)
+	}
 	now := time.Now()
 	for _, o := range in.GetObservations() {
 		r.c.HealthScores.Add(now, healthscore.Observation{Searcher: healthscore.Process{ID: o.GetSearcher(), StartedMs: o.GetBorn()},
--- a/internal/query/quota/member.go
+++ b/internal/query/quota/member.go
@@ -20,8 +20,10 @@
 	// minRefusal is the shortest time for which requests are refused after a reply without
 	// permits, so that an account over its quota does not cost a call for each request.
 	minRefusal = 100 * time.Millisecond
-	// refillShare is the share of the granted permits below which more are asked for.
+	// refillShare is the share of the granted permits below which more are asked for, if at least
+	// minRefill were granted. With fewer, most calls would be for permits that nobody uses.
 	refillShare = 0.25
+	minRefill   = 4
 )
 
 // MemberConfig configures a Member.
@@ -55,6 +57,7 @@
 	called [burstCalls]boottime.Instant
 	// urgent reports whether a call is due as soon as allowed.
 	urgent   bool
+	wake     chan struct{}
 	accounts map[uint64]*stock
 }
 
@@ -84,7 +87,26 @@
 
 // NewMember returns a member without permits.
 func NewMember(c MemberConfig) *Member {
-	return &Member{c: c, session: c.Session, accounts: map[uint64]*stock{}}
+	return &Member{c: c, session: c.Session, wake: make(chan struct{}, 1), accounts: map[uint64]*stock{}}
+}
+
+// Wake returns a channel that receives a value when the time of the next call has changed.
+func (m *Member) Wake() <-chan struct{} { return m.wake }
+
+// hurry makes the next call due as soon as allowed. The lock is held.
+func (m *Member) hurry() {
+	m.urgent = true
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Fail records that the last call got no reply. Another one, to another VM, is due.
+func (m *Member) Fail() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.hurry()
 }
 
 // SetVMs sets the number of VMs; 0 if it is not known yet.
@@ -138,15 +160,15 @@
 		s.current.n--
 		s.current.taken++
 		s.used++
-		if !refused && float64(s.current.n) < refillShare*float64(s.granted) {
-			m.urgent = true
+		if !refused && s.granted >= minRefill && float64(s.current.n) < refillShare*float64(s.granted) {
+			m.hurry()
 		}
 		return true, 0
 	}
 	if refused {
 		return false, max(s.fitsAt.Sub(now), time.Millisecond)
 	}
-	m.urgent = true
+	m.hurry()
 	return false, 0
 }
 
@@ -268,7 +290,7 @@
 	if m.process != 0 && m.process != r.Coordinator {
 		// The coordinator's process is another one. It does not know what this VM holds.
 		m.startSession(m.coordinator)
-		m.urgent = true
+		m.hurry()
 		return
 	}
 	m.urgent = m.urgent || m.acked == 0
@@ -297,27 +319,29 @@
 	}
 }
 
-// Standing is what a VM holds of an account.
-type Standing struct {
+// Holding is what a VM holds of an account.
+type Holding struct {
+	Account uint64
+	Limit   Limit
 	Permits int
 	// For is how long the permits last; 0 if there are none.
 	For time.Duration
 }
 
-// Held returns what the VM holds of an account.
-func (m *Member) Held(now boottime.Instant, account uint64) Standing {
+// Holdings returns what the VM holds of the accounts with requests lately.
+func (m *Member) Holdings(now boottime.Instant) []Holding {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s := m.accounts[account]
-	if s == nil {
-		return Standing{}
-	}
-	var out Standing
-	for _, p := range append([]permits{s.current}, s.earlier...) {
-		if p.n > 0 && now.Before(p.until) {
-			out.Permits += p.n
-			out.For = max(out.For, p.until.Sub(now))
+	out := make([]Holding, 0, len(m.accounts))
+	for account, s := range m.accounts {
+		h := Holding{Account: account, Limit: s.limit}
+		for _, p := range append([]permits{s.current}, s.earlier...) {
+			if p.n > 0 && now.Before(p.until) {
+				h.Permits += p.n
+				h.For = max(h.For, p.until.Sub(now))
+			}
 		}
+		out = append(out, h)
 	}
 	return out
 }
--- a/internal/query/quota/pool.go
+++ b/internal/query/quota/pool.go
@@ -15,6 +15,10 @@
 	// share of a bucket that all VMs may hold in advance. The rest is for bursts at single VMs.
 	standingTime  = time.Second
 	standingShare = 0.5
+	// singleShare is the share of a bucket up to which each VM holds one permit in advance.
+	singleShare = 0.25
+	// minElapsed is the shortest time between two calls for the estimate of a rising demand.
+	minElapsed = 20 * time.Millisecond
 	// maxWait limits the time after which a permit fits.
 	maxWait = 5 * time.Second
 	// idleTime is how long an unused bucket is kept, at least.
@@ -28,8 +32,7 @@
 type PoolConfig struct {
 	// Incarnation identifies this process; it is not 0.
 	Incarnation uint64
-	// Rule returns the rule in force.
-	Rule func() Rule
+	Rule        Rule
 	// Start is the origin of the pool's clock.
 	Start boottime.Instant
 	// Limit returns the limit of an account. It reports false if the account has none.
@@ -107,11 +110,15 @@
 	return &Pool{c: c, vms: map[session]*delegation{}, buckets: map[uint64]*bucket{}}
 }
 
-// Serve answers a call. It reports false if the call is older than one that was served.
+// Serve answers a call. It reports false if the call is older than one that was served. A call
+// with the number 0 only asks whether this VM answers.
 func (p *Pool) Serve(now boottime.Instant, c Call) (Reply, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.advance(now)
+	if c.Seq == 0 {
+		return Reply{Coordinator: p.c.Incarnation, Clock: p.clock}, true
+	}
 	id := session{c.VM, c.Session}
 	d := p.vms[id]
 	if d == nil {
@@ -250,7 +257,7 @@
 
 // capacityOf returns the capacity for a sum of fractions.
 func (p *Pool) capacityOf(l Limit, sum, settled float64) float64 {
-	return sum*p.c.Rule().margin(l)/2 + settled*l.Burst
+	return sum*p.c.Rule.margin(l)/2 + settled*l.Burst
 }
 
 // update fills a bucket, drops permits that have expired and cuts the level. It reports false
@@ -312,8 +319,9 @@
 	b.outstanding += held - h.permits
 	h.permits, h.used, h.until = held, r.Used, p.clock+d.lease
 	p.update(r.Account, b)
+	elapsed := p.clock - h.demandAt
 	p.addDemand(b, h, r.Asked)
-	total, wait := p.divide(b, h, r)
+	total, wait := p.divide(b, h, r, elapsed)
 	b.level -= float64(max(0, total-held))
 	b.outstanding += max(held, total) - held
 	h.permits = max(held, total)
@@ -331,18 +339,23 @@
 	h.demandAt, b.demandAt = p.clock, p.clock
 }
 
-// divide returns how many permits a VM is to hold, at most those it has and the bucket's level,
-// and the time after which another one fits if that is fewer than it needs.
-func (p *Pool) divide(b *bucket, h *holding, r Report) (total int, wait time.Duration) {
+// divide returns how many permits a VM is to hold, at most those that it has and the bucket's
+// level, and the time after which another one fits if that is fewer than it needs. elapsed is
+// the time since the VM's previous report.
+func (p *Pool) divide(b *bucket, h *holding, r Report, elapsed time.Duration) (total int, wait time.Duration) {
 	capacity, rate := p.capacity(b.limit), b.limit.Rate*p.sum
 	part := 1.0
 	if b.demand > 0 {
 		part = min(1, h.demand/b.demand)
 	}
-	standing := math.Min(math.Ceil(h.demand*standingTime.Seconds()), math.Floor(standingShare*capacity*part))
-	if standing < 1 && float64(len(b.held)) <= standingShare*capacity {
+	// The average follows a rise only after some calls.
+	demand := max(h.demand, float64(r.Asked)/max(elapsed, minElapsed).Seconds())
+	standing := math.Min(math.Ceil(demand*standingTime.Seconds()), math.Floor(standingShare*capacity*part))
+	if standing < 1 && float64(len(b.held)) <= singleShare*capacity {
 		standing = 1
 	}
+	// What is held in advance leaves the rest of the bucket for requests that wait.
+	standing = min(standing, float64(h.permits)+max(0, math.Floor(b.level-(1-standingShare)*capacity)))
 	need := standing + float64(r.Waiting)
 	if b.demand > rate {
 		need = min(need, max(1, math.Ceil(capacity*part)))
--- /dev/null
+++ b/internal/query/quota/sim_test.go
@@ -0,0 +1,316 @@
+package quota
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"egrethaven/internal/infra/boottime"
+)
+
+const (
+	// simTrip is the time of a message, simPatience how long a request waits for a permit (a
+	// quarter of the shortest objective), and simTimeout how long a VM waits for a reply.
+	simTrip     = 1500 * time.Microsecond
+	simPatience = 12500 * time.Microsecond
+	simTimeout  = 400 * time.Millisecond
+)
+
+// sim simulates a deployment on a simulated clock.
+type sim struct {
+	origin boottime.Instant
+	now    time.Duration
+	queue  events
+	order  int
+	random *rand.Rand
+	vms    []*simVM
+	// others are the VMs that any of them may choose: those with wide links, and the first one
+	// of the rest.
+	others []Candidate
+	limit  Limit
+	calls  int
+	// asked and served count the requests.
+	asked, served int
+}
+
+// simVM is a simulated VM.
+type simVM struct {
+	Candidate
+	pool    *Pool
+	member  *Member
+	chooser *Chooser
+	// coordinator is the VM in use; it is usable if it answered the last call.
+	coordinator Candidate
+	usable      bool
+	down        bool
+	calling     bool
+	// wakeAt is when the VM checks next whether a call is due.
+	wakeAt  time.Duration
+	waiting []simRequest
+}
+
+// simRequest is a request that waits until a time.
+type simRequest struct{ until time.Duration }
+
+// simEvent is something that happens at a time. Those of the same time keep their order.
+type simEvent struct {
+	at    time.Duration
+	order int
+	do    func()
+}
+
+// events is a heap of events.
+type events []simEvent
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(simEvent)) }
+func (e *events) Pop() any {
+	last := len(*e) - 1
+	x := (*e)[last]
+	*e = (*e)[:last]
+	return x
+}
+
+// newSim returns a deployment of n VMs in three failure domains that have run for ten seconds.
+func newSim(n int, l Limit) *sim {
+	s := &sim{origin: boottime.Now(), limit: l, vms: make([]*simVM, n), random: rand.New(rand.NewPCG(1, 2))}
+	for i := range s.vms {
+		s.start(i)
+	}
+	s.run(10 * time.Second)
+	s.calls = 0
+	return s
+}
+
+// clock returns the simulated time.
+func (s *sim) clock() boottime.Instant { return s.origin.Add(s.now) }
+
+// after schedules an event.
+func (s *sim) after(d time.Duration, do func()) {
+	s.order++
+	heap.Push(&s.queue, simEvent{s.now + max(d, 0), s.order, do})
+}
+
+// run runs for a time.
+func (s *sim) run(d time.Duration) {
+	end := s.now + d
+	for len(s.queue) > 0 && s.queue[0].at <= end {
+		e := heap.Pop(&s.queue).(simEvent)
+		s.now = e.at
+		e.do()
+	}
+	s.now = end
+}
+
+// start starts a VM's process.
+func (s *sim) start(i int) {
+	v := &simVM{Candidate: Candidate{ID: fmt.Sprint("vm-", i), Domain: fmt.Sprint(i % 3), Addr: fmt.Sprint(i), LinkMbps: 20}}
+	if i < 6 {
+		v.LinkMbps = 200
+		if len(s.others) <= i {
+			s.others = append(s.others, v.Candidate)
+		}
+	}
+	s.order++
+	id := uint64(s.order) << 20
+	rule := Rule{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
+	v.pool = NewPool(PoolConfig{Incarnation: id, Rule: rule, Start: s.clock(), Limit: func(uint64) (Limit, bool) { return s.limit, true }})
+	v.member = NewMember(MemberConfig{VM: v.ID, Session: id, Start: s.clock()})
+	v.member.SetVMs(len(s.vms))
+	v.chooser = NewChooser(v.Candidate)
+	s.vms[i] = v
+	s.after(time.Duration(s.random.Int64N(int64(Interval(len(s.vms))))), func() { s.poll(v) })
+}
+
+// poll has a VM call its coordinator if that is due, and plans the next time.
+func (s *sim) poll(v *simVM) {
+	if v.down || v.calling {
+		return
+	}
+	if wait := v.member.Next(s.clock()).Sub(s.clock()); wait > 0 {
+		if v.wakeAt <= s.now || s.now+wait < v.wakeAt {
+			v.wakeAt = s.now + wait
+			s.after(wait, func() { s.poll(v) })
+		}
+		return
+	}
+	to := v.chooser.Choose(s.clock(), s.others)
+	if to != v.coordinator && v.usable {
+		// A better VM is used only if it answers, and the fraction is taken back before.
+		if s.vmAt(to.Addr).down {
+			v.chooser.Fail(s.clock(), to.Addr)
+			to = v.coordinator
+		} else {
+			c := v.member.Release(s.clock())
+			if r, ok := s.vmAt(v.coordinator.Addr).pool.Serve(s.clock(), c); ok {
+				v.member.End(s.clock(), c, r)
+			}
+		}
+	}
+	v.coordinator = to
+	c := v.member.Begin(s.clock(), to.Addr)
+	v.calling = true
+	s.calls++
+	ended := false
+	end := func(r Reply, ok bool) {
+		if ended {
+			return
+		}
+		ended, v.calling, v.usable = true, false, ok
+		if ok {
+			v.member.End(s.clock(), c, r)
+		} else {
+			v.chooser.Fail(s.clock(), to.Addr)
+			v.member.Fail()
+		}
+		s.serveWaiting(v)
+		s.poll(v)
+	}
+	s.after(simTrip, func() {
+		if w := s.vmAt(to.Addr); !w.down {
+			r, ok := w.pool.Serve(s.clock(), c)
+			s.after(simTrip, func() { end(r, ok) })
+		}
+	})
+	s.after(simTimeout, func() { end(Reply{}, false) })
+}
+
+// vmAt returns the VM at an address.
+func (s *sim) vmAt(addr string) *simVM {
+	var i int
+	_, _ = fmt.Sscan(addr, &i)
+	return s.vms[i]
+}
+
+// ask makes a request at a VM that is not down.
+func (s *sim) ask(v *simVM) {
+	s.asked++
+	ok, retryAfter := v.member.Take(s.clock(), account, s.limit)
+	switch {
+	case ok:
+		s.served++
+	case retryAfter == 0:
+		v.member.Wait(account, 1)
+		v.waiting = append(v.waiting, simRequest{s.now + simPatience})
+	}
+	s.poll(v)
+}
+
+// serveWaiting serves or refuses the requests that waited for a call.
+func (s *sim) serveWaiting(v *simVM) {
+	var still []simRequest
+	for _, r := range v.waiting {
+		ok, retryAfter := false, time.Duration(0)
+		if s.now <= r.until {
+			ok, retryAfter = v.member.TakeAgain(s.clock(), account)
+		}
+		switch {
+		case ok:
+			s.served++
+		case retryAfter == 0 && s.now < r.until:
+			still = append(still, r)
+			continue
+		}
+		v.member.Wait(account, -1)
+	}
+	v.waiting = still
+}
+
+// load makes requests at random times for a time, at the given VMs in turn by chance.
+func (s *sim) load(perSecond float64, d time.Duration, vms int) {
+	end := s.now + d
+	var next func()
+	next = func() {
+		if s.now >= end {
+			return
+		}
+		i := s.random.IntN(vms)
+		for s.vms[i].down {
+			i = (i + 1) % len(s.vms)
+		}
+		s.ask(s.vms[i])
+		s.after(time.Duration(s.random.ExpFloat64()/perSecond*float64(time.Second)), next)
+	}
+	next()
+	s.run(d + time.Second)
+}
+
+// replace ends a tenth of the VMs at once and starts as many others; coordinator reports
+// whether the coordinator is among them. All VMs count both for the time of a registration.
+func (s *sim) replace(coordinator bool) {
+	n := max(1, len(s.vms)/10)
+	i := s.coordinator()
+	if !coordinator {
+		i = (i + 1) % len(s.vms)
+	}
+	for range n {
+		s.vms[i].down = true
+		i = (i + 10) % len(s.vms)
+	}
+	for range n {
+		s.vms = append(s.vms, nil)
+		s.start(len(s.vms) - 1)
+	}
+	for _, v := range s.vms {
+		v.member.SetVMs(len(s.vms))
+	}
+}
+
+// coordinator returns the number of the VM that most VMs use.
+func (s *sim) coordinator() int {
+	for i, v := range s.vms {
+		if v.pool.Fraction(s.clock()) > 0.5 {
+			return i
+		}
+	}
+	return -1
+}
+
+// TestShares checks what an account gets in deployments of 9, 68 and 300 VMs, from one VM and
+// from all, and how many calls that takes. An account that asks less than its rate was refused
+// when permits lay at other VMs, and a coordinator of many VMs got more calls than it can read.
+func TestShares(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		demand, want float64
+		maxCalls     float64
+		// replace and killed report whether a tenth of the VMs is replaced, with the coordinator.
+		replace, killed bool
+	}{
+		{"bursts at 0.6", 0.6, 0.999, 8, false, false}, {"0.9", 0.9, 0.99, 15, false, false}, {"10 times", 10, 0.9, 50, false, false}, {"0.9 and a tenth replaced", 0.9, 0.95, 25, true, false},
+		{"0.9 and a tenth replaced with the coordinator", 0.9, 0.8, 25, true, true},
+	} {
+		for _, n := range []int{9, 68, 300} {
+			for _, from := range []int{1, n} {
+				for _, l := range []Limit{{Rate: 41, Burst: 20}, {Rate: 4, Burst: 4}, {Rate: 1000, Burst: 100}} {
+					s := newSim(n, l)
+					s.load(c.demand*l.Rate, 2*time.Second, from)
+					s.asked, s.served, s.calls = 0, 0, 0
+					const seconds = 30
+					if c.replace {
+						s.after(5*time.Second, func() { s.replace(c.killed) })
+					}
+					s.load(c.demand*l.Rate, seconds*time.Second, from)
+					share := float64(s.served) / min(float64(s.asked), l.Rate*seconds)
+					calls := float64(s.calls) / (seconds + 1) / float64(n)
+					t.Logf("%s from %d of %d VMs, rate %g: %.4f served, %.2f calls per VM and second", c.name, from, n, l.Rate, share, calls)
+					want := c.want
+					if c.replace && !c.killed && l.Rate < 10 {
+						// While a tenth more VMs are counted than there are, the quota is hardly
+						// more than the demand, and the bucket of a few requests runs empty.
+						want = 0.9
+					}
+					if share < want || calls > c.maxCalls {
+						t.Errorf("want %g and at most %g calls", want, c.maxCalls)
+					}
+				}
+			}
+		}
+	}
+}
--- a/internal/state/account/account.go
+++ b/internal/state/account/account.go
@@ -96,5 +96,16 @@
 	return a, ok
 }
 
+// Limited returns the accounts that have a quota.
+func (x *Index) Limited() []*Account {
+	var out []*Account
+	for _, a := range x.byName {
+		if a.Limited() {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
 // Len returns the number of accounts.
 func (x *Index) Len() int { return len(x.byName) }
--- a/internal/state/field/field.go
+++ b/internal/state/field/field.go
@@ -126,7 +126,8 @@
 		p.Message = "key is missing"
 		return p, false
 	}
-	if i < 0 {
+	// The platform fills in an empty value where it has none.
+	if i < 0 || f.Default != "" && s.Keys[i].Value == "" {
 		return p, f.Default == "" || f.parse(t, f.Default)
 	}
 	k := s.Keys[i]
--- a/internal/state/gatewaysettings/fields.go
+++ b/internal/state/gatewaysettings/fields.go
@@ -65,6 +65,16 @@
 		Help: "extra sends of all VMs to a service in a window beyond the ratio"},
 		0, 1e6, func(s *Settings) *float64 { return &s.RetryAllowance }),
 
+	seconds(field.Spec{Section: "quota", Key: "window_s", Default: "5",
+		Help: "span over which the requests of a client account are counted, over all VMs"},
+		0.1, 600, func(s *Settings) *time.Duration { return &s.QuotaWindow }),
+	field.Float(field.Spec{Section: "quota", Key: "overage", Default: "0.1",
+		Help: "share of an account's rate and burst by which its requests in a window may exceed them"},
+		0, 10, func(s *Settings) *float64 { return &s.QuotaOverage }),
+	field.Float(field.Spec{Section: "quota", Key: "slack", Unit: "requests", Default: "20",
+		Help: "requests of an account in a window that are tolerated besides"},
+		0, 1e6, func(s *Settings) *float64 { return &s.QuotaSlack }),
+
 	seconds(field.Spec{Section: "process", Key: "stop_within_s", Default: "6",
 		Help: "how long the process may run once it is told to stop"},
 		0, 600, func(s *Settings) *time.Duration { return &s.ShutdownTimeout }),
--- a/internal/state/gatewaysettings/settings.go
+++ b/internal/state/gatewaysettings/settings.go
@@ -54,6 +54,11 @@
 	RetryRatio     float64
 	RetryWindow    time.Duration
 	RetryAllowance float64
+	// QuotaWindow, QuotaOverage and QuotaSlack define by how much the requests of a client
+	// account may exceed its quota in any window: (rate x window + burst) x overage + slack.
+	QuotaWindow  time.Duration
+	QuotaOverage float64
+	QuotaSlack   float64
 	// ShutdownTimeout is how long the process may keep running after it is told to stop.
 	ShutdownTimeout time.Duration
 	// MemoryMB is the memory that the process may use, in MiB, and Cores the number of
