--- a/internal/state/field/field.go
+++ b/internal/state/field/field.go
@@ -126,15 +126,12 @@
 		p.Message = "key is missing"
 		return p, false
 	}
-	if i < 0 {
+	// A placeholder of a template that has no value is filled in as empty text.
+	if i < 0 || f.Default != "" && s.Keys[i].Value == "" {
 		return p, f.Default == "" || f.parse(t, f.Default)
 	}
 	k := s.Keys[i]
 	p.Line = k.Line
-	if k.Value == "" && f.Default != "" {
-		// A placeholder of a template that has no value is filled in as empty text.
-		return p, f.parse(t, f.Default)
-	}
 	quoted := fmt.Sprintf("%q", k.Value)
 	if f.Secret {
 		quoted = "the value"
