Quota: a restarted VM or tier uses its part of the quotas at once

Change: a starting VM says so in its calls. Its coordinator tells it that the fraction is free if it holds it of the VM's process before, whose session ends then, or if all VMs are starting. A VM whose coordinator was restarted does not wait for the lease of the process before.

--- a/internal/peer/quotapool/message.go
+++ b/internal/peer/quotapool/message.go
@@ -10,7 +10,7 @@
 // encodeCall converts a call to a message.
 func encodeCall(c quota.Call) *relayrpc.ShareRequest {
 	out := &relayrpc.QuotaCall{Session: c.Session, Seq: int64(c.Seq), Acked: int64(c.Acked), Coordinator: c.Coordinator, ClockUs: c.Clock.Microseconds(),
-		Vms: int64(c.VMs), LeaseMs: c.Lease.Milliseconds()}
+		Vms: int64(c.VMs), Starting: int64(c.Starting), LeaseMs: c.Lease.Milliseconds()}
 	for _, r := range c.Reports {
 		out.Reports = append(out.Reports, &relayrpc.QuotaReport{Account: r.Account, Held: int64(r.Held), Used: int64(r.Used), Asked: int64(r.Asked), Waiting: int64(r.Waiting)})
 	}
@@ -21,7 +21,7 @@
 // that of used permits.
 func decodeCall(vm string, in *relayrpc.QuotaCall) quota.Call {
 	out := quota.Call{VM: vm, Session: in.GetSession(), Seq: uint64(max(0, in.GetSeq())), Acked: uint64(max(0, in.GetAcked())), Coordinator: in.GetCoordinator(),
-		Clock: time.Duration(in.GetClockUs()) * time.Microsecond, VMs: int(in.GetVms()), Lease: max(0, time.Duration(in.GetLeaseMs())*time.Millisecond)}
+		Clock: time.Duration(in.GetClockUs()) * time.Microsecond, VMs: int(in.GetVms()), Starting: int(max(0, in.GetStarting())), Lease: max(0, time.Duration(in.GetLeaseMs())*time.Millisecond)}
 	for _, r := range in.GetReports() {
 		out.Reports = append(out.Reports, quota.Report{Account: r.GetAccount(), Held: int(max(0, r.GetHeld())), Used: int(r.GetUsed()), Asked: int(max(0, r.GetAsked())), Waiting: int(max(0, r.GetWaiting()))})
 	}
@@ -30,7 +30,7 @@
 
 // encodeReply converts a reply to a message.
 func encodeReply(r quota.Reply) *relayrpc.QuotaReply {
-	out := &relayrpc.QuotaReply{Coordinator: r.Coordinator, ClockUs: r.Clock.Microseconds()}
+	out := &relayrpc.QuotaReply{Coordinator: r.Coordinator, ClockUs: r.Clock.Microseconds(), Free: r.Free}
 	for _, g := range r.Grants {
 		out.Grants = append(out.Grants, &relayrpc.QuotaGrant{Account: g.Account, Permits: int64(g.Permits), WaitMs: (g.Wait + time.Millisecond - 1).Milliseconds()})
 	}
@@ -39,7 +39,7 @@
 
 // decodeReply converts a message to a reply.
 func decodeReply(in *relayrpc.QuotaReply) quota.Reply {
-	out := quota.Reply{Coordinator: in.GetCoordinator(), Clock: time.Duration(in.GetClockUs()) * time.Microsecond}
+	out := quota.Reply{Coordinator: in.GetCoordinator(), Clock: time.Duration(in.GetClockUs()) * time.Microsecond, Free: in.GetFree()}
 	for _, g := range in.GetGrants() {
 		out.Grants = append(out.Grants, quota.Grant{Account: g.GetAccount(), Permits: int(max(0, g.GetPermits())), Wait: time.Duration(g.GetWaitMs()) * time.Millisecond})
 	}
--- a/internal/query/quota/member.go
+++ b/internal/query/quota/member.go
@@ -53,6 +53,8 @@
 	// freeAt from the coordinators of earlier sessions.
 	leaseEnd, freeAt boottime.Instant
 	delegates        bool
+	// free is set once this process's fraction counts.
+	free bool
 	// called are the times of the last calls, the newest first.
 	called [burstCalls]boottime.Instant
 	// urgent reports whether a call is due as soon as allowed.
@@ -261,8 +263,11 @@
 	m.called[0], m.urgent = now, false
 	c := Call{VM: m.c.VM, Session: m.session, Seq: m.seq, Acked: m.acked, Coordinator: m.process, Clock: m.clock,
 		Lease: Lease(m.vms), sentAt: now, echoAt: m.echoAt}
-	counts := m.vms > 0 && now.Sub(m.c.Start) >= max(c.Lease, minStart)
-	if m.delegates = counts && !release && m.acked > 0 && !now.Before(m.freeAt); m.delegates {
+	m.free = m.free || now.Sub(m.c.Start) >= max(c.Lease, minStart)
+	if !m.free {
+		c.Starting = m.vms
+	}
+	if m.delegates = m.free && m.vms > 0 && !release && m.acked > 0 && !now.Before(m.freeAt); m.delegates {
 		c.VMs = m.vms
 		m.leaseEnd = boottime.Later(m.leaseEnd, m.echoAt.Add(c.Lease))
 	}
@@ -288,12 +293,15 @@
 		return
 	}
 	if m.process != 0 && m.process != r.Coordinator {
-		// The coordinator's process is another one. It does not know what this VM holds.
+		// The coordinator's process is another one. It does not know what this VM holds, and
+		// the one before uses its fraction no more.
+		m.leaseEnd = boottime.Instant{}
 		m.startSession(m.coordinator)
 		m.hurry()
 		return
 	}
-	m.urgent = m.urgent || m.acked == 0
+	m.urgent = m.urgent || m.acked == 0 || r.Free && !m.free
+	m.free = m.free || r.Free
 	m.acked, m.process, m.clock, m.echoAt = c.Seq, r.Coordinator, r.Clock, now
 	if c.VMs == 0 {
 		m.leaseEnd = boottime.Instant{}
--- a/internal/query/quota/pool.go
+++ b/internal/query/quota/pool.go
@@ -76,6 +76,9 @@
 	fraction     float64
 	since, until time.Duration
 	lease        time.Duration
+	// starting is set while the VM's own fraction does not count yet, and ended once a later
+	// process of the VM has taken its fraction back.
+	starting, ended bool
 	// accounts holds the accounts of which the VM may hold permits.
 	accounts map[uint64]*holding
 }
@@ -133,7 +136,8 @@
 	repeated := c.Acked != d.seq
 	d.seq, d.seenAt, d.lease = c.Seq, p.clock, min(c.Lease, maxLease)
 	p.delegate(d, c)
-	r := Reply{Coordinator: p.c.Incarnation, Clock: p.clock}
+	d.starting = c.Starting > 0
+	r := Reply{Coordinator: p.c.Incarnation, Clock: p.clock, Free: d.starting && p.takesBack(id, c.Starting, d.lease)}
 	reported := make(map[uint64]bool, len(c.Reports))
 	for _, a := range c.Reports {
 		reported[a.Account] = true
@@ -191,7 +195,7 @@
 		return
 	}
 	until := c.Clock + d.lease
-	if c.Coordinator != p.c.Incarnation || c.Clock > p.clock || until <= p.clock {
+	if d.ended || c.Coordinator != p.c.Incarnation || c.Clock > p.clock || until <= p.clock {
 		return
 	}
 	if d.fraction == 0 {
@@ -206,6 +210,35 @@
 	}
 }
 
+// takesBack reports whether the fraction of a starting VM is free. It is if this coordinator
+// holds it of the VM's process before, whose session ends then. It also is if all VMs are
+// starting, as the processes to which they had delegated are gone as well.
+func (p *Pool) takesBack(id session, vms int, lease time.Duration) bool {
+	held := false
+	latest := map[string]*delegation{}
+	for o, d := range p.vms {
+		if o.vm == id.vm && o != id {
+			// A late call of the process before must not delegate the fraction again.
+			held = held || d.fraction > 0
+			d.fraction, d.ended = 0, true
+		}
+		if l := latest[o.vm]; l == nil || l.seenAt < d.seenAt || l.seenAt == d.seenAt && l.starting {
+			latest[o.vm] = d
+		}
+	}
+	starting := 0
+	for _, d := range latest {
+		if d.starting {
+			starting++
+		}
+	}
+	if held {
+		p.addFractions()
+		p.clip()
+	}
+	return held || p.clock < lease && starting >= vms
+}
+
 // clip cuts all buckets to their capacity after the loss of a fraction. Otherwise what they
 // held of it would count again when the fraction is back. Full buckets that are not in use are
 // removed.
--- a/internal/query/quota/quota.go
+++ b/internal/query/quota/quota.go
@@ -107,6 +107,9 @@
 	// VMs is the number of VMs, of whose quota the VM delegates its part. It is 0 if the VM
 	// delegates nothing, which also ends an earlier delegation.
 	VMs int
+	// Starting is the number of VMs if the VM's fraction does not count yet, as a coordinator
+	// may still hold it of the process before; 0 otherwise.
+	Starting int
 	// Lease is how long the delegation lasts from Clock on, and permits from the reply on.
 	Lease time.Duration
 	// Reports has all accounts of which the VM holds permits or had requests lately.
@@ -133,7 +136,9 @@
 	// Coordinator identifies the process, and Clock is its time.
 	Coordinator uint64
 	Clock       time.Duration
-	Grants      []Grant
+	// Free reports that no other coordinator holds the fraction of a VM that is starting.
+	Free   bool
+	Grants []Grant
 }
 
 // Grant is the answer to one Report.
--- /dev/null
+++ b/internal/query/quota/start_test.go
@@ -0,0 +1,78 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"egrethaven/internal/infra/boottime"
+)
+
+// TestRestart guards against a quota that nobody may use for seconds after a restart: of one
+// VM, whose fraction its coordinator still holds, and of all VMs at once.
+func TestRestart(t *testing.T) {
+	const vms = 4
+	limit, now := Limit{Rate: 40, Burst: 40}, boottime.Now()
+	pool := func() *Pool {
+		return NewPool(PoolConfig{Incarnation: uint64(now.Sub(boottime.Instant{})), Rule: Rule{Window: 5 * time.Second, Overage: 0.1, Slack: 20}, Start: now,
+			Limit: func(uint64) (Limit, bool) { return limit, true }})
+	}
+	session := uint64(0)
+	member := func(vm string) *Member {
+		session += 1000
+		m := NewMember(MemberConfig{VM: vm, Session: session, Start: now})
+		m.SetVMs(vms)
+		return m
+	}
+	call := func(p *Pool, m *Member) {
+		c := m.Begin(now, "coordinator")
+		if r, ok := p.Serve(now, c); ok {
+			m.End(now, c, r)
+		}
+		now = now.Add(10 * time.Millisecond)
+	}
+	names := []string{"a", "b", "c", "d"}
+	p, members := pool(), map[string]*Member{}
+	start := func() {
+		for _, name := range names {
+			members[name] = member(name)
+		}
+	}
+	rounds := func(n int) {
+		for range n {
+			for _, name := range names {
+				call(p, members[name])
+			}
+		}
+	}
+	start()
+	rounds(4)
+	if f := p.Fraction(now); f < 0.99 {
+		t.Errorf("all are starting: fraction %g", f)
+	}
+	now = now.Add(minStart)
+	rounds(3)
+	members["b"] = member("b")
+	rounds(4)
+	if f := p.Fraction(now); f < 0.99 {
+		t.Errorf("one was restarted: fraction %g", f)
+	}
+	now = now.Add(time.Second)
+	p = pool()
+	start()
+	rounds(4)
+	if f := p.Fraction(now); f < 0.99 {
+		t.Errorf("all were restarted: fraction %g", f)
+	}
+	// The coordinator alone was restarted with one VM, whose fraction another one may hold.
+	now = now.Add(minStart)
+	rounds(3)
+	now = now.Add(time.Second)
+	p = pool()
+	members["b"] = member("b")
+	call(p, members["b"])
+	call(p, members["b"])
+	call(p, members["b"])
+	if f := p.Fraction(now); f > 0 {
+		t.Errorf("coordinator and one VM were restarted: fraction %g", f)
+	}
+}
