Quota: a starting VM soon tries a coordinator again that did not answer

Cause: after the restart of all VMs, those that were back before the first choice left it alone for two to three seconds, so that they spread over several coordinators, none of which knew that all VMs were starting.

Change: while a VM's fraction does not count it leaves a VM alone for 200 to 300 ms.

--- a/internal/peer/quotapool/limiter.go
+++ b/internal/peer/quotapool/limiter.go
@@ -254,7 +254,7 @@
 	if err == nil {
 		l.member.End(boottime.Now(), c, r)
 	} else if ctx.Err() == nil {
-		l.chooser.Fail(boottime.Now(), to.Addr)
+		l.chooser.Fail(boottime.Now(), to.Addr, l.member.Starting())
 		l.member.Fail()
 		l.c.Events.Emit(event.QuotaCallFailed, to.ID, err.Error())
 	}
@@ -301,7 +301,7 @@
 	l.wg.Go(func() {
 		_, err := l.send(l.ctx, v, quota.Call{VM: l.c.Self.ID})
 		if err != nil {
-			l.chooser.Fail(boottime.Now(), v.Addr)
+			l.chooser.Fail(boottime.Now(), v.Addr, l.member.Starting())
 		}
 		l.mu.Lock()
 		defer l.mu.Unlock()
--- a/internal/query/quota/chooser.go
+++ b/internal/query/quota/chooser.go
@@ -16,6 +16,9 @@
 	// failedCooldown is how long a VM that failed is not tried; up to half of it is added as
 	// jitter.
 	failedCooldown = 2 * time.Second
+	// startCooldown is failedCooldown of a VM that is starting: after the restart of all VMs
+	// the first choice answers as soon as it is back.
+	startCooldown = 200 * time.Millisecond
 	// choiceLabel makes the rank of a VM differ from those for other purposes.
 	choiceLabel = "quota coordinator\x00"
 )
@@ -44,11 +47,15 @@
 	return &Chooser{self: self, failedUntil: map[string]boottime.Instant{}}
 }
 
-// Fail records that a VM did not answer.
-func (c *Chooser) Fail(now boottime.Instant, addr string) {
+// Fail records that a VM did not answer. starting reports whether the VM that chooses is.
+func (c *Chooser) Fail(now boottime.Instant, addr string, starting bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.failedUntil[addr] = now.Add(failedCooldown + rand.N(failedCooldown/2))
+	d := failedCooldown
+	if starting {
+		d = startCooldown
+	}
+	c.failedUntil[addr] = now.Add(d + rand.N(d/2))
 }
 
 // Choose returns the VM to use: the one with the widest link. If that one has failed, it is the
--- a/internal/query/quota/member.go
+++ b/internal/query/quota/member.go
@@ -104,6 +104,13 @@
 	}
 }
 
+// Starting reports whether this process's fraction does not count yet.
+func (m *Member) Starting() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.free
+}
+
 // Fail records that the last call got no reply. Another one, to another VM, is due.
 func (m *Member) Fail() {
 	m.mu.Lock()
--- a/internal/query/quota/sim_test.go
+++ b/internal/query/quota/sim_test.go
@@ -144,7 +144,7 @@
 	if to != v.coordinator && v.usable {
 		// A better VM is used only if it answers, and the fraction is taken back before.
 		if s.vmAt(to.Addr).down {
-			v.chooser.Fail(s.clock(), to.Addr)
+			v.chooser.Fail(s.clock(), to.Addr, v.member.Starting())
 			to = v.coordinator
 		} else {
 			c := v.member.Release(s.clock())
@@ -166,7 +166,7 @@
 		if ok {
 			v.member.End(s.clock(), c, r)
 		} else {
-			v.chooser.Fail(s.clock(), to.Addr)
+			v.chooser.Fail(s.clock(), to.Addr, v.member.Starting())
 			v.member.Fail()
 		}
 		s.serveWaiting(v)
