Quota: a starting VM that does not know the number of VMs counts as starting

Cause: after a power loss of 68 VMs, 67 told their coordinator that they were starting. One, whose registration had expired, did not know the number of VMs, and said nothing.

--- a/internal/query/quota/member.go
+++ b/internal/query/quota/member.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -284,7 +285,10 @@
 	}
 	m.free = m.free || now.Sub(m.c.Start) >= start
 	if !m.free {
-		c.Starting = m.vms
+		// A VM that does not know the number of VMs counts as starting for the others.
+		if c.Starting = m.vms; m.vms == 0 {
+			c.Starting = math.MaxInt32
+		}
 	}
 	if m.delegates = m.free && m.vms > 0 && !release && m.acked > 0 && !now.Before(m.freeAt); m.delegates {
 		c.VMs = m.vms
