--- a/internal/query/quota/sim_test.go
+++ b/internal/query/quota/sim_test.go
@@ -294,6 +294,7 @@
 		{"a tenth replaced with the coordinator", 0.9, 0.95, 25, all, true, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			for _, n := range []int{9, 68, 300} {
 				for _, from := range []int{1, n} {
 					for _, l := range c.limits {
