--- a/internal/query/quota/pool.go
+++ b/internal/query/quota/pool.go
@@ -77,8 +77,8 @@
 	since, until time.Duration
 	lease        time.Duration
 	// starting is set while the VM's own fraction does not count yet, and ended once a later
-	// process of the VM has taken its fraction back.
-	starting, ended bool
+	// process of the VM has taken its fraction back. free is set when all VMs were starting.
+	starting, ended, free bool
 	// accounts holds the accounts of which the VM may hold permits.
 	accounts map[uint64]*holding
 }
@@ -232,11 +232,17 @@
 			starting++
 		}
 	}
+	if p.clock < lease && starting >= vms {
+		// Those that know it first are not starting any more when the others call.
+		for _, d := range latest {
+			d.free = d.free || d.starting
+		}
+	}
 	if held {
 		p.addFractions()
 		p.clip()
 	}
-	return held || p.clock < lease && starting >= vms
+	return held || p.vms[id].free
 }
 
 // clip cuts all buckets to their capacity after the loss of a fraction. Otherwise what they
--- a/internal/query/quota/start_test.go
+++ b/internal/query/quota/start_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -42,6 +43,8 @@
 			for _, name := range names {
 				call(p, members[name])
 			}
+			// The one that learns first that all are starting calls before the others.
+			slices.Reverse(names)
 		}
 	}
 	start()
