--- a/internal/query/admission/admission.go
+++ b/internal/query/admission/admission.go
@@ -15,12 +15,6 @@
 // so that it lasts for those that cannot: one that needs nine of ten shards then does
 // not use up what the next one needs.
 //
-// A fan-out also does without shards that are expected to answer after the objective, as
-// far as it can: it would be answered without them anyway, and their searchers would work
-// for nothing while other requests wait for them. Where it needs some of them, it takes
-// others each time, so that two overloaded shards of which one is needed get half of the
-// load each.
-//
 // # Usage
 //
 //	d := admission.Decide(admission.Request{Shards: shards, MinShards: 9, Objective: 90 * time.Millisecond, TimeLeft: left})
@@ -29,7 +23,6 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -44,9 +37,6 @@
 	// scarceSpare is the share of a burst below which the rest of a limit is kept for
 	// fan-outs that cannot do without the shard.
 	scarceSpare = 0.5
-	// lateShare is the share of the time to the objective from which a shard is expected to
-	// answer too late: queues grow until all VMs know of them.
-	lateShare = 2.0 / 3
 )
 
 // Shard describes the best searcher of one shard.
@@ -82,8 +72,6 @@
 	Standing shedding.Standing
 	// TimeLeft is the time left until the deadline.
 	TimeLeft time.Duration
-	// IntN returns a random number in [0,n); nil means math/rand.
-	IntN func(n int) int
 }
 
 // Decision says whether to send a request.
@@ -128,37 +116,21 @@
 	return d
 }
 
-// leaveOut returns the shards that a request does without, as long as MinShards remain:
-// those whose limit permits the request too late, then, in random order and at most half of
-// what can be spared, those that are expected to answer too late for another reason, and
-// those that have little left of their limit, scarcest first.
+// leaveOut returns the limited shards that a request does without: those whose limit
+// permits the request too late, and those that have little left of it, scarcest first,
+// as long as MinShards remain.
 func leaveOut(r Request) []int {
-	spare := len(r.Shards) - r.MinShards
-	if spare <= 0 {
-		return nil
-	}
-	var limited, late, scarce []int
+	var out, scarce []int
 	for n, s := range r.Shards {
-		switch expected := s.Wait + s.ServiceTime; {
-		case s.Limited && expected > r.Objective:
-			limited = append(limited, n)
-		case !s.Limited && float64(expected) > lateShare*float64(r.Objective):
-			late = append(late, n)
-		case s.Limited && s.LimitSpare < scarceSpare:
+		switch {
+		case !s.Limited:
+		case s.Wait+s.ServiceTime > r.Objective:
+			out = append(out, n)
+		case s.LimitSpare < scarceSpare:
 			scarce = append(scarce, n)
 		}
 	}
-	intN := r.IntN
-	if intN == nil {
-		intN = rand.IntN
-	}
-	for n := len(late) - 1; n > 0; n-- {
-		k := intN(n + 1)
-		late[n], late[k] = late[k], late[n]
-	}
 	slices.SortFunc(scarce, func(a, b int) int { return cmp.Compare(r.Shards[a].LimitSpare, r.Shards[b].LimitSpare) })
-	// The rest is for shards that pause.
-	late = late[:min(len(late), (spare+1)/2)]
-	out := append(append(limited, late...), scarce...)
-	return out[:min(len(out), spare)]
+	out = append(out, scarce...)
+	return out[:max(0, min(len(out), len(r.Shards)-r.MinShards))]
 }
