Forward: choose the searcher of a hedge once, and refuse in one place

Change: the hedge goes to the searcher that was chosen before the budget is charged; one constant; refusalFor. Only the Retry-After that explain names for an outdated copy changes.

--- a/internal/query/forward/answer.go
+++ b/internal/query/forward/answer.go
@@ -129,7 +129,7 @@
 	late := !now.Before(x.deadline)
 	switch {
 	case !mayHaveRun && x.revoked.Load():
-		return Answer{Status: http.StatusUnauthorized, Reason: UnknownKey}
+		return refusalFor(UnknownKey)
 	case !mayHaveRun && overloaded:
 		return Answer{Status: http.StatusServiceUnavailable, RetryAfter: shedding.ReturnAfter(retryAfterOverload, x.namedWait(now), rand.Float64()), Reason: Overloaded}
 	case !mayHaveRun:
--- a/internal/query/forward/explain.go
+++ b/internal/query/forward/explain.go
@@ -18,21 +18,21 @@
 	now := time.Now()
 	s := e.c.Current()
 	if s == nil {
-		return refusedReport(explain.Report{}, Answer{Status: http.StatusServiceUnavailable, Reason: NoConfig, RetryAfter: retryAfterUnknown}, "no configuration has been read yet")
+		return refusedReport(explain.Report{}, refusalFor(NoConfig), "no configuration has been read yet")
 	}
 	out := explain.Report{ConfigVersion: int64(s.Config.Version), ConfigAgeMS: milliseconds(now.Sub(s.BuiltAt))}
 	r, ok := s.Config.Lookup(v.Host, v.Path)
 	if !ok {
-		return refusedReport(out, Answer{Status: http.StatusNotFound, Reason: NoRoute}, "no route has this host and a prefix of this path")
+		return refusedReport(out, refusalFor(NoRoute), "no route has this host and a prefix of this path")
 	}
 	out.Route = r.Name
 	q := Request{Method: v.Method, Target: v.Path, Host: v.Host, Header: http.Header{}, Arrived: now, key: v.Key}
 	c, why := e.identify(&q, s.Config, r)
 	switch why {
 	case UnknownKey:
-		return refusedReport(out, Answer{Status: http.StatusUnauthorized, Reason: why}, "the route needs the key of a client account, and this is none")
+		return refusedReport(out, refusalFor(why), "the route needs the key of a client account, and this is none")
 	case KeysOutdated:
-		return refusedReport(out, Answer{Status: http.StatusServiceUnavailable, Reason: why, RetryAfter: retryAfterUnknown}, "the copy of the store is too old to check keys by")
+		return refusedReport(out, refusalFor(why), "the copy of the store is too old to check keys by")
 	}
 	if out.Account = c.name(); c.account != nil {
 		out.QuotaPerSecond, out.QuotaBurst = c.account.RatePerSecond, c.account.Burst
--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -59,9 +59,7 @@
 	// HandedOver reports that another VM handed the request over. It is not handed over
 	// again. Sends is the number of searchers of one service to which that VM has sent it.
 	HandedOver bool
-	// restarted is set if the request starts again under a newer configuration.
-	restarted bool
-	Sends     int
+	Sends      int
 	// Account is the name of the client account of a request that was handed over; empty if
 	// it has none.
 	Account string
@@ -70,6 +68,8 @@
 
 	// key is the key of a client account, taken out of Header. It stays in this process.
 	key string
+	// restarted is set if the request starts again under a newer configuration.
+	restarted bool
 }
 
 // Answer is the response to the client.
@@ -333,18 +333,15 @@
 func (e *Engine) dispatch(ctx context.Context, q *Request) (a Answer, restart bool) {
 	s := e.c.Current()
 	if s == nil {
-		return e.refuse(*q, nil, NoConfig, http.StatusServiceUnavailable), false
+		return e.refuse(*q, nil, NoConfig), false
 	}
 	r, ok := s.Config.Lookup(q.Host, q.Target)
 	if !ok {
-		return e.refuse(*q, s, NoRoute, http.StatusNotFound), false
+		return e.refuse(*q, s, NoRoute), false
 	}
 	c, reason := e.identify(q, s.Config, r)
-	switch reason {
-	case UnknownKey:
-		return e.refuse(*q, s, reason, http.StatusUnauthorized), false
-	case KeysOutdated:
-		return e.refuse(*q, s, reason, http.StatusServiceUnavailable), false
+	if reason != Served {
+		return e.refuse(*q, s, reason), false
 	}
 	x := e.newDispatch(*q, s, r, c)
 	e.c.Guard.AddEvidence(x.fingerprint, q.Evidence)
@@ -362,19 +359,26 @@
 
 // refuse answers a request for which there is no configuration or no route, or whose client is
 // not known. s is nil if there is no configuration.
-func (e *Engine) refuse(q Request, s *Snapshot, reason Reason, status int) Answer {
-	a := Answer{Status: status, Reason: reason}
-	switch {
-	case reason == KeysOutdated:
-		a.RetryAfter = retryAfterOutdated
-	case status == http.StatusServiceUnavailable:
-		a.RetryAfter = retryAfterUnknown
-	}
+func (e *Engine) refuse(q Request, s *Snapshot, reason Reason) Answer {
+	a := refusalFor(reason)
 	e.c.Observe("", reason, time.Since(q.Arrived))
 	e.logRefusal(q, s, a)
 	return a
 }
 
+// refusalFor returns the answer to a request that is refused before it is routed to searchers.
+func refusalFor(r Reason) Answer {
+	switch r {
+	case NoRoute:
+		return Answer{Status: http.StatusNotFound, Reason: r}
+	case UnknownKey:
+		return Answer{Status: http.StatusUnauthorized, Reason: r}
+	case KeysOutdated:
+		return Answer{Status: http.StatusServiceUnavailable, Reason: r, RetryAfter: retryAfterOutdated}
+	}
+	return Answer{Status: http.StatusServiceUnavailable, Reason: r, RetryAfter: retryAfterUnknown}
+}
+
 // randIntN returns a random number in [0,n).
 func randIntN(n int) int { return rand.IntN(n) }
 
--- a/internal/query/forward/handover.go
+++ b/internal/query/forward/handover.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"slices"
 	"time"
 
@@ -99,7 +98,7 @@
 		return Answer{}, false
 	}
 	if !x.stillPermitted() {
-		return Answer{Status: http.StatusUnauthorized, Reason: UnknownKey}, !mayHaveRun
+		return refusalFor(UnknownKey), !mayHaveRun
 	}
 	h := Handover{Request: x.req, Route: x.route.Name, ConfigVersion: x.snapshot.Config.Version, Deadline: x.deadline,
 		Repeatable: x.route.Idempotency == routing.Idempotent, MayHaveRun: mayHaveRun,
--- a/internal/query/forward/shortage.go
+++ b/internal/query/forward/shortage.go
@@ -14,8 +14,8 @@
 	// counts as short. A VM with a fifth of a core is often 10 ms late without being
 	// overloaded, because its quota is divided into periods of 100 ms.
 	processorLag = 20 * time.Millisecond
-	// slowSearcher is the slowdown factor from which a late searcher counts as slow instead
-	// of paused: a pause shows in one answer, whose weight in the factor is small.
+	// slowSearcher is the slowdown factor from which a searcher counts as slow instead of
+	// paused: a pause shows in one answer, whose weight in the factor is small.
 	slowSearcher = 3
 )
 
--- a/internal/query/forward/subrequest.go
+++ b/internal/query/forward/subrequest.go
@@ -28,9 +28,8 @@
 	// minHedgeSpare is the share of a burst that the limit of a searcher has to permit
 	// for a hedge to go there. The rest is kept for first sends and retries.
 	minHedgeSpare = 0.5
-	// slowFactor is the slowdown from which a searcher counts as slow, and overdueFactor the
-	// multiple of its expected time after which an attempt is hedged at a slow one.
-	slowFactor    = 3
+	// overdueFactor is the multiple of its expected time after which an attempt is hedged at
+	// a searcher that is slower than slowSearcher.
 	overdueFactor = 2
 )
 
@@ -179,7 +178,7 @@
 			return false
 		}
 		due := expected
-		if c.SlowdownFactor > slowFactor {
+		if c.SlowdownFactor > slowSearcher {
 			due = overdueFactor * expected
 		}
 		return elapsed >= due || service < expected-elapsed
@@ -489,10 +488,9 @@
 		purpose = retrybudget.LastHedge
 	}
 	_, expected := placement.Predict(current)
-	eligible := takesHedge(expected, now.Sub(f.startedAt))
-	helps := p.hasUntried(now, eligible)
-	if !helps || !p.maySpend(now) || !p.budget.AllowExtra(now, purpose) {
-		if helps {
+	i, _ := p.chooseSearcher(now, takesHedge(expected, now.Sub(f.startedAt)))
+	if i == nil || !p.maySpend(now) || !p.budget.AllowExtra(now, purpose) {
+		if i != nil {
 			x.short.Add(shortage.Budget)
 		}
 		p.hedgeAt = now.Add(x.hedgeDelay / hedgeRetryDivisor)
@@ -501,9 +499,8 @@
 		}
 		return
 	}
-	if p.sendToBestOf(now, eligible) {
-		x.hedges++
-	}
+	p.sendTo(i, now)
+	x.hedges++
 }
 
 // hasBetter reports whether an untried searcher has a shorter queue than the
