Quota pool: free starting VMs in a function of its own

Cause: one function ended sessions, counted starting VMs and freed them, and counted them also when that could no longer matter.

Change: freeStarting, called while this process is starting itself. Behaviour is unchanged.

Measured: TestBoundHolds and TestRestart pass.

--- a/internal/query/quota/pool.go
+++ b/internal/query/quota/pool.go
@@ -215,13 +215,28 @@
 // starting, as the processes to which they had delegated are gone as well.
 func (p *Pool) takesBack(id session, vms int, lease time.Duration) bool {
 	held := false
-	latest := map[string]*delegation{}
 	for o, d := range p.vms {
 		if o.vm == id.vm && o != id {
 			// A late call of the process before must not delegate the fraction again.
 			held = held || d.fraction > 0
 			d.fraction, d.ended = 0, true
 		}
+	}
+	if held {
+		p.addFractions()
+		p.clip()
+	}
+	if p.clock < lease {
+		p.freeStarting(vms)
+	}
+	return held || p.vms[id].free
+}
+
+// freeStarting frees the fractions of all VMs if all are starting. Those that know it first
+// are not starting any more when the others call.
+func (p *Pool) freeStarting(vms int) {
+	latest := map[string]*delegation{}
+	for o, d := range p.vms {
 		if l := latest[o.vm]; l == nil || l.seenAt < d.seenAt || l.seenAt == d.seenAt && l.starting {
 			latest[o.vm] = d
 		}
@@ -232,17 +247,12 @@
 			starting++
 		}
 	}
-	if p.clock < lease && starting >= vms {
-		// Those that know it first are not starting any more when the others call.
-		for _, d := range latest {
-			d.free = d.free || d.starting
-		}
+	if starting < vms {
+		return
 	}
-	if held {
-		p.addFractions()
-		p.clip()
+	for _, d := range latest {
+		d.free = d.free || d.starting
 	}
-	return held || p.vms[id].free
 }
 
 // clip cuts all buckets to their capacity after the loss of a fraction. Otherwise what they
