Read limit: the end of an aborted connection is no end of a body

A body without a length ends with its connection. When the memory budget aborts the connection while the peer closes its end too, a net.Conn may report the end of file instead of its own close (net.Pipe does, at random), and the cut body passed for a whole one. The TCP connections of net report the close first, so no process is known to have passed such a body on; conn and store read by the same package.

Change: Reader.Read returns ErrExhausted instead of the end of file once its claim was aborted, so every reader of responses is covered.

TestEndOfAborted fails before the change.

--- a/internal/infra/readbudget/readbudget.go
+++ b/internal/infra/readbudget/readbudget.go
@@ -266,6 +266,16 @@
 	}
 }
 
+// Aborted reports whether the response has to give way.
+func (c *Claim) Aborted() bool {
+	if c == nil {
+		return false
+	}
+	c.b.mu.Lock()
+	defer c.b.mu.Unlock()
+	return c.aborted
+}
+
 // Release returns the memory of the claim, and reports whether the response was aborted.
 func (c *Claim) Release() (aborted bool) {
 	if c == nil {
--- a/internal/infra/readlimit/readlimit.go
+++ b/internal/infra/readlimit/readlimit.go
@@ -75,6 +75,10 @@
 	n, err := l.r.Read(p)
 	l.left -= n
 	l.covered -= n
+	// A body may end with its connection. The end of one that was aborted here is no such end.
+	if err == io.EOF && l.claim.Aborted() {
+		err = readbudget.ErrExhausted
+	}
 	return n, err
 }
 
--- a/internal/infra/readlimit/readlimit_test.go
+++ b/internal/infra/readlimit/readlimit_test.go
@@ -4,9 +4,11 @@
 	"io"
 	"strings"
 	"testing"
+	"testing/synctest"
 
 	"github.com/juju/errors"
 
+	"egrethaven/internal/infra/readbudget"
 	"egrethaven/internal/infra/readlimit"
 )
 
@@ -26,6 +28,40 @@
 	}
 }
 
+// readerFunc is a reader that is a function.
+type readerFunc func(p []byte) (int, error)
+
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
+
+// TestEndOfAborted: a body without a length ends with its connection, and the end of a
+// connection that was aborted for lack of memory passed for the end of the body.
+func TestEndOfAborted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const limit = 1 << 20
+		b := readbudget.New(readbudget.Config{Limit: limit})
+		o, ended := b.Open(nil), false
+		l := readlimit.New(readerFunc(func(p []byte) (int, error) {
+			if b.Used() == 0 {
+				return len(p), nil
+			}
+			go func() { _ = o.Grow(limit) }()
+			synctest.Wait()
+			return 0, io.EOF
+		}))
+		l.Account(b.Open(func() { ended = true }))
+		l.Allow(limit, readlimit.BodyCost)
+		body, err := io.ReadAll(l)
+		if !ended || !errors.Is(err, readbudget.ErrExhausted) {
+			t.Errorf("%d bytes, %v; aborted: %t", len(body), err, ended)
+		}
+		if aborted, err := l.End(nil, err); !aborted || err == nil {
+			t.Errorf("got %t, %v", aborted, err)
+		}
+		synctest.Wait()
+		o.Release()
+	})
+}
+
 // TestShortError checks that a short error keeps its identity and a long one is cut.
 func TestShortError(t *testing.T) {
 	if err := readlimit.ShortError(io.ErrUnexpectedEOF); !errors.Is(err, io.ErrUnexpectedEOF) {
