Conn: do not keep the encoded request until the answer

Cause: an exchange kept the bytes of its request, a copy of the head for each shard of a fan-out, until the searcher had answered. The budget for heads does not count these copies.

Change: the bytes are kept for as long as they are written.

Measured: go test and go test -race of internal/back/conn pass.

--- a/internal/back/conn/conn.go
+++ b/internal/back/conn/conn.go
@@ -204,6 +204,8 @@
 		return false
 	}
 	x := &exchange{Request: q, startedAt: time.Now()}
+	// The encoded request is not kept until the answer: a fan-out has one for each shard.
+	x.Bytes = nil
 	k.inFlight = x
 	k.writing = true
 	k.writes.Add(1)
