Ingress: the clients of TestLongBodiesTogether wait for any length of time

Cause: the test's clients named a time of one second, after which a body that has not arrived is refused with 408. A body that waits for memory or processor time on a busy machine was refused so instead of with 503.

Change: the clients name an hour. What the test checks is unchanged.

--- a/internal/front/ingress/memory_test.go
+++ b/internal/front/ingress/memory_test.go
@@ -17,13 +17,20 @@
 	"egrethaven/internal/state/routing"
 )
 
+// patientDialect is a dialect whose clients wait for longer than any test takes.
+type patientDialect struct{ dialect }
+
+// ExtractAttempt returns a time that does not run out on a busy machine, where a body that
+// waits for memory or processor time would be refused with 408 instead of 503.
+func (patientDialect) ExtractAttempt(http.Header) (string, time.Duration) { return "a1", time.Hour }
+
 // TestLongBodiesTogether: the body of each request was bounded, but the sum of many at a
 // time was not. Long ones are refused as not run, with the time at which to come back.
 func TestLongBodiesTogether(t *testing.T) {
 	const limit, bodySize, long, short = 1 << 20, 500 << 10, 8, 8
 	b := readbudget.New(readbudget.Config{Limit: limit})
 	var taken atomic.Int64
-	s, err := ingress.New(ingress.Config{Addr: "127.0.0.1:0", Dialect: dialect{}, Budget: b, Limits: func() routing.Limits { return routing.Limits{} },
+	s, err := ingress.New(ingress.Config{Addr: "127.0.0.1:0", Dialect: patientDialect{}, Budget: b, Limits: func() routing.Limits { return routing.Limits{} },
 		Do: func(_ context.Context, q forward.Request) forward.Answer {
 			if taken.Add(1); len(q.Body) != bodySize && len(q.Body) != 2 {
 				t.Errorf("a body of %d bytes", len(q.Body))
