Stand-in tests: no two test processes get the same port

Cause: freeAddr only looked whether a port was free, so that two test processes could find the same one before either used it.

--- a/internal/e2e/env_test.go
+++ b/internal/e2e/env_test.go
@@ -1,16 +1,12 @@
 package e2e
 
 import (
-	"fmt"
-	"net"
 	"net/http"
-	"os"
 	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"egrethaven/internal/infra/failuredomain"
@@ -20,6 +16,7 @@
 	"egrethaven/internal/standin/dataset"
 	"egrethaven/internal/standin/deployment"
 	"egrethaven/internal/standin/faultproxy"
+	"egrethaven/internal/standin/freeport"
 	"egrethaven/internal/standin/platform"
 	"egrethaven/internal/standin/searcher"
 	"egrethaven/internal/state/search"
@@ -299,29 +296,14 @@
 	}
 }
 
-// Nodes listen on ports below the ephemeral range. Otherwise an outgoing
-// connection could take a port between its choice and its use.
-const (
-	firstPort = 20_000
-	lastPort  = 30_000
-)
-
-// usedPorts is the number of ports assigned so far.
-var usedPorts atomic.Int64
+// ports gives the nodes their ports.
+var ports freeport.Allocator
 
 // freeAddr returns a loopback address with a port that nothing listens on.
 func freeAddr(c *scriptCmd) string {
-	for range lastPort - firstPort {
-		n := int64(os.Getpid()) + usedPorts.Add(1)
-		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+n%(lastPort-firstPort))
-		l, err := net.Listen("tcp", addr)
-		if err == nil {
-			c.Check(l.Close())
-			return addr
-		}
-	}
-	c.Fatalf("no free port from %d to %d", firstPort, lastPort)
-	return ""
+	addr, err := ports.Addr()
+	c.Check(err)
+	return addr
 }
 
 // file returns the path of a file in the script's working directory.
