Forward: a report from before a refusal does not show that a searcher is free

Cause: the last permitted send of a fan-out's part waits after a refusal unless an untried searcher has reported within 20 ms that nothing waits there. While all searchers stall, such reports are still there from before the stall. Traced twice in 75 runs of TestLeavingSearcherAfterFreeze (five at a time, load 42 to 62 on 7 cores): the last sends of two and one parts went 0.3 to 0.5 ms after the start to searchers whose reports were 1.4 and 16 ms old, with 2 of 4 and 1 of 4 slots taken, and were refused. The client got 502 too_few_shards with 1.99 s of its deadline left.

Change: for a part of a fan-out the report also has to be newer than the refused send. The part looks for one every 10 ms, and is sent as soon as there is one, at most about 60 ms later. A plain request keeps the rule of before: if it is refused twice, the client gets a true 503.

Two cases of TestTriedAgainLater fail without it.

--- a/internal/query/forward/resume.go
+++ b/internal/query/forward/resume.go
@@ -13,7 +13,11 @@
 	// refused a request at once.
 	maxRefusedWait = 60 * time.Millisecond
 	// freshReport is the age up to which a load report shows that a searcher does not stall.
+	// For a part of a fan-out it also has to be newer than the refused send: searchers that had
+	// reported free slots 1 to 16 ms before refused the last permitted sends too.
 	freshReport = 20 * time.Millisecond
+	// refusedPoll is the interval at which a waiting part of a fan-out looks for such a report.
+	refusedPoll = 10 * time.Millisecond
 	// minResumeDelay and maxResumeDelay bound the delay before a subrequest is tried again.
 	// It doubles each time, because a budget refills over seconds.
 	minResumeDelay = 20 * time.Millisecond
@@ -41,11 +45,31 @@
 	if last.reply == nil || last.reply.Err != nil || !last.reply.NotRun || last.reply.Misdirected {
 		return false
 	}
-	return x.unrefused() < x.minShards() && p.refusedWait(now) > 0 && !p.hasUntried(now, func(c placement.Candidate) bool {
-		return takesRetry(c) && c.ReportAge <= freshReport && c.Waiting == 0
+	return x.unrefused() < x.minShards() && p.refusedWait(now) > 0 && !p.hasFree(now)
+}
+
+// hasFree reports whether a load report shows that an untried searcher is free after the last
+// attempt was refused.
+func (p *subrequest) hasFree(now time.Time) bool {
+	maxAge := freshReport
+	if p.dispatch.route.IsFanOut() {
+		maxAge = min(maxAge, now.Sub(p.attempts[len(p.attempts)-1].startedAt))
+	}
+	return p.hasUntried(now, func(c placement.Candidate) bool {
+		return takesRetry(c) && c.ReportAge <= maxAge && c.Waiting == 0
 	})
 }
 
+// awaitRefused lets the last permitted send wait. That of a part of a fan-out is made as soon
+// as a searcher reports that it is free.
+func (p *subrequest) awaitRefused(now time.Time) {
+	p.refusedUntil = now.Add(p.refusedWait(now))
+	p.resumeAt = p.refusedUntil
+	if poll := now.Add(refusedPoll); p.dispatch.route.IsFanOut() && poll.Before(p.refusedUntil) {
+		p.resumeAt = poll
+	}
+}
+
 // refusedWait returns the wait before the last permitted send; 0 if the deadline leaves no
 // time for one. A plain request whose answer can still be in time does not become late by it:
 // nothing shows that its other searchers are full too, and a refusal would be true.
@@ -145,7 +169,14 @@
 	if p.resumeAt.IsZero() || now.Before(p.resumeAt) {
 		return
 	}
-	p.resumeAt = time.Time{}
+	if now.Before(p.refusedUntil) && !p.hasFree(now) {
+		p.resumeAt = now.Add(refusedPoll)
+		if p.resumeAt.After(p.refusedUntil) {
+			p.resumeAt = p.refusedUntil
+		}
+		return
+	}
+	p.resumeAt, p.refusedUntil = time.Time{}, time.Time{}
 	p.resumes++
 	if !p.hasUntried(now, takesRetry) {
 		p.again, p.avoid = true, nil
--- a/internal/query/forward/resume_test.go
+++ b/internal/query/forward/resume_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"egrethaven/internal/back/instance"
 	"egrethaven/internal/query/retrybudget"
 	"egrethaven/internal/state/routing"
 )
@@ -38,19 +40,24 @@
 		refill time.Duration
 		status int
 		within time.Duration
+		// reports holds the times, from the start of the request, at which the searchers of
+		// the first two shards report free slots.
+		reports []time.Duration
 	}{
-		"all stall, needed":                   {false, routing.Idempotent, []func(int, *http.Request) fakeAnswer{until(40*ms, refuse), until(40*ms, refuse)}, 1, 0, http.StatusOK, 90 * ms},
-		"all stall, plain":                    {true, routing.Idempotent, []func(int, *http.Request) fakeAnswer{until(40*ms, refuse), until(40*ms, refuse)}, 0, 0, http.StatusOK, 90 * ms},
-		"all stall, at most once":             {true, routing.AtMostOnce, []func(int, *http.Request) fakeAnswer{until(40*ms, refuse), until(40*ms, refuse)}, 0, 0, http.StatusOK, 90 * ms},
-		"one refuses, not needed":             {false, routing.Idempotent, []func(int, *http.Request) fakeAnswer{until(time.Hour, refuse), ok}, 0.5, 0, http.StatusOK, 15 * ms},
-		"the only searcher refuses":           {true, routing.Idempotent, []func(int, *http.Request) fakeAnswer{until(30*ms, refuse)}, 0, 0, http.StatusOK, 100 * ms},
-		"the only searcher loses it":          {true, routing.Idempotent, []func(int, *http.Request) fakeAnswer{until(5*ms, fakeAnswer{disconnect: true})}, 0, 0, http.StatusOK, 100 * ms},
-		"budget refills, needed":              {false, routing.Idempotent, []func(int, *http.Request) fakeAnswer{until(5*ms, fail), until(5*ms, fail)}, 1, 200 * ms, http.StatusOK, 600 * ms},
-		"budget refills, plain":               {true, routing.Idempotent, []func(int, *http.Request) fakeAnswer{until(5*ms, fail), until(5*ms, fail)}, 0, 200 * ms, http.StatusOK, 600 * ms},
-		"budget refills, not needed":          {false, routing.Idempotent, []func(int, *http.Request) fakeAnswer{until(5*ms, fail), until(5*ms, fail)}, 0.5, 200 * ms, http.StatusOK, 15 * ms},
-		"budget stays spent":                  {true, routing.Idempotent, []func(int, *http.Request) fakeAnswer{until(5*ms, fail), until(5*ms, fail)}, 0, time.Hour, http.StatusInternalServerError, time.Second},
-		"failed, at most once":                {true, routing.AtMostOnce, []func(int, *http.Request) fakeAnswer{until(5*ms, fail), until(5*ms, fail)}, 0, 0, http.StatusInternalServerError, 5 * ms},
-		"refused for good, sends are bounded": {true, routing.Idempotent, []func(int, *http.Request) fakeAnswer{until(time.Hour, refuse), until(time.Hour, refuse)}, 0, 0, http.StatusServiceUnavailable, 90 * ms},
+		"all stall, needed":                   {false, routing.Idempotent, []func(int, *http.Request) fakeAnswer{until(40*ms, refuse), until(40*ms, refuse)}, 1, 0, http.StatusOK, 90 * ms, nil},
+		"all stall, plain":                    {true, routing.Idempotent, []func(int, *http.Request) fakeAnswer{until(40*ms, refuse), until(40*ms, refuse)}, 0, 0, http.StatusOK, 90 * ms, nil},
+		"all stall, at most once":             {true, routing.AtMostOnce, []func(int, *http.Request) fakeAnswer{until(40*ms, refuse), until(40*ms, refuse)}, 0, 0, http.StatusOK, 90 * ms, nil},
+		"one refuses, not needed":             {false, routing.Idempotent, []func(int, *http.Request) fakeAnswer{until(time.Hour, refuse), ok}, 0.5, 0, http.StatusOK, 15 * ms, nil},
+		"the only searcher refuses":           {true, routing.Idempotent, []func(int, *http.Request) fakeAnswer{until(30*ms, refuse)}, 0, 0, http.StatusOK, 100 * ms, nil},
+		"the only searcher loses it":          {true, routing.Idempotent, []func(int, *http.Request) fakeAnswer{until(5*ms, fakeAnswer{disconnect: true})}, 0, 0, http.StatusOK, 100 * ms, nil},
+		"budget refills, needed":              {false, routing.Idempotent, []func(int, *http.Request) fakeAnswer{until(5*ms, fail), until(5*ms, fail)}, 1, 200 * ms, http.StatusOK, 600 * ms, nil},
+		"budget refills, plain":               {true, routing.Idempotent, []func(int, *http.Request) fakeAnswer{until(5*ms, fail), until(5*ms, fail)}, 0, 200 * ms, http.StatusOK, 600 * ms, nil},
+		"budget refills, not needed":          {false, routing.Idempotent, []func(int, *http.Request) fakeAnswer{until(5*ms, fail), until(5*ms, fail)}, 0.5, 200 * ms, http.StatusOK, 15 * ms, nil},
+		"budget stays spent":                  {true, routing.Idempotent, []func(int, *http.Request) fakeAnswer{until(5*ms, fail), until(5*ms, fail)}, 0, time.Hour, http.StatusInternalServerError, time.Second, nil},
+		"failed, at most once":                {true, routing.AtMostOnce, []func(int, *http.Request) fakeAnswer{until(5*ms, fail), until(5*ms, fail)}, 0, 0, http.StatusInternalServerError, 5 * ms, nil},
+		"refused for good, sends are bounded": {true, routing.Idempotent, []func(int, *http.Request) fakeAnswer{until(time.Hour, refuse), until(time.Hour, refuse)}, 0, 0, http.StatusServiceUnavailable, 90 * ms, nil},
+		"all stall after reports":             {false, routing.Idempotent, []func(int, *http.Request) fakeAnswer{until(40*ms, refuse), until(40*ms, refuse)}, 1, 0, http.StatusOK, 90 * ms, []time.Duration{-2 * ms}},
+		"free again after reports":            {false, routing.Idempotent, []func(int, *http.Request) fakeAnswer{until(12*ms, refuse), until(12*ms, refuse)}, 1, 0, http.StatusOK, 40 * ms, []time.Duration{-2 * ms, 15 * ms}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -74,6 +81,14 @@
 					}
 				}
 				fx := newFixture(t, []routing.Route{route}, searchers)
+				for _, at := range c.reports {
+					time.AfterFunc(10*ms+at, func() {
+						for _, i := range slices.Concat(fx.snapshot.Instances["s0"], fx.snapshot.Instances["s1"]) {
+							i.RecordLoad(instance.Load{Slots: 2})
+						}
+					})
+				}
+				time.Sleep(10 * ms)
 				if c.refill > 0 {
 					fx.engine.SetBudget(retrybudget.Config{Window: 10 * time.Second})
 					time.AfterFunc(c.refill, func() { fx.engine.SetBudget(retrybudget.Config{Allowance: 10, Window: 10 * time.Second}) })
--- a/internal/query/forward/subrequest.go
+++ b/internal/query/forward/subrequest.go
@@ -68,6 +68,9 @@
 	resumeAt  time.Time
 	resumes   int
 	again     bool
+	// refusedUntil is the end of the wait of a last permitted send for a searcher that reports
+	// that it is free; zero if it does not wait.
+	refusedUntil time.Time
 	// preferred is the searcher that admission chose for the first send; nil if
 	// there is none.
 	preferred *instance.Instance
@@ -444,7 +447,8 @@
 	switch {
 	case !allowed:
 	case p.awaitsRefused(now):
-		p.failed, p.resumeAt = false, now.Add(p.refusedWait(now))
+		p.failed = false
+		p.awaitRefused(now)
 	case !p.hasUntried(now, takesRetry):
 		p.dispatch.short.Add(shortage.Searchers)
 		p.resumable = p.mayTakeAgain() || p.hasUntried(now, anySearcher)
