Searchers: a pause of this process is no silence of theirs

Cause: a VM that continues after a pause finds all calls in flight older than the 250 ms after which their searchers count as unresponsive, though the answers have arrived and are only not read yet.

TestPausedProcess of instance and the case "this process has just continued" of isolation fail without the change.

--- a/internal/back/instance/instance.go
+++ b/internal/back/instance/instance.go
@@ -149,6 +149,9 @@
 	// LimitShare returns this VM's part of the requests a second that a searcher
 	// accepts from all VMs together; nil means all of them.
 	LimitShare func(searcher string, perSecond float64) float64
+	// RunningSince returns the end of the last pause of this process before a time, zero if
+	// there was none; nil means that pauses are not known. A searcher is not silent for longer.
+	RunningSince func(now time.Time) time.Time
 	// Budget bounds the memory for the answers of all searchers; nil means no bound.
 	Budget *readbudget.Budget
 	// Events receives connection events; nil discards them.
@@ -285,6 +288,9 @@
 	if c.LimitShare == nil {
 		c.LimitShare = func(_ string, perSecond float64) float64 { return perSecond }
 	}
+	if c.RunningSince == nil {
+		c.RunningSince = func(time.Time) time.Time { return time.Time{} }
+	}
 	limiter := sendlimit.New(func(perSecond float64) float64 { return c.LimitShare(c.Searcher.ID, perSecond) })
 	i := &Instance{c: c, s: c.Searcher, limiter: limiter, calls: map[*Call]struct{}{}, stats: stats{slowdown: 1},
 		sharedScoreDecay: minSharedScoreDecay + rand.N(maxSharedScoreDecay-minSharedScoreDecay)}
--- a/internal/back/instance/instance_test.go
+++ b/internal/back/instance/instance_test.go
@@ -346,3 +346,34 @@
 		})
 	}
 }
+
+// TestPausedProcess guards against searchers that count as unresponsive because this process
+// was paused: after a second of SIGSTOP, a request was refused as no searcher of any shard
+// seemed responsive.
+func TestPausedProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var continued time.Time
+		near, far := net.Pipe()
+		go func() { _, _ = io.Copy(io.Discard, far) }()
+		i := instance.New(instance.Config{Searcher: registry.Searcher{ID: "s", Slots: 2}, Conns: instance.ConnLimits{MinOpen: 1, MaxOpen: 1},
+			Dial:         func(context.Context, string) (net.Conn, error) { return near, nil },
+			RunningSince: func(time.Time) time.Time { return continued }})
+		defer synctest.Wait()
+		defer i.Close()
+		synctest.Wait()
+		(&countingSender{i: i}).send(1)
+		time.Sleep(time.Second)
+		suspect := func() bool { return i.Candidate(time.Now(), "", time.Millisecond).Suspect }
+		if !suspect() {
+			t.Error("a searcher that was silent for a second is not suspect")
+		}
+		continued = time.Now()
+		if suspect() {
+			t.Error("a searcher is suspect just after a pause of this process")
+		}
+		time.Sleep(300 * time.Millisecond)
+		if !suspect() {
+			t.Error("a searcher that was silent for 300 ms after a pause is not suspect")
+		}
+	})
+}
--- a/internal/back/instance/observe.go
+++ b/internal/back/instance/observe.go
@@ -94,7 +94,8 @@
 func (i *Instance) Contact() isolation.Searcher {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return isolation.Searcher{Service: i.s.Service, Domain: i.s.Domain, LastContact: i.stats.lastContact, AskedAt: i.stats.askedAt}
+	return isolation.Searcher{Service: i.s.Service, Domain: i.s.Domain, LastContact: i.stats.lastContact, AskedAt: i.stats.askedAt,
+		RunningSince: i.c.RunningSince(time.Now())}
 }
 
 // reportOutcome passes the outcome of a request to Config.Observe.
@@ -227,6 +228,9 @@
 			c.StalledFor = max(c.StalledFor, now.Sub(started))
 		}
 	}
+	if t := i.c.RunningSince(now); !t.IsZero() {
+		c.StalledFor = min(c.StalledFor, now.Sub(t))
+	}
 	c.Suspect = c.Suspect || c.StalledFor > max(stallLatencyRatio*usual, minStallTimeout)
 	return c
 }
--- a/internal/back/isolation/isolation.go
+++ b/internal/back/isolation/isolation.go
@@ -52,11 +52,14 @@
 	// AskedAt is the time of the first request since LastContact; zero if there
 	// was none.
 	AskedAt time.Time
+	// RunningSince is the end of the last pause of this process; zero if there was none. What
+	// has arrived before may not have been read yet.
+	RunningSince time.Time
 }
 
 // Silent reports whether the searcher has not reacted for minSilence.
 func (s Searcher) Silent(now time.Time) bool {
-	return !s.AskedAt.IsZero() && now.Sub(s.AskedAt) >= minSilence
+	return !s.AskedAt.IsZero() && min(now.Sub(s.AskedAt), now.Sub(s.RunningSince)) >= minSilence
 }
 
 // Config configures a Detector.
--- a/internal/back/isolation/isolation_test.go
+++ b/internal/back/isolation/isolation_test.go
@@ -89,6 +89,20 @@
 			ss[len(ss)-1].AskedAt = start.Add(-time.Millisecond)
 			return ss
 		}, true},
+		"this process has just continued": {func() []Searcher {
+			ss := withoutShard(fleet("a", "b", "c"), "a")
+			for n := range ss {
+				ss[n].RunningSince = at.Add(-minSilence / 2)
+			}
+			return ss
+		}, false},
+		"this process continued before": {func() []Searcher {
+			ss := withoutShard(fleet("a", "b", "c"), "a")
+			for n := range ss {
+				ss[n].RunningSince = at.Add(-minSilence)
+			}
+			return ss
+		}, true},
 		"only one other domain": {func() []Searcher { return withoutShard(fleet("a", "b"), "a") }, false},
 		"nothing was asked": {func() []Searcher {
 			ss := withoutShard(fleet("a", "b", "c"), "a")
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"egrethaven/internal/back/quarantine"
 	"egrethaven/internal/front/httpserver"
 	"egrethaven/internal/front/ingress"
+	"egrethaven/internal/infra/procpause"
 	"egrethaven/internal/infra/readbudget"
 	"egrethaven/internal/observe/clock"
 	"egrethaven/internal/observe/event"
@@ -107,6 +108,7 @@
 	httpServers    []*httpserver.Server
 	peerComponents *peerComponents
 	isolation      *isolationMonitor
+	pauses         *procpause.Detector
 	suspects       *suspects.Sharing
 	quota          *quotapool.Limiter
 
@@ -123,7 +125,7 @@
 
 // New builds a gateway and binds its ports. Nothing is served before Run.
 func New(c Config) (*Gateway, error) {
-	g := &Gateway{c: c, settings: c.Settings, vms: minVMCount, startedAt: time.Now()}
+	g := &Gateway{c: c, settings: c.Settings, vms: minVMCount, startedAt: time.Now(), pauses: procpause.New()}
 	s := c.Settings
 	e := event.Config{Node: s.ID, Stamp: clock.New(clock.Config{}).Stamp, Capacity: eventRingSize}
 	if c.LogOutput != nil {
@@ -136,7 +138,8 @@
 	})
 	g.storeView = newStoreView(storeViewConfig{
 		Self: vmRecord(s), Decode: c.Decode, EntryGrace: s.EntryGrace, CatchUp: s.CatchUp, Events: g.log, Budget: c.Budget, OnVMCount: g.setVMCount,
-		ColdOverage: s.ColdOverage, ColdSlack: s.ColdSlack,
+		RunningSince: g.pauses.RunningSince,
+		ColdOverage:  s.ColdOverage, ColdSlack: s.ColdSlack,
 	})
 	g.isolation = &isolationMonitor{domain: s.Domain, current: g.storeView.Current, events: g.log,
 		onChange: func(isolated bool) { g.engine.SetIsolated(isolated) }}
@@ -366,6 +369,7 @@
 	f := newFollower(g.c.Settings, g.peerComponents.storeSource, g.storeView, g.log)
 	g.wg.Go(func() { f.Run(background) })
 	g.wg.Go(func() { g.register(background) })
+	g.wg.Go(func() { g.pauses.Run(background) })
 	g.wg.Go(func() { g.isolation.run(background) })
 	g.wg.Go(func() { g.peerComponents.sharing.Run(background) })
 	g.wg.Go(func() { g.quota.Run(background) })
--- a/internal/node/gateway/storeview.go
+++ b/internal/node/gateway/storeview.go
@@ -94,6 +94,8 @@
 	Events                 event.Sink
 	// Budget bounds the memory for the answers of searchers.
 	Budget *readbudget.Budget
+	// RunningSince returns the end of the last pause of this process before a time.
+	RunningSince func(now time.Time) time.Time
 	// OnVMCount is called when the number of VMs changes.
 	OnVMCount func(int)
 }
@@ -453,7 +455,7 @@
 		if i == nil {
 			v.c.Events.Emit(event.SearcherFound, e.ID, e.Service+" at "+e.Addr)
 			name := healthscore.Process{ID: e.ID, StartedMs: e.StartedMs}
-			i = instance.New(instance.Config{Searcher: e, Conns: conns[e.ID], Budget: v.c.Budget, Events: v.c.Events, AtConnLimit: v.oldConnsMayRemain, OpenDelay: rand.N(time.Duration(v.countedVMs) * openSpreadPerVM), LimitShare: v.limitShare,
+			i = instance.New(instance.Config{Searcher: e, Conns: conns[e.ID], Budget: v.c.Budget, RunningSince: v.c.RunningSince, Events: v.c.Events, AtConnLimit: v.oldConnsMayRemain, OpenDelay: rand.N(time.Duration(v.countedVMs) * openSpreadPerVM), LimitShare: v.limitShare,
 				Observe: func(ratio float64, failed bool) { v.observeSearcher(name, ratio, failed) }, OnLeaving: func() { v.markLeaving(p) }, OnEnded: func() { v.onSearcherEnded(e.Process()) }})
 			v.instances[p] = i
 		} else {
