Forward: do not spend the last send of a refused part before the others have answered

Cause: a refused part of a fan-out sent its last permitted send at once if the answer could do without it. The first sends of a fan-out are refused together, so that the next result often shows that the part is needed.

Change: such a part waits 2 ms before its last send, and as long as the others if the answer needs it then.

TestRefusedTogether fails without the change: 502 where three of four shards can answer.

--- a/internal/query/forward/resume.go
+++ b/internal/query/forward/resume.go
@@ -16,6 +16,10 @@
 	// For a part of a fan-out it also has to be newer than the refused send: searchers that had
 	// reported free slots 1 to 16 ms before refused the last permitted sends too.
 	freshReport = 20 * time.Millisecond
+	// settleDelay is how long the last permitted send waits though the answer can do without
+	// the part so far: the first sends to three of four shards were refused within 0.5 ms of
+	// each other.
+	settleDelay = 2 * time.Millisecond
 	// refusedPoll is the interval at which a waiting part of a fan-out looks for such a report.
 	refusedPoll = 10 * time.Millisecond
 	// minResumeDelay and maxResumeDelay bound the delay before a subrequest is tried again.
@@ -34,8 +38,7 @@
 }
 
 // awaitsRefused reports whether a retry has to wait: it is the last permitted one, the
-// attempt before was refused without being run, no searcher is known to be free, and the
-// request cannot do without the shard.
+// attempt before was refused without being run, and no searcher is known to be free.
 func (p *subrequest) awaitsRefused(now time.Time) bool {
 	x := p.dispatch
 	if x.suspect || p.resumes > 0 || len(p.attempts) == 0 || p.sends+1 != x.route.MaxAttempts {
@@ -45,7 +48,7 @@
 	if last.reply == nil || last.reply.Err != nil || !last.reply.NotRun || last.reply.Misdirected {
 		return false
 	}
-	return x.unrefused() < x.minShards() && p.refusedWait(now) > 0 && !p.hasFree(now)
+	return p.refusedWait(now) > 0 && !p.hasFree(now)
 }
 
 // hasFree reports whether a load report shows that an untried searcher is free after the last
@@ -61,8 +64,14 @@
 }
 
 // awaitRefused lets the last permitted send wait. That of a part of a fan-out is made as soon
-// as a searcher reports that it is free.
+// as a searcher reports that it is free, and after settleDelay if the answer can still do
+// without the part.
 func (p *subrequest) awaitRefused(now time.Time) {
+	if p.settles = !p.settles && !p.dispatch.needsRefused(); p.settles {
+		p.refusedUntil = now.Add(settleDelay)
+		p.resumeAt = p.refusedUntil
+		return
+	}
 	p.refusedUntil = now.Add(p.refusedWait(now))
 	p.resumeAt = p.refusedUntil
 	if poll := now.Add(refusedPoll); p.dispatch.route.IsFanOut() && poll.Before(p.refusedUntil) {
@@ -84,6 +93,9 @@
 	return max(0, wait)
 }
 
+// needsRefused reports whether the request cannot do without the parts that were refused.
+func (x *dispatch) needsRefused() bool { return x.unrefused() < x.minShards() }
+
 // unrefused returns the number of shards that have answered, or may yet answer without a
 // refusal so far.
 func (x *dispatch) unrefused() int {
@@ -176,7 +188,11 @@
 		}
 		return
 	}
-	p.resumeAt, p.refusedUntil = time.Time{}, time.Time{}
+	if p.settles && p.dispatch.needsRefused() && !p.hasFree(now) {
+		p.awaitRefused(now)
+		return
+	}
+	p.resumeAt, p.refusedUntil, p.settles = time.Time{}, time.Time{}, false
 	p.resumes++
 	if !p.hasUntried(now, takesRetry) {
 		p.again, p.avoid = true, nil
--- a/internal/query/forward/resume_test.go
+++ b/internal/query/forward/resume_test.go
@@ -113,3 +113,32 @@
 		})
 	}
 }
+
+// TestRefusedTogether guards against a part whose last send is spent at once because the answer
+// can do without it, just before other parts are refused too. One of two refused shards stays
+// full, so that the answer needs the other one.
+func TestRefusedTogether(t *testing.T) {
+	for range 10 {
+		synctest.Test(t, func(t *testing.T) {
+			route := fanOutRoute(4)
+			route.MinCoverage = 0.75
+			began := time.Now()
+			searchers := map[string][]*fakeSearcher{}
+			for n, service := range route.Shards {
+				for r := range 2 {
+					searchers[service] = append(searchers[service], &fakeSearcher{id: fmt.Sprintf("i-%d-%d", n, r), answer: func(int, *http.Request) fakeAnswer {
+						if n == 0 || n == 1 && time.Since(began) < 30*time.Millisecond {
+							return fakeAnswer{status: http.StatusServiceUnavailable, notRun: true}
+						}
+						return fakeAnswer{delay: 10 * time.Millisecond, status: http.StatusOK, body: "0123456789abcdef"}
+					}})
+				}
+			}
+			fx := newFixture(t, []routing.Route{route}, searchers)
+			synctest.Wait()
+			if a := fx.engine.Do(t.Context(), newRequest(time.Second)); a.Status != http.StatusOK || a.Header.Get("Missing") != "1" {
+				t.Errorf("got %d (%s), %q shards missing", a.Status, a.Reason, a.Header.Get("Missing"))
+			}
+		})
+	}
+}
--- a/internal/query/forward/subrequest.go
+++ b/internal/query/forward/subrequest.go
@@ -71,6 +71,9 @@
 	// refusedUntil is the end of the wait of a last permitted send for a searcher that reports
 	// that it is free; zero if it does not wait.
 	refusedUntil time.Time
+	// settles is set during settleDelay, in which the results of the other parts show whether
+	// the answer needs this one.
+	settles bool
 	// preferred is the searcher that admission chose for the first send; nil if
 	// there is none.
 	preferred *instance.Instance
