Scatter: hedge again after a silent connection while the other call does not end

Cause: a shard whose hedge ended because its connection was silent made no further call while its first call was in flight, as all of its replicas counted as tried. With that replica frozen, it waited for the deadline.

TestSilentHedgeBesideFrozenCall fails without the change.

--- a/internal/back/choice/choice.go
+++ b/internal/back/choice/choice.go
@@ -44,6 +44,9 @@
 // With returns the set with i added.
 func (t Tried) With(i int) Tried { return t | 1<<uint(i%64) }
 
+// Without returns the set without i.
+func (t Tried) Without(i int) Tried { return t &^ (1 << uint(i%64)) }
+
 // Policy returns the index of the selected candidate, or -1 if none is left.
 type Policy func(r *rand.Rand, cs []Candidate, tried Tried) int
 
--- a/internal/query/scatter/call.go
+++ b/internal/query/scatter/call.go
@@ -142,7 +142,13 @@
 	case outcome.VersionGone:
 		s.missed = true
 	}
-	if len(s.inFlight) > 0 || r.ctx.Err() != nil {
+	if r.ctx.Err() != nil {
+		return
+	}
+	if len(s.inFlight) > 0 {
+		if o.Reason == outcome.ConnectionSilent {
+			r.hedgeAgain(res)
+		}
 		return
 	}
 	if o.Reason == outcome.VersionGone && !s.untried() {
--- a/internal/query/scatter/engine_test.go
+++ b/internal/query/scatter/engine_test.go
@@ -34,6 +34,29 @@
 	})
 }
 
+// TestSilentHedgeBesideFrozenCall guards against a shard that waits for a frozen replica up to
+// the deadline after the connection of its hedge, or of its first call, went silent.
+func TestSilentHedgeBesideFrozenCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		silent := 0
+		x := newIndex(1, 2, func(_, replica int, _ searcher.Query) behaviour {
+			if replica == 0 {
+				return ok(time.Hour)
+			}
+			if silent++; silent == 1 {
+				return behaviour{delay: 200 * ms, outcome: outcome.Unknown(outcome.ConnectionSilent)}
+			}
+			return ok(10 * ms)
+		})
+		e := engine(t, x, DefaultPolicy(), nil, search.Definition{ExtraLoad: 0.1})
+		a := e.Ask(context.Background(), testQuery(false))
+		checkComplete(t, a, 1)
+		if a.ElapsedMS > 500 {
+			t.Fatalf("cost %+v, %v ms", a.Cost, a.ElapsedMS)
+		}
+	})
+}
+
 func TestBudgetBoundsHedges(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		x := newIndex(50, 3, func(int, int, searcher.Query) behaviour { return ok(300 * ms) })
--- a/internal/query/scatter/retry.go
+++ b/internal/query/scatter/retry.go
@@ -43,6 +43,15 @@
 	r.scheduleRound(i)
 }
 
+// hedgeAgain lets a replica whose connection went silent be called as a hedge once more. The
+// call in flight at another replica may never end: with that replica frozen, shards had no call
+// that could be answered for two of their three seconds.
+func (r *run) hedgeAgain(res result) {
+	s := &r.shards[res.shard]
+	s.tried = s.tried.Without(res.replica)
+	r.schedule(res.shard, time.Now())
+}
+
 // payRetry spends a token for the retry of a call that ended with o and reports
 // whether the budget allows it. The retry is free if the call placed no load on
 // a backend server. Retries of shed calls must not use the reserve, since they
