Scatter: a deadline of the caller is a timeout, not a cancellation

Cause: the reason of missing ranges was "canceled" if the context of the request had ended in any way, also by its deadline. Seen in TestScripts/promise_own_answer: a query that ended after 3,000 ms of 3,000 had the reason "canceled", which hid that it was a timeout.

Change: only a context that was canceled gives that reason. TestCallerDeadlineIsNoCancellation fails without the change.

--- a/internal/query/scatter/engine_test.go
+++ b/internal/query/scatter/engine_test.go
@@ -57,6 +57,21 @@
 	})
 }
 
+// TestCallerDeadlineIsNoCancellation: a query that the deadline of its caller's context ended
+// had the reason canceled.
+func TestCallerDeadlineIsNoCancellation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newIndex(2, 1, func(shard, _ int, _ searcher.Query) behaviour { return ok(time.Duration(shard) * time.Hour) })
+		e := engine(t, x, DefaultPolicy(), nil, search.Definition{})
+		ctx, cancel := context.WithTimeout(context.Background(), 500*ms)
+		defer cancel()
+		a := e.Ask(ctx, testQuery(false))
+		if a.Outcome != outcome.Failed(outcome.IncompleteCoverage) || len(a.Coverage.Missing) != 1 || a.Coverage.Missing[0].Reason != outcome.Timeout {
+			t.Fatalf("outcome %v, missing %v", a.Outcome, a.Coverage.Missing)
+		}
+	})
+}
+
 func TestBudgetBoundsHedges(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		x := newIndex(50, 3, func(int, int, searcher.Query) behaviour { return ok(300 * ms) })
--- a/internal/query/scatter/finish.go
+++ b/internal/query/scatter/finish.go
@@ -67,7 +67,7 @@
 	switch {
 	case s.gap != outcome.None:
 		return s.gap
-	case ctx.Err() != nil:
+	case ctx.Err() == context.Canceled:
 		return outcome.Canceled
 	case s.lastReason != outcome.None && len(s.inFlight) == 0:
 		return s.lastReason
@@ -84,7 +84,7 @@
 	}
 	reason := outcome.IncompleteCoverage
 	switch {
-	case ctx.Err() != nil:
+	case ctx.Err() == context.Canceled:
 		reason = outcome.Canceled
 	case r.defaultGap == outcome.Quarantined:
 		reason = outcome.Quarantined
