--- a/internal/query/scatter/engine_test.go
+++ b/internal/query/scatter/engine_test.go
@@ -34,6 +34,44 @@
 	})
 }
 
+// TestSilentHedgeBesideFrozenCall guards against a shard that waits for a frozen replica up to
+// the deadline after the connection of its hedge, or of its first call, went silent.
+func TestSilentHedgeBesideFrozenCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		silent := 0
+		x := newIndex(1, 2, func(_, replica int, _ searcher.Query) behaviour {
+			if replica == 0 {
+				return ok(time.Hour)
+			}
+			if silent++; silent == 1 {
+				return behaviour{delay: 200 * ms, outcome: outcome.Unknown(outcome.ConnectionSilent)}
+			}
+			return ok(10 * ms)
+		})
+		e := engine(t, x, DefaultPolicy(), nil, search.Definition{ExtraLoad: 0.1})
+		a := e.Ask(context.Background(), testQuery(false))
+		checkComplete(t, a, 1)
+		if a.ElapsedMS > 500 {
+			t.Fatalf("cost %+v, %v ms", a.Cost, a.ElapsedMS)
+		}
+	})
+}
+
+// TestCallerDeadlineIsNoCancellation: a query that the deadline of its caller's context ended
+// had the reason canceled.
+func TestCallerDeadlineIsNoCancellation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newIndex(2, 1, func(shard, _ int, _ searcher.Query) behaviour { return ok(time.Duration(shard) * time.Hour) })
+		e := engine(t, x, DefaultPolicy(), nil, search.Definition{})
+		ctx, cancel := context.WithTimeout(context.Background(), 500*ms)
+		defer cancel()
+		a := e.Ask(ctx, testQuery(false))
+		if a.Outcome != outcome.Failed(outcome.IncompleteCoverage) || len(a.Coverage.Missing) != 1 || a.Coverage.Missing[0].Reason != outcome.Timeout {
+			t.Fatalf("outcome %v, missing %v", a.Outcome, a.Coverage.Missing)
+		}
+	})
+}
+
 func TestBudgetBoundsHedges(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		x := newIndex(50, 3, func(int, int, searcher.Query) behaviour { return ok(300 * ms) })
