Explain: the account's quota

Cause: egrethaven explain told the quota of the configuration, but neither what the gateway holds of it nor whether the next request gets a permit, and called a request over its quota admitted.

Change: Member.WouldTake, by the functions that Take uses: stock.next chooses the permits, and setLimit drops those of a higher limit, on a copy. Holdings and WouldTake list permits alike. The engine explains in the order in which it decides, so that a refusal over quota comes before admission.

--- a/internal/cli/command/cmd_explain.go
+++ b/internal/cli/command/cmd_explain.go
@@ -78,6 +78,7 @@
 		printable(r.Route), orNone(r.Account), r.Priority, r.ObjectiveMS, r.DeadlineMS, r.NeededShards)
 	if r.QuotaPerSecond > 0 {
 		fmt.Fprintf(s.out, "quota of all gateways together: %g requests/s, burst %g\n", r.QuotaPerSecond, r.QuotaBurst)
+		printPermits(s, r)
 	}
 	if len(r.Shards) == 0 {
 		return nil
@@ -100,6 +101,26 @@
 	return t.flush()
 }
 
+// printPermits prints what the gateway holds of the account's quota.
+func printPermits(s *session, r explain.Report) {
+	held := "none"
+	if len(r.QuotaPermits) > 0 {
+		var lots []string
+		for _, p := range r.QuotaPermits {
+			lots = append(lots, fmt.Sprintf("%d for %g ms", p.Count, p.LeftMS))
+		}
+		held = strings.Join(lots, ", ")
+	}
+	next := map[explain.Permit]string{
+		explain.PermitHeld:    "the next request gets one of them",
+		explain.PermitAsked:   "the next request waits until the quota's coordinator was asked for one",
+		explain.PermitRefused: "the next request gets none",
+	}[r.QuotaNext]
+	if next != "" {
+		fmt.Fprintf(s.out, "permits held: %s; %s\n", held, next)
+	}
+}
+
 // describeSearcher returns why a searcher is not chosen, and its state.
 func describeSearcher(c explain.Searcher) string {
 	var parts []string
--- a/internal/peer/quotapool/limiter.go
+++ b/internal/peer/quotapool/limiter.go
@@ -162,6 +162,16 @@
 	return false, retryAfter + rand.N(time.Duration(retryJitter*float64(retryAfter))+minRetry)
 }
 
+// WouldTake returns what Take would do without waiting, and changes nothing. RetryAfter is without
+// the jitter.
+func (l *Limiter) WouldTake(a *account.Account) quota.Outlook {
+	o := l.member.WouldTake(boottime.Now(), quota.Key(a.Name), limitOf(a))
+	if o.RetryAfter > 0 {
+		o.RetryAfter = max(o.RetryAfter, minRetry)
+	}
+	return o
+}
+
 // wait waits for calls until one has brought a permit or the time after which one fits.
 func (l *Limiter) wait(ctx context.Context, key uint64, until time.Time) (ok bool, retryAfter time.Duration) {
 	l.member.Wait(key, 1)
--- a/internal/query/explain/report.go
+++ b/internal/query/explain/report.go
@@ -34,6 +34,10 @@
 	// QuotaPerSecond and QuotaBurst are the account's quota over all VMs; 0 if it has none.
 	QuotaPerSecond float64 `json:"quota_per_s,omitempty"`
 	QuotaBurst     float64 `json:"quota_burst,omitempty"`
+	// QuotaPermits are the permits of the quota that the gateway holds, and QuotaNext tells
+	// whether the next request gets one.
+	QuotaPermits []Permits `json:"quota_permits,omitempty"`
+	QuotaNext    Permit    `json:"quota_next,omitempty"`
 	// Priority is the request's priority; 0 is the highest.
 	Priority int `json:"priority"`
 	// ObjectiveMS and DeadlineMS are the times after the request's arrival at which a
@@ -52,6 +56,26 @@
 	Shards       []Shard `json:"shards,omitempty"`
 }
 
+// Permits is a number of permits of an account's quota that expire together.
+type Permits struct {
+	Count  int     `json:"count"`
+	LeftMS float64 `json:"left_ms"`
+}
+
+// Permit tells whether a request gets a permit of its account's quota.
+type Permit string
+
+// The values of Permit.
+const (
+	// PermitHeld means that the gateway holds one.
+	PermitHeld Permit = "held"
+	// PermitAsked means that the request waits until the VM that coordinates the quota was
+	// asked for one.
+	PermitAsked Permit = "asked"
+	// PermitRefused means that there is none for a while.
+	PermitRefused Permit = "refused"
+)
+
 // Shard is what would happen with the part of a request that goes to one service.
 type Shard struct {
 	Service string `json:"service"`
--- a/internal/query/forward/client.go
+++ b/internal/query/forward/client.go
@@ -150,15 +150,11 @@
 // takePermit takes a permit of the account's quota, or returns the refusal. The VM to which the
 // client has sent the request does so for one that was handed over.
 func (x *dispatch) takePermit(ctx context.Context) (Answer, bool) {
-	q, a := x.engine.c.Quota, x.client.account
-	if q == nil || a == nil || !a.Limited() || x.req.HandedOver {
+	if !x.needsPermit() {
 		return Answer{}, true
 	}
-	wait := maxQuotaWait
-	if o := x.route.LatencyObjective; o > 0 {
-		wait = min(wait, time.Duration(quotaWaitShare*float64(o)))
-	}
-	ok, retryAfter := q.Take(ctx, a, x.req.Arrived.Add(wait))
+	q, a := x.engine.c.Quota, x.client.account
+	ok, retryAfter := q.Take(ctx, a, x.req.Arrived.Add(x.quotaWait()))
 	if ctx.Err() != nil {
 		if ok {
 			q.Return(a)
@@ -166,12 +162,31 @@
 		return Answer{Status: statusClientClosed, Reason: ClientGone}, false
 	}
 	if !ok {
-		return Answer{Status: http.StatusTooManyRequests, Reason: OverQuota, RetryAfter: retryAfter}, false
+		return overQuota(retryAfter), false
 	}
 	x.client.permit = true
 	return Answer{}, true
 }
 
+// needsPermit reports whether the request needs a permit of its account's quota.
+func (x *dispatch) needsPermit() bool {
+	a := x.client.account
+	return x.engine.c.Quota != nil && a != nil && a.Limited() && !x.req.HandedOver
+}
+
+// quotaWait returns how long the request may wait for a permit from another VM.
+func (x *dispatch) quotaWait() time.Duration {
+	if o := x.route.LatencyObjective; o > 0 {
+		return min(maxQuotaWait, time.Duration(quotaWaitShare*float64(o)))
+	}
+	return maxQuotaWait
+}
+
+// overQuota returns the answer to a request for which there is no permit.
+func overQuota(retryAfter time.Duration) Answer {
+	return Answer{Status: http.StatusTooManyRequests, Reason: OverQuota, RetryAfter: retryAfter}
+}
+
 // returnPermit gives the permit back if the request has not run.
 func (x *dispatch) returnPermit(a Answer) {
 	if x.client.permit && (PromisesNotRun(a.Status) || a.Status == http.StatusUnauthorized && a.Reason == UnknownKey) {
--- a/internal/query/forward/client_test.go
+++ b/internal/query/forward/client_test.go
@@ -11,6 +11,8 @@
 	"testing/synctest"
 	"time"
 
+	"egrethaven/internal/query/explain"
+	"egrethaven/internal/query/quota"
 	"egrethaven/internal/state/account"
 	"egrethaven/internal/state/region"
 	"egrethaven/internal/state/registry"
@@ -60,6 +62,14 @@
 	return a.Name != "poor", fx.count(a, 1)
 }
 
+// WouldTake returns what Take would do.
+func (fx *accountsFixture) WouldTake(a *account.Account) quota.Outlook {
+	if a.Name == "poor" {
+		return quota.Outlook{RetryAfter: time.Second}
+	}
+	return quota.Outlook{OK: true, Lots: []quota.Lot{{Permits: 3, For: time.Second}}}
+}
+
 // Return gives a permit back.
 func (fx *accountsFixture) Return(a *account.Account) { fx.count(a, -1) }
 
@@ -120,6 +130,15 @@
 				if strings.HasPrefix(c.accounts, "none") {
 					fx.current.Store(nil)
 				}
+				if !strings.HasPrefix(c.key, "handed over") {
+					r := fx.engine.Explain(explain.Query{Method: http.MethodGet, Host: "h", Path: c.target, Key: c.key})
+					if r.Admitted != (c.status == http.StatusOK) || !r.Admitted && r.Status != c.status || len(fx.permits) > 0 {
+						t.Errorf("explained as %+v, with permits %v", r, fx.permits)
+					}
+					if held := r.QuotaNext == explain.PermitHeld; held != (len(r.QuotaPermits) > 0) || held != (r.Admitted && r.Account != "") {
+						t.Errorf("quota explained as %s, %v", r.QuotaNext, r.QuotaPermits)
+					}
+				}
 				status, arrived := fx.ask(t, c.target, c.key), ""
 				if s.requests() > 0 {
 					arrived = s.received[0].Header.Get("Account") + " " + s.received[0].Header.Get("Key")
--- a/internal/query/forward/explain.go
+++ b/internal/query/forward/explain.go
@@ -47,6 +47,10 @@
 	if g := e.c.Guard.Verdict(x.fingerprint); g.Class == quarantine.Quarantined && v.BodyBytes == 0 {
 		return refusedReport(out, Answer{Status: http.StatusServiceUnavailable, Reason: Quarantined, RetryAfter: g.Until.Sub(now)}, "the request has crashed searchers")
 	}
+	permit, ok := x.explainQuota(&out)
+	if !ok {
+		return refusedReport(out, permit, "the account's quota is used up")
+	}
 	a, ok := x.admit(now)
 	for _, p := range x.subrequests {
 		out.Shards = append(out.Shards, p.explain(now, ok))
@@ -55,9 +59,34 @@
 		return refusedReport(out, a, x.explainRefusal())
 	}
 	out.Admitted, out.Why = true, "enough searchers are expected to answer in time"
+	if out.QuotaNext == explain.PermitAsked {
+		out.Why += fmt.Sprintf(", if the quota's coordinator grants a permit within %s", x.quotaWait())
+	}
 	return out
 }
 
+// explainQuota adds what the gateway holds of the account's quota to a report. If there is no
+// permit for the request, it returns the refusal, whose RetryAfter is the shortest one.
+func (x *dispatch) explainQuota(out *explain.Report) (Answer, bool) {
+	if !x.needsPermit() {
+		return Answer{}, true
+	}
+	o := x.engine.c.Quota.WouldTake(x.client.account)
+	for _, l := range o.Lots {
+		out.QuotaPermits = append(out.QuotaPermits, explain.Permits{Count: l.Permits, LeftMS: milliseconds(l.For)})
+	}
+	switch {
+	case o.OK:
+		out.QuotaNext = explain.PermitHeld
+	case o.RetryAfter == 0:
+		out.QuotaNext = explain.PermitAsked
+	default:
+		out.QuotaNext = explain.PermitRefused
+		return overQuota(o.RetryAfter), false
+	}
+	return Answer{}, true
+}
+
 // refusedReport returns the report on a request that gets an answer at once.
 func refusedReport(out explain.Report, a Answer, why string) explain.Report {
 	out.Status, out.Reason, out.RetryAfterMS, out.Why = a.Status, string(a.Reason), milliseconds(a.RetryAfter), why
--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -28,6 +28,7 @@
 	"egrethaven/internal/back/instance"
 	"egrethaven/internal/back/quarantine"
 	"egrethaven/internal/observe/event"
+	"egrethaven/internal/query/quota"
 	"egrethaven/internal/query/retrybudget"
 	"egrethaven/internal/query/retrypool"
 	"egrethaven/internal/query/shedding"
@@ -219,6 +220,8 @@
 	// Take takes a permit for one request of an account. It may wait until the given time
 	// for other VMs. If it returns false, retryAfter is the time after which a request fits.
 	Take(ctx context.Context, a *account.Account, until time.Time) (ok bool, retryAfter time.Duration)
+	// WouldTake returns what Take would do without waiting, and changes nothing.
+	WouldTake(a *account.Account) quota.Outlook
 	// Return gives back the permit of a request that was not sent.
 	Return(a *account.Account)
 }
--- a/internal/query/quota/member.go
+++ b/internal/query/quota/member.go
@@ -71,6 +71,9 @@
 	until    boottime.Instant
 }
 
+// usable reports whether a request can take one.
+func (p permits) usable(now boottime.Instant) bool { return p.n > 0 && now.Before(p.until) }
+
 // stock is what a VM holds of an account.
 type stock struct {
 	limit Limit
@@ -144,10 +147,7 @@
 		s = &stock{limit: l}
 		m.accounts[account] = s
 	}
-	if l.Rate < s.limit.Rate || l.Burst < s.limit.Burst {
-		s.current.n, s.earlier = 0, nil
-	}
-	s.limit = l
+	s.setLimit(l)
 	s.asked++
 	s.lastAsked = now
 	return m.take(now, s)
@@ -165,29 +165,92 @@
 
 // take takes a permit. The lock is held.
 func (m *Member) take(now boottime.Instant, s *stock) (ok bool, retryAfter time.Duration) {
-	refused := now.Before(s.refusedUntil)
 	s.earlier = slices.DeleteFunc(s.earlier, func(p permits) bool { return !now.Before(p.until) })
-	for i := range s.earlier {
-		if e := &s.earlier[i]; e.n > 0 {
-			e.n--
-			e.taken++
-			return true, 0
-		}
+	p, retryAfter := s.next(now)
+	switch {
+	case p == nil && retryAfter == 0:
+		m.hurry()
+		return false, 0
+	case p == nil:
+		return false, retryAfter
 	}
-	if s.current.n > 0 && now.Before(s.current.until) {
-		s.current.n--
-		s.current.taken++
+	p.n--
+	p.taken++
+	if p == &s.current {
 		s.used++
-		if !refused && s.granted >= minRefill && float64(s.current.n) < refillShare*float64(s.granted) {
+		if !s.isRefused(now) && s.granted >= minRefill && float64(s.current.n) < refillShare*float64(s.granted) {
 			m.hurry()
 		}
-		return true, 0
 	}
-	if refused {
-		return false, max(s.fitsAt.Sub(now), time.Millisecond)
+	return true, 0
+}
+
+// setLimit sets the limit in force. Permits that were granted under a higher one are dropped.
+func (s *stock) setLimit(l Limit) {
+	if l.Rate < s.limit.Rate || l.Burst < s.limit.Burst {
+		s.current.n, s.earlier = 0, nil
+	}
+	s.limit = l
+}
+
+// next returns the permits of which the next request takes one; nil if there is none. Then
+// retryAfter is the time after which one fits, or 0 if the coordinator has to be asked.
+func (s *stock) next(now boottime.Instant) (p *permits, retryAfter time.Duration) {
+	for i := range s.earlier {
+		if e := &s.earlier[i]; e.usable(now) {
+			return e, 0
+		}
 	}
-	m.hurry()
-	return false, 0
+	switch {
+	case s.current.usable(now):
+		return &s.current, 0
+	case s.isRefused(now):
+		return nil, max(s.fitsAt.Sub(now), time.Millisecond)
+	}
+	return nil, 0
+}
+
+// isRefused reports whether the coordinator has told not to ask for more permits yet.
+func (s *stock) isRefused(now boottime.Instant) bool { return now.Before(s.refusedUntil) }
+
+// lots returns the permits that a request can take.
+func (s *stock) lots(now boottime.Instant) []Lot {
+	var out []Lot
+	for _, p := range append([]permits{s.current}, s.earlier...) {
+		if p.usable(now) {
+			out = append(out, Lot{Permits: p.n, For: p.until.Sub(now)})
+		}
+	}
+	return out
+}
+
+// Lot is a number of permits that expire together.
+type Lot struct {
+	Permits int
+	// For is how long they last.
+	For time.Duration
+}
+
+// Outlook is what Take would return for the next request of an account.
+type Outlook struct {
+	OK         bool
+	RetryAfter time.Duration
+	// Lots are the permits that the VM holds.
+	Lots []Lot
+}
+
+// WouldTake returns what Take would do, and changes nothing.
+func (m *Member) WouldTake(now boottime.Instant, account uint64, l Limit) Outlook {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.accounts[account]
+	if s == nil {
+		return Outlook{}
+	}
+	after := *s
+	after.setLimit(l)
+	p, retryAfter := after.next(now)
+	return Outlook{OK: p != nil, RetryAfter: retryAfter, Lots: after.lots(now)}
 }
 
 // Wait adds to the number of requests of an account that wait for a permit.
@@ -366,11 +429,9 @@
 	out := make([]Holding, 0, len(m.accounts))
 	for account, s := range m.accounts {
 		h := Holding{Account: account, Limit: s.limit}
-		for _, p := range append([]permits{s.current}, s.earlier...) {
-			if p.n > 0 && now.Before(p.until) {
-				h.Permits += p.n
-				h.For = max(h.For, p.until.Sub(now))
-			}
+		for _, l := range s.lots(now) {
+			h.Permits += l.Permits
+			h.For = max(h.For, l.For)
 		}
 		out = append(out, h)
 	}
--- a/internal/query/quota/quota_test.go
+++ b/internal/query/quota/quota_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"reflect"
 	"testing"
 	"time"
 
@@ -112,11 +113,22 @@
 	}
 }
 
-// take has a machine run as many of n requests as it has permits, and return some unused.
+// take has a machine run as many of n requests as it has permits, and return some unused. What
+// WouldTake tells before must be what happens, and asking must change nothing.
 func (w *world) take(i, n, unused int) {
 	m := w.machines[i]
 	for range n {
-		if ok, _ := m.member.Take(w.at(0), account, m.limit); !ok {
+		state := func() string { return fmt.Sprintf("%+v, urgent %v", m.member.accounts[account], m.member.urgent) }
+		before := state()
+		first, again := m.member.WouldTake(w.at(0), account, m.limit), m.member.WouldTake(w.at(0), account, m.limit)
+		if !reflect.DeepEqual(first, again) || state() != before {
+			w.t.Fatalf("asking what would be taken changed %s to %s", before, state())
+		}
+		ok, retryAfter := m.member.Take(w.at(0), account, m.limit)
+		if ok != first.OK || retryAfter != first.RetryAfter || ok != (len(first.Lots) > 0) {
+			w.t.Fatalf("took %v, Retry-After %s, announced as %+v", ok, retryAfter, first)
+		}
+		if !ok {
 			continue
 		}
 		if unused > 0 {
