Explain: searchers that regions exclude, and by whose list

Cause: a searcher outside of the regions of the route or the account was missing in the report.

Change: region.Filter keeps the two lists apart, and PermitsSearcher and PermitsVM are what SearcherExclusion and exclusion say. The report lists these searchers with the owners of the lists, and the lists themselves.

--- a/internal/cli/command/cmd_explain.go
+++ b/internal/cli/command/cmd_explain.go
@@ -76,6 +76,14 @@
 	}
 	fmt.Fprintf(s.out, "route %s, account %s, priority %d, objective %g ms, deadline %g ms, %d shards needed\n",
 		printable(r.Route), orNone(r.Account), r.Priority, r.ObjectiveMS, r.DeadlineMS, r.NeededShards)
+	for _, v := range []struct {
+		owner   explain.Owner
+		regions []string
+	}{{explain.Route, r.RouteRegions}, {explain.Account, r.AccountRegions}} {
+		if len(v.regions) > 0 {
+			fmt.Fprintf(s.out, "regions that the %s permits: %s\n", v.owner, printable(strings.Join(v.regions, ", ")))
+		}
+	}
 	if r.QuotaPerSecond > 0 {
 		fmt.Fprintf(s.out, "quota of all gateways together: %g requests/s, burst %g\n", r.QuotaPerSecond, r.QuotaBurst)
 		printPermits(s, r)
@@ -127,6 +135,9 @@
 	if c.Why != "" {
 		parts = append(parts, c.Why)
 	}
+	for _, o := range c.ExcludedBy {
+		parts = append(parts, "excluded by the "+string(o))
+	}
 	if c.Cold {
 		parts = append(parts, "cold")
 	}
--- a/internal/query/explain/report.go
+++ b/internal/query/explain/report.go
@@ -40,6 +40,10 @@
 	QuotaNext    Permit    `json:"quota_next,omitempty"`
 	// Priority is the request's priority; 0 is the highest.
 	Priority int `json:"priority"`
+	// RouteRegions and AccountRegions are the regions that the route and the account permit; empty
+	// means all.
+	RouteRegions   []string `json:"route_regions,omitempty"`
+	AccountRegions []string `json:"account_regions,omitempty"`
 	// ObjectiveMS and DeadlineMS are the times after the request's arrival at which a
 	// fan-out is answered with the shards that it has, and at which a request fails.
 	ObjectiveMS float64 `json:"objective_ms,omitempty"`
@@ -100,8 +104,19 @@
 	InFlight int     `json:"in_flight,omitempty"`
 	Cold     bool    `json:"cold,omitempty"`
 	Limited  bool    `json:"limited,omitempty"`
+	// ExcludedBy tells whose permitted regions do not include that of the searcher.
+	ExcludedBy []Owner `json:"excluded_by,omitempty"`
 }
 
+// Owner is what has a list of permitted regions.
+type Owner string
+
+// The owners.
+const (
+	Route   Owner = "route"
+	Account Owner = "account"
+)
+
 // Hedge is the second send that would be made if the first one had no answer in time.
 type Hedge struct {
 	// AfterMS is how long after the arrival it would be made.
--- a/internal/query/forward/client_test.go
+++ b/internal/query/forward/client_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -258,9 +259,10 @@
 	north, south := []string{"north"}, []string{"south"}
 	for _, c := range []struct {
 		route, account []string
-		// arrived are the failure domains that get requests, "-" if they are handed over.
-		arrived string
-	}{{nil, nil, "ab"}, {nil, south, "b"}, {north, nil, "a"}, {north, south, "-"}} {
+		// arrived are the failure domains that get requests, "-" if they are handed over, and
+		// explained those that explain says get none, with the owners of the lists.
+		arrived, explained string
+	}{{nil, nil, "ab", ""}, {nil, south, "b", "a[account]"}, {north, nil, "a", "b[route]"}, {north, south, "-", "a[account]b[route]"}} {
 		synctest.Test(t, func(t *testing.T) {
 			near := &fakeSearcher{id: "s-a", answer: answerAfter(20*time.Millisecond, "x")}
 			fx := newAccountsFixture(t, "a:ka", near)
@@ -273,6 +275,16 @@
 			fx.setConfig("a:ka", routing.Route{Regions: c.route, Shards: c.account})
 			got := fx.recordHandovers()
 			synctest.Wait()
+			explained := ""
+			r := fx.engine.Explain(explain.Query{Method: http.MethodGet, Host: "h", Path: "/x", Key: "ka"})
+			for _, s := range r.Shards[0].Searchers {
+				if len(s.ExcludedBy) > 0 && !s.Chosen && s.Why != "" {
+					explained += fmt.Sprint(s.Domain, s.ExcludedBy)
+				}
+			}
+			if explained != c.explained || !slices.Equal(r.RouteRegions, c.route) || !slices.Equal(r.AccountRegions, c.account) {
+				t.Errorf("%v and %v: explained as %q, want %q", c.route, c.account, explained, c.explained)
+			}
 			var wg sync.WaitGroup
 			for range 8 {
 				wg.Go(func() { fx.ask(t, "/x", "ka") })
--- a/internal/query/forward/explain.go
+++ b/internal/query/forward/explain.go
@@ -43,6 +43,7 @@
 	}
 	x := e.newDispatchTo(q, s, r, c, services)
 	out.Priority, out.NeededShards = x.priority(), x.minShards()
+	out.RouteRegions, out.AccountRegions = r.Regions, c.regions()
 	out.ObjectiveMS, out.DeadlineMS = milliseconds(x.partialDeadline.Sub(now)), milliseconds(x.deadline.Sub(now))
 	if g := e.c.Guard.Verdict(x.fingerprint); g.Class == quarantine.Quarantined && v.BodyBytes == 0 {
 		return refusedReport(out, Answer{Status: http.StatusServiceUnavailable, Reason: Quarantined, RetryAfter: g.Until.Sub(now)}, "the request has crashed searchers")
@@ -111,6 +112,8 @@
 func (p *subrequest) explain(now time.Time, admitted bool) explain.Shard {
 	out := explain.Shard{Service: p.service}
 	switch {
+	case len(p.instances) == 0 && len(p.dispatch.snapshot.Instances[p.service]) > 0:
+		out.Why = "no searcher is in a permitted region"
 	case len(p.instances) == 0:
 		out.Why = "no searcher is in use"
 	case p.unavailable && (p.dispatch.route.IsFanOut() || !admitted):
@@ -127,12 +130,38 @@
 	for _, i := range p.instances {
 		out.Searchers = append(out.Searchers, p.explainSearcher(i, now, i == p.preferred && out.Why == "", best))
 	}
+	out.Searchers = append(out.Searchers, p.explainExcluded()...)
 	if out.Why == "" {
 		out.Hedge = p.explainHedge(now)
 	}
 	return out
 }
 
+// explainExcluded returns the searchers in regions that are not permitted, and whose lists of
+// regions exclude them.
+func (p *subrequest) explainExcluded() []explain.Searcher {
+	var out []explain.Searcher
+	for _, i := range p.dispatch.snapshot.Instances[p.service] {
+		s := i.Searcher()
+		e, excluded := p.dispatch.regions.SearcherExclusion(s.Domain)
+		if !excluded {
+			continue
+		}
+		c := explain.Searcher{ID: s.ID, Domain: s.Domain}
+		if e.ByRoute {
+			c.ExcludedBy = append(c.ExcludedBy, explain.Route)
+		}
+		if e.ByAccount {
+			c.ExcludedBy = append(c.ExcludedBy, explain.Account)
+		}
+		if c.Why = fmt.Sprintf("its region %q is not permitted", e.Region); e.Region == "" {
+			c.Why = "the region of its failure domain is not known, so it is not permitted"
+		}
+		out = append(out, c)
+	}
+	return out
+}
+
 // explainSearcher returns why a searcher is chosen or not, given the lowest estimate.
 func (p *subrequest) explainSearcher(i *instance.Instance, now time.Time, chosen bool, best time.Duration) explain.Searcher {
 	s, c := i.Searcher(), p.candidate(i, now)
--- a/internal/state/region/region.go
+++ b/internal/state/region/region.go
@@ -26,8 +26,16 @@
 type restriction struct {
 	of  func(domain string) string
 	own string
-	// sets holds lists of regions; a permitted one is in all of them.
-	sets [][]string
+	// route and account are the regions of Config.
+	route, account []string
+}
+
+// Exclusion tells why a failure domain may not take a request.
+type Exclusion struct {
+	// Region is the region of the failure domain; empty if it is not known.
+	Region string
+	// ByRoute and ByAccount report whose regions do not include it.
+	ByRoute, ByAccount bool
 }
 
 // Config configures a Filter.
@@ -47,15 +55,10 @@
 	if len(c.Route) == 0 && len(c.Account) == 0 {
 		return Filter{}
 	}
-	r := &restriction{of: c.Of, own: c.Own}
+	r := &restriction{of: c.Of, own: c.Own, route: c.Route, account: c.Account}
 	if r.of == nil {
 		r.of = func(string) string { return "" }
 	}
-	for _, s := range [...][]string{c.Route, c.Account} {
-		if len(s) > 0 {
-			r.sets = append(r.sets, s)
-		}
-	}
 	return Filter{r}
 }
 
@@ -64,7 +67,17 @@
 
 // PermitsSearcher reports whether a searcher in a failure domain may run the request.
 func (f Filter) PermitsSearcher(domain string) bool {
-	return f.r == nil || f.r.permits(f.r.of(domain))
+	_, excluded := f.SearcherExclusion(domain)
+	return !excluded
+}
+
+// SearcherExclusion returns why a searcher in a failure domain may not run the request; false if
+// it may.
+func (f Filter) SearcherExclusion(domain string) (Exclusion, bool) {
+	if f.r == nil {
+		return Exclusion{}, false
+	}
+	return f.r.exclusion(f.r.of(domain))
 }
 
 // PermitsVM reports whether a VM in a failure domain may take the request over. VMs in the
@@ -74,15 +87,16 @@
 		return true
 	}
 	g := f.r.of(domain)
-	return g != "" && g == f.r.of(f.r.own) || f.r.permits(g)
+	_, excluded := f.r.exclusion(g)
+	return g != "" && g == f.r.of(f.r.own) || !excluded
 }
 
-// permits reports whether a region is known and in all lists.
-func (r *restriction) permits(region string) bool {
-	for _, s := range r.sets {
-		if !slices.Contains(s, region) {
-			return false
-		}
+// exclusion returns why a region is not permitted; false if it is. One that is not known is in no
+// list.
+func (r *restriction) exclusion(region string) (Exclusion, bool) {
+	excludes := func(list []string) bool {
+		return len(list) > 0 && (region == "" || !slices.Contains(list, region))
 	}
-	return region != ""
+	e := Exclusion{Region: region, ByRoute: excludes(r.route), ByAccount: excludes(r.account)}
+	return e, e.ByRoute || e.ByAccount
 }
