Explain: leave the order of queues and the latencies alone

Cause: an explained request registered its class, so that a priority that no request uses took part in the ranks of the others, and started a new computation of the latencies.

Change: Policy.Peek and routeStats.peek, by the functions that decide, on a copy or without keeping the result.

Measured: TestRanks and TestClassCatchesUp compare Peek with each Standing and check that the ranks of others stay.

--- a/internal/query/forward/dispatch.go
+++ b/internal/query/forward/dispatch.go
@@ -120,7 +120,11 @@
 	if t := q.Arrived.Add(partialWait(r.LatencyObjective, q.NetworkTime)); r.LatencyObjective > 0 && t.Before(x.partialDeadline) {
 		x.partialDeadline = t
 	}
-	x.medianLatency, x.hedgeDelay = x.stats.latencies(q.Arrived)
+	latencies := x.stats.latencies
+	if q.explained {
+		latencies = x.stats.peek
+	}
+	x.medianLatency, x.hedgeDelay = latencies(q.Arrived)
 	x.noteTimeout()
 	x.lastHedgeAt = x.partialDeadline.Add(-time.Duration(lastHedgeFactor*float64(x.medianLatency)) - connectAllowance)
 	// Quantiles of few samples are inaccurate, so the hedge delay is limited to
--- a/internal/query/forward/explain.go
+++ b/internal/query/forward/explain.go
@@ -26,7 +26,7 @@
 		return refusedReport(out, refusalFor(NoRoute), "no route has this host and a prefix of this path")
 	}
 	out.Route = r.Name
-	q := Request{Method: v.Method, Target: v.Path, Host: v.Host, Header: http.Header{}, Arrived: now, key: v.Key}
+	q := Request{Method: v.Method, Target: v.Path, Host: v.Host, Header: http.Header{}, Arrived: now, key: v.Key, explained: true}
 	c, why := e.identify(&q, s.Config, r)
 	switch why {
 	case UnknownKey:
--- a/internal/query/forward/forward.go
+++ b/internal/query/forward/forward.go
@@ -71,6 +71,8 @@
 	key string
 	// restarted is set if the request starts again under a newer configuration.
 	restarted bool
+	// explained is set if the request is only explained, so that it must leave no trace.
+	explained bool
 }
 
 // Answer is the response to the client.
--- a/internal/query/forward/routestats.go
+++ b/internal/query/forward/routestats.go
@@ -59,15 +59,31 @@
 func (k *routeStats) latencies(now time.Time) (median, hedgeDelay time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if now.Sub(k.computedAt) < quantileInterval {
-		return k.medianLatency, k.hedgeDelay
+	if now.Sub(k.computedAt) >= quantileInterval {
+		k.computedAt = now
+		k.medianLatency, k.hedgeDelay = k.compute()
 	}
-	k.computedAt = now
+	return k.medianLatency, k.hedgeDelay
+}
+
+// peek returns what latencies would, and leaves a new computation to the next request.
+func (k *routeStats) peek(now time.Time) (median, hedgeDelay time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if now.Sub(k.computedAt) >= quantileInterval {
+		return k.compute()
+	}
+	return k.medianLatency, k.hedgeDelay
+}
+
+// compute returns the median latency and the hedge delay by the samples so far. The lock is held.
+func (k *routeStats) compute() (median, hedgeDelay time.Duration) {
+	median, hedgeDelay = k.medianLatency, k.hedgeDelay
 	if d, ok := k.histogram.Quantile(0.5); ok {
-		k.medianLatency = d
+		median = d
 	}
 	if d, ok := k.histogram.Quantile(k.hedgeQuantile); ok {
-		k.hedgeDelay = max(d, k.medianLatency*3/2)
+		hedgeDelay = max(d, median*3/2)
 	}
-	return k.medianLatency, k.hedgeDelay
+	return median, hedgeDelay
 }
--- a/internal/query/forward/shed.go
+++ b/internal/query/forward/shed.go
@@ -19,7 +19,11 @@
 // describeForQueues returns the description of a request to a number of services.
 func (x *dispatch) describeForQueues(services int) shedding.Request {
 	r := shedding.Request{Arrived: x.req.Arrived, Deadline: x.deadline, Service: x.medianLatency, Sends: services}
-	r.Standing = x.engine.shedding.Standing(x.req.Arrived, x.class(), x.priority())
+	standing := x.engine.shedding.Standing
+	if x.req.explained {
+		standing = x.engine.shedding.Peek
+	}
+	r.Standing = standing(x.req.Arrived, x.class(), x.priority())
 	if o := x.route.LatencyObjective; o > 0 {
 		r.Objective = x.req.Arrived.Add(o)
 	}
--- a/internal/query/shedding/policy.go
+++ b/internal/query/shedding/policy.go
@@ -71,7 +71,25 @@
 func (p *Policy) Standing(now time.Time, c Class, priority int) Standing {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := p.recordOf(key{c, priority})
+	return p.standingOf(now, key{c, priority})
+}
+
+// Peek returns what Standing would, and changes nothing: a class that is not in use yet would
+// take part in the ranks of the others.
+func (p *Policy) Peek(now time.Time, c Class, priority int) Standing {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	scratch := Policy{records: make(map[key]*record, len(p.records)+1), refreshedAt: p.refreshedAt}
+	for k, r := range p.records {
+		clone := *r
+		scratch.records[k] = &clone
+	}
+	return scratch.standingOf(now, key{c, priority})
+}
+
+// standingOf is Standing. The lock is held.
+func (p *Policy) standingOf(now time.Time, k key) Standing {
+	r := p.recordOf(k)
 	if now.Sub(p.refreshedAt) >= refreshInterval {
 		p.refresh(now)
 	}
--- a/internal/query/shedding/policy_test.go
+++ b/internal/query/shedding/policy_test.go
@@ -14,6 +14,9 @@
 	if s := p.Standing(now, shedding.Class{Route: "a"}, 2); s.Rank != 0 {
 		t.Errorf("the only priority has rank %d", s.Rank)
 	}
+	if s := p.Peek(now, shedding.Class{Route: "b"}, 1); s.Rank != 0 || p.Standing(now, shedding.Class{Route: "a2"}, 2).Rank != 0 {
+		t.Errorf("asking about a priority that is not in use gave rank %d, or changed the others", s.Rank)
+	}
 	p.Standing(now, shedding.Class{Route: "b"}, 1)
 	p.Standing(now, shedding.Class{Route: "c"}, 9)
 	now = now.Add(time.Second)
@@ -32,7 +35,12 @@
 	poor, rich := shedding.Class{Route: "r", Account: "poor"}, shedding.Class{Route: "r", Account: "rich"}
 	standing := func(c shedding.Class) shedding.Standing {
 		now = now.Add(time.Second)
-		return p.Standing(now, c, 1)
+		first, again := p.Peek(now, c, 1), p.Peek(now, c, 1)
+		s := p.Standing(now, c, 1)
+		if first != s || again != s {
+			t.Errorf("standing %+v, announced as %+v and %+v", s, first, again)
+		}
+		return s
 	}
 	for n := range 20 {
 		p.Ended(rich, 1, true)
