Explain: whether a request is quarantined, also one with a body

Cause: a request with a body was never found quarantined, as the report knew its size only, and asking ended quarantines and suspicions whose time was over. A suspect was explained as any other request.

Change: Quarantine.Peek and Verdict use one function that changes nothing; Verdict ends first what is over. A suspect's parts are held and chosen by the functions that hold and send them (hold, nextHeld, which startTrial uses).

--- a/internal/back/crashguard/guard.go
+++ b/internal/back/crashguard/guard.go
@@ -61,6 +61,15 @@
 	return g.c.Quarantine.Verdict(fingerprint)
 }
 
+// Peek returns how a request may run, and changes nothing. running reports whether it is the
+// suspect of a trial that is under way at this VM.
+func (g *Guard) Peek(fingerprint uint64) (v quarantine.Verdict, running bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	_, running = g.trials[fingerprint]
+	return g.c.Quarantine.Peek(fingerprint), running
+}
+
 // BeginTrial reserves the trial of a suspect. If one is under way at this VM, it returns a
 // channel that is closed at its end. Otherwise end has to be called once.
 func (g *Guard) BeginTrial(fingerprint uint64) (end func(), running <-chan struct{}) {
--- a/internal/back/quarantine/expiringset.go
+++ b/internal/back/quarantine/expiringset.go
@@ -27,10 +27,16 @@
 // has returns true if f is a member.
 func (s *expiringSet) has(f uint64, now time.Time) bool {
 	s.rotate(now)
-	if _, ok := s.young[f]; ok {
+	return s.contains(f, now)
+}
+
+// contains is like has, and leaves the rotation that may be due to a later call.
+func (s *expiringSet) contains(f uint64, now time.Time) bool {
+	young, old := s.generations(now)
+	if _, ok := young[f]; ok {
 		return true
 	}
-	_, ok := s.old[f]
+	_, ok := old[f]
 	return ok
 }
 
@@ -43,12 +49,25 @@
 // rotate starts a new young generation if the current one is full or has reached
 // its TTL.
 func (s *expiringSet) rotate(now time.Time) {
-	if len(s.young) < s.maxYoung && now.Sub(s.youngSince) < s.ttl {
+	if !s.rotationDue(now) {
 		return
 	}
-	s.old = s.young
-	if now.Sub(s.youngSince) >= 2*s.ttl {
-		s.old = nil
-	}
+	_, s.old = s.generations(now)
 	s.young, s.youngSince = map[uint64]struct{}{}, now
 }
+
+// rotationDue reports whether the young generation is full or has reached its TTL.
+func (s *expiringSet) rotationDue(now time.Time) bool {
+	return len(s.young) >= s.maxYoung || now.Sub(s.youngSince) >= s.ttl
+}
+
+// generations returns the generations after the rotation that may be due.
+func (s *expiringSet) generations(now time.Time) (young, old map[uint64]struct{}) {
+	switch {
+	case !s.rotationDue(now):
+		return s.young, s.old
+	case now.Sub(s.youngSince) >= 2*s.ttl:
+		return nil, nil
+	}
+	return nil, s.young
+}
--- a/internal/back/quarantine/fingerprint.go
+++ b/internal/back/quarantine/fingerprint.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
 
 	"egrethaven/internal/query/ask"
 )
@@ -27,8 +29,8 @@
 }
 
 // FingerprintHTTP returns a hash of an HTTP request as a searcher sees it, without the
-// headers that differ between two attempts at the same request. credentials is the
-// request's Authorization header.
+// headers that differ between two attempts at the same request. credentials are those of
+// Credentials.
 func FingerprintHTTP(method, host, target, credentials string, body []byte) uint64 {
 	d := xxhash.New()
 	var size [binary.MaxVarintLen64]byte
@@ -40,5 +42,23 @@
 	return d.Sum64()
 }
 
+// Credentials returns what FingerprintHTTP takes of the sender of a request: its Authorization
+// header and the name of its client account; empty if it has none.
+func Credentials(authorization, account string) string {
+	if account == "" {
+		return authorization
+	}
+	return authorization + "\x00" + account
+}
+
 // FormatFingerprint returns a fingerprint in hexadecimal, as in logs.
 func FormatFingerprint(fingerprint uint64) string { return fmt.Sprintf("%016x", fingerprint) }
+
+// ParseFingerprint is the inverse of FormatFingerprint.
+func ParseFingerprint(s string) (uint64, error) {
+	f, err := strconv.ParseUint(s, 16, 64)
+	if err != nil || FormatFingerprint(f) != s {
+		return 0, errors.Errorf("fingerprint %q is not 16 hexadecimal digits", s)
+	}
+	return f, nil
+}
--- a/internal/back/quarantine/quarantine.go
+++ b/internal/back/quarantine/quarantine.go
@@ -148,30 +148,55 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := time.Now()
-	if h, ok := q.quarantined[fingerprint]; ok {
-		if now.Before(h.until) {
-			return Verdict{Class: Quarantined, Until: h.until}
-		}
+	if h, ok := q.quarantined[fingerprint]; ok && !now.Before(h.until) {
 		q.endQuarantine(fingerprint, h)
 	}
-	if s, ok := q.suspects[fingerprint]; ok {
-		if s.Expired(now) {
-			delete(q.suspects, fingerprint)
-		} else if s.IsSuspect() {
-			return Verdict{Class: Suspect, Services: s.Services()}
+	if s, ok := q.suspects[fingerprint]; ok && s.Expired(now) {
+		delete(q.suspects, fingerprint)
+	}
+	q.trusted.rotate(now)
+	return q.verdict(fingerprint, now)
+}
+
+// Peek returns what Verdict would, and changes nothing: a quarantine or suspicion whose time is
+// over is left to the next request.
+func (q *Quarantine) Peek(fingerprint uint64) Verdict {
+	if q.c.Disabled {
+		return Verdict{Class: Trusted}
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.verdict(fingerprint, time.Now())
+}
+
+// verdict returns what is known of a request. The caller holds the lock.
+func (q *Quarantine) verdict(fingerprint uint64, now time.Time) Verdict {
+	s, ok := q.suspects[fingerprint]
+	if h, isHeld := q.quarantined[fingerprint]; isHeld {
+		if now.Before(h.until) {
+			return Verdict{Class: Quarantined, Until: h.until}
 		}
+		s, ok = h.afterwards(fingerprint), true
 	}
-	if q.trusted.has(fingerprint, now) {
+	switch {
+	case ok && !s.Expired(now) && s.IsSuspect():
+		return Verdict{Class: Suspect, Services: s.Services()}
+	case q.trusted.contains(fingerprint, now):
 		return Verdict{Class: Trusted}
 	}
 	return Verdict{Class: Unseen}
 }
 
+// afterwards returns the suspicion that is left of a quarantine whose time is over.
+func (h held) afterwards(fingerprint uint64) Suspicion {
+	return Suspicion{Fingerprint: fingerprint, Quarantines: h.quarantines + 1, Since: h.until, Shared: true}
+}
+
 // endQuarantine makes a request whose quarantine is over a suspect. The caller holds the
 // lock.
 func (q *Quarantine) endQuarantine(fingerprint uint64, h held) {
 	delete(q.quarantined, fingerprint)
-	q.suspects[fingerprint] = Suspicion{Fingerprint: fingerprint, Quarantines: h.quarantines + 1, Since: h.until, Shared: true}
+	q.suspects[fingerprint] = h.afterwards(fingerprint)
 	q.c.OnStep(StepEnded)
 	q.c.Events.Emit(event.PoisonEnded, FormatFingerprint(fingerprint), "its time is over; the request runs alone until it is answered")
 }
--- a/internal/cli/command/cmd_explain.go
+++ b/internal/cli/command/cmd_explain.go
@@ -3,17 +3,24 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
+	"os"
 	"strings"
 
 	"github.com/juju/errors"
 	"github.com/spf13/cobra"
 
+	"egrethaven/internal/back/quarantine"
 	"egrethaven/internal/query/explain"
 )
 
-// defaultMetricsAddr is the default address of a gateway's metrics page.
-const defaultMetricsAddr = "127.0.0.1:9464"
+const (
+	// defaultMetricsAddr is the default address of a gateway's metrics page.
+	defaultMetricsAddr = "127.0.0.1:9464"
+	// maxExplainBody is the maximum size of a body that is read, in bytes.
+	maxExplainBody = 256 << 20
+)
 
 var cmdExplain = command{
 	use:  "explain --host HOST --path PATH",
@@ -24,6 +31,7 @@
 		var q explain.Query
 		var addr string
 		var asJSON bool
+		var b explainBody
 		f := c.Flags()
 		f.StringVar(&addr, "addr", envOrDefault(addrEnv, defaultMetricsAddr), "IP:port of a gateway's metrics page")
 		f.BoolVar(&asJSON, "json", false, "print JSON in the place of a table")
@@ -31,24 +39,60 @@
 		f.StringVar(&q.Host, "host", "", "host that the request names")
 		f.StringVar(&q.Path, "path", "", "path and query of the request")
 		f.StringVar(&q.Key, "key", "", "key of a client account; it is not printed")
-		f.Int64Var(&q.BodyBytes, "body-bytes", 0, "size of the request's body")
+		f.Int64Var(&q.BodyBytes, "body-bytes", 0, "size of the request's body, if the body itself is not given")
+		f.StringVar(&b.file, "body", "", "file with the request's body, - for the standard input; only a hash of it leaves this command")
+		f.StringVar(&b.authorization, "authorization", "", "Authorization header of the request; only a hash of it leaves this command")
+		c.MarkFlagsMutuallyExclusive("body", "body-bytes")
 		return func(ctx context.Context, s *session, _ []string) error {
 			s.addr, s.json = addr, asJSON
-			return explainRequest(ctx, s, q)
+			return explainRequest(ctx, s, q, b)
 		}
 	},
 }
 
+// explainBody is what the command takes of a request, beside the explain.Query, to know it again
+// if it crashes searchers.
+type explainBody struct {
+	// file is the name of the file with the body, "-" for the standard input; empty for none.
+	file          string
+	authorization string
+}
+
+// given reports whether any of it was given.
+func (b explainBody) given() bool { return b.file != "" || b.authorization != "" }
+
+// read returns the body.
+func (b explainBody) read(in io.Reader) ([]byte, error) {
+	if b.file == "" {
+		return nil, nil
+	}
+	if b.file != "-" {
+		f, err := os.Open(b.file)
+		if err != nil {
+			return nil, usageError("name a file with the body in --body", "%v", err)
+		}
+		defer func() { _ = f.Close() }()
+		in = f
+	}
+	body, err := io.ReadAll(io.LimitReader(in, maxExplainBody+1))
+	switch {
+	case err != nil:
+		return nil, usageError("name a file with the body in --body", "reading the body: %v", err)
+	case len(body) > maxExplainBody:
+		return nil, usageError("give its size with --body-bytes", "the body has more than %d bytes", maxExplainBody)
+	}
+	return body, nil
+}
+
 // explainRequest asks a gateway and prints its report.
-func explainRequest(ctx context.Context, s *session, q explain.Query) error {
+func explainRequest(ctx context.Context, s *session, q explain.Query, b explainBody) error {
 	if q.Method == "" || q.Host == "" || !strings.HasPrefix(q.Path, "/") || q.BodyBytes < 0 {
 		return usageError("see egrethaven explain --help", "a method, a host, a path that begins with a slash, and a size of at least 0 are needed")
 	}
-	var r explain.Report
-	if err := s.client().Post(ctx, "/explain", nil, nil, q, &r); err != nil {
-		return errors.Trace(err)
+	r, err := askGateway(ctx, s, q, b)
+	if err != nil {
+		return err
 	}
-	var err error
 	if s.json {
 		err = printJSON(s.out, r)
 	} else {
@@ -60,6 +104,35 @@
 	return err
 }
 
+// askGateway returns a gateway's report. If a body or an Authorization header is given, the first
+// report tells the account, which is a part of the fingerprint, and the second one is about the
+// fingerprint.
+func askGateway(ctx context.Context, s *session, q explain.Query, b explainBody) (r explain.Report, err error) {
+	body, err := b.read(s.in)
+	if err != nil {
+		return r, err
+	}
+	if b.file != "" {
+		q.BodyBytes = int64(len(body))
+	}
+	if err := s.client().Post(ctx, "/explain", nil, nil, q, &r); err != nil || !b.given() || r.Route == "" {
+		return r, errors.Trace(err)
+	}
+	account := r.Account
+	q.Fingerprint = quarantine.FormatFingerprint(quarantine.FingerprintHTTP(q.Method, q.Host, q.Path, quarantine.Credentials(b.authorization, account), body))
+	r = explain.Report{}
+	if err := s.client().Post(ctx, "/explain", nil, nil, q, &r); err != nil {
+		return r, errors.Trace(err)
+	}
+	switch {
+	case r.Account != account:
+		return r, usageError("repeat the command", "the account of the key has changed between two questions")
+	case r.Fingerprint != q.Fingerprint:
+		return r, usageError("leave out --body and --authorization", "the gateway runs an earlier build, which cannot tell whether the request is quarantined")
+	}
+	return r, nil
+}
+
 // printReport prints the decision, and a table of the searchers.
 func printReport(s *session, r explain.Report) error {
 	if r.Admitted {
@@ -88,6 +161,20 @@
 		fmt.Fprintf(s.out, "quota of all gateways together: %g requests/s, burst %g\n", r.QuotaPerSecond, r.QuotaBurst)
 		printPermits(s, r)
 	}
+	switch r.Suspicion {
+	case explain.NotSuspected:
+		fmt.Fprintf(s.out, "fingerprint %s, not known to crash searchers\n", printable(r.Fingerprint))
+	case explain.Suspected:
+		wait := ""
+		if r.TrialRunning {
+			wait = ", after another one like it that runs now"
+		}
+		fmt.Fprintf(s.out, "fingerprint %s, suspected of crashing searchers: runs on one at a time%s\n", printable(r.Fingerprint), wait)
+	case explain.Quarantined:
+		fmt.Fprintf(s.out, "fingerprint %s, quarantined\n", printable(r.Fingerprint))
+	case "":
+		fmt.Fprintln(s.out, "not checked whether it is quarantined; --body tells the body")
+	}
 	if len(r.Shards) == 0 {
 		return nil
 	}
--- a/internal/cli/command/explain_test.go
+++ b/internal/cli/command/explain_test.go
@@ -3,18 +3,30 @@
 import (
 	"bytes"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
+	"egrethaven/internal/back/quarantine"
 	"egrethaven/internal/query/explain"
 )
 
 // TestExplain checks the exit code and output for each kind of report, and that the key is
-// never printed.
+// never printed, and the body and the Authorization header are neither printed nor sent.
 func TestExplain(t *testing.T) {
-	const key = "s3cret-key"
+	const key, secret = "s3cret-key", "s3cret-authorization"
+	body := filepath.Join(t.TempDir(), "body")
+	if err := os.WriteFile(body, []byte("s3cret body"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	// Of the body and the header, a gateway gets the hash only.
+	hash := quarantine.FormatFingerprint(quarantine.FingerprintHTTP("GET", "h", "/x", quarantine.Credentials("", "acme"), []byte("s3cret body")))
+	hashWithout := quarantine.FormatFingerprint(quarantine.FingerprintHTTP("GET", "h", "/x", quarantine.Credentials(secret, "acme"), nil))
+	held := explain.Report{Route: "f", Account: "acme", Suspicion: explain.Quarantined, Status: 503, Reason: "quarantined", RetryAfterMS: 1000}
 	shard := explain.Shard{Service: "s0", Searchers: []explain.Searcher{{ID: "i-1", Domain: "d0", Chosen: true, EstimateMS: 4.5}, {ID: "i-2", Domain: "d1", Why: "it does not respond"}},
 		Hedge: explain.Hedge{AfterMS: 30, Searcher: "i-3"}}
 	for name, c := range map[string]struct {
@@ -31,24 +43,42 @@
 		"refused by it":   {"", 400, explain.Report{}, 2, []string{"egrethaven: "}},
 		"earlier build":   {"", 404, explain.Report{}, 2, []string{"egrethaven: "}},
 		"unreachable":     {"", 0, explain.Report{}, 3, []string{"calling 127.0.0.1"}},
+		"quota":           {"", 200, explain.Report{Admitted: true, Route: "f", QuotaPerSecond: 7, QuotaPermits: []explain.Permits{{Count: 3, LeftMS: 900}}, QuotaNext: explain.PermitHeld}, 0, []string{"7 requests/s", "3 for 900 ms; the next request gets one"}},
+		"over quota":      {"", 200, explain.Report{Status: 429, Reason: "over_quota", Route: "f", QuotaPerSecond: 7, QuotaNext: explain.PermitRefused}, 1, []string{"429 (over_quota)", "held: none; the next request gets none"}},
+		"regions":         {"", 200, explain.Report{Admitted: true, Route: "f", RouteRegions: []string{"north"}, Shards: []explain.Shard{{Searchers: []explain.Searcher{{Why: "not there", ExcludedBy: []explain.Owner{explain.Route, explain.Account}}}}}}, 0, []string{"the route permits: north", "not there; excluded by the route; excluded by the account"}},
+		"body":            {"--body " + body, 200, held, 1, []string{"503 (quarantined)", hash + ", quarantined"}},
+		"body from input": {"--body -", 200, held, 1, []string{hash}},
+		"header":          {"--authorization " + secret, 200, held, 1, []string{hashWithout}},
+		"no such body":    {"--body " + body + "x", 200, held, 2, []string{"no such file"}},
+		"body and size":   {"--body-bytes 4 --body " + body, 200, held, 2, []string{"body-bytes"}},
+		"no fingerprint":  {"--body " + body, 201, held, 2, []string{"earlier build"}},
+		"body not known":  {"--body-bytes 4", 200, explain.Report{Admitted: true, Route: "f"}, 0, []string{"not checked"}},
 		"no slash":        {"--path x", 200, explain.Report{}, 2, []string{"begins with a slash"}},
 		"no host":         {"--host=", 200, explain.Report{}, 2, []string{"a host"}},
 		"negative length": {"--body-bytes -1", 200, explain.Report{}, 2, []string{"at least 0"}},
 	} {
 		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			var q explain.Query
-			if err := json.NewDecoder(r.Body).Decode(&q); err != nil || q.Key != key || q.Host != "h" || q.Method != "GET" || r.URL.Path != "/admin/v1/explain" {
+			question, _ := io.ReadAll(r.Body)
+			if err := json.Unmarshal(question, &q); err != nil || q.Key != key || q.Host != "h" || q.Method != "GET" || r.URL.Path != "/admin/v1/explain" {
 				t.Errorf("%s: asked %s with %+v, %v", name, r.URL, q, err)
 			}
+			if strings.Contains(string(question), "s3cret body") || strings.Contains(string(question), secret) {
+				t.Errorf("%s: the gateway was told %s", name, question)
+			}
 			w.WriteHeader(c.status)
-			_ = json.NewEncoder(w).Encode(c.report)
+			out := c.report
+			if c.status == 200 {
+				out.Fingerprint = q.Fingerprint
+			}
+			_ = json.NewEncoder(w).Encode(out)
 		}))
 		if c.status == 0 {
 			s.Close()
 		}
 		t.Setenv(addrEnv, s.Listener.Addr().String())
 		var stdout, stderr bytes.Buffer
-		code := Main(append([]string{"explain", "--host", "h", "--path", "/x", "--key", key}, strings.Fields(c.args)...), strings.NewReader(""), &stdout, &stderr)
+		code := Main(append([]string{"explain", "--host", "h", "--path", "/x", "--key", key}, strings.Fields(c.args)...), strings.NewReader("s3cret body"), &stdout, &stderr)
 		s.Close()
 		out := stdout.String() + stderr.String()
 		for _, text := range c.texts {
@@ -56,7 +86,7 @@
 				t.Errorf("%s: no %q in\n%s", name, text, out)
 			}
 		}
-		if code != c.code || strings.Contains(out, key) {
+		if code != c.code || strings.Contains(out, "s3cret") {
 			t.Errorf("%s: exit code %d, want %d; printed\n%s", name, code, c.code, out)
 		}
 	}
--- a/internal/node/gateway/explain.go
+++ b/internal/node/gateway/explain.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 
+	"egrethaven/internal/back/quarantine"
 	"egrethaven/internal/front/ingress"
 	"egrethaven/internal/front/operator"
 	"egrethaven/internal/query/explain"
@@ -27,6 +28,12 @@
 		http.Error(w, "the question needs a method, a host, and a path that begins with a slash", http.StatusBadRequest)
 		return
 	}
+	if q.Fingerprint != "" {
+		if _, err := quarantine.ParseFingerprint(q.Fingerprint); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+	}
 	out := g.engine.Explain(q)
 	out.VM = g.c.Settings.ID
 	if ingress.IsBodyTooLarge(g.clientLimits(), q.BodyBytes) {
--- a/internal/query/explain/report.go
+++ b/internal/query/explain/report.go
@@ -20,6 +20,9 @@
 	Key string `json:"key,omitempty"`
 	// BodyBytes is the size of the body.
 	BodyBytes int64 `json:"body_bytes,omitempty"`
+	// Fingerprint is the hash by which a request that crashes searchers is known, computed from
+	// its body among others, so that the body itself is not sent; empty if it is not known.
+	Fingerprint string `json:"fingerprint,omitempty"`
 }
 
 // Report is what a gateway would do with a request. Times are in milliseconds.
@@ -55,6 +58,12 @@
 	Reason       string  `json:"reason,omitempty"`
 	RetryAfterMS float64 `json:"retry_after_ms,omitempty"`
 	Why          string  `json:"why"`
+	// Fingerprint is the hash by which the request is known in logs; empty if its body is not
+	// known. Suspicion is what is known of it; empty if that was not looked up. TrialRunning reports whether a suspect has
+	// to wait for another one like it.
+	Fingerprint  string    `json:"fingerprint,omitempty"`
+	Suspicion    Suspicion `json:"suspicion,omitempty"`
+	TrialRunning bool      `json:"trial_running,omitempty"`
 	// NeededShards is the number of shards that have to answer.
 	NeededShards int     `json:"needed_shards,omitempty"`
 	Shards       []Shard `json:"shards,omitempty"`
@@ -80,6 +89,18 @@
 	PermitRefused Permit = "refused"
 )
 
+// Suspicion tells whether a request is known to crash searchers.
+type Suspicion string
+
+// The values of Suspicion.
+const (
+	NotSuspected Suspicion = "none"
+	// Suspected requests run on one searcher at a time.
+	Suspected Suspicion = "suspected"
+	// Quarantined requests are refused.
+	Quarantined Suspicion = "quarantined"
+)
+
 // Shard is what would happen with the part of a request that goes to one service.
 type Shard struct {
 	Service string `json:"service"`
--- a/internal/query/forward/explain.go
+++ b/internal/query/forward/explain.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"egrethaven/internal/back/instance"
@@ -18,9 +19,9 @@
 	now := time.Now()
 	s := e.c.Current()
 	if s == nil {
-		return refusedReport(explain.Report{}, refusalFor(NoConfig), "no configuration has been read yet")
+		return refusedReport(explain.Report{Fingerprint: v.Fingerprint}, refusalFor(NoConfig), "no configuration has been read yet")
 	}
-	out := explain.Report{ConfigVersion: int64(s.Config.Version), ConfigAgeMS: milliseconds(now.Sub(s.BuiltAt))}
+	out := explain.Report{Fingerprint: v.Fingerprint, ConfigVersion: int64(s.Config.Version), ConfigAgeMS: milliseconds(now.Sub(s.BuiltAt))}
 	r, ok := s.Config.Lookup(v.Host, v.Path)
 	if !ok {
 		return refusedReport(out, refusalFor(NoRoute), "no route has this host and a prefix of this path")
@@ -45,17 +46,20 @@
 	out.Priority, out.NeededShards = x.priority(), x.minShards()
 	out.RouteRegions, out.AccountRegions = r.Regions, c.regions()
 	out.ObjectiveMS, out.DeadlineMS = milliseconds(x.partialDeadline.Sub(now)), milliseconds(x.deadline.Sub(now))
-	if g := e.c.Guard.Verdict(x.fingerprint); g.Class == quarantine.Quarantined && v.BodyBytes == 0 {
-		return refusedReport(out, Answer{Status: http.StatusServiceUnavailable, Reason: Quarantined, RetryAfter: g.Until.Sub(now)}, "the request has crashed searchers")
-	}
-	permit, ok := x.explainQuota(&out)
-	if !ok {
+	verdict := x.explainSuspicion(&out, v)
+	if permit, ok := x.explainQuota(&out); !ok {
 		return refusedReport(out, permit, "the account's quota is used up")
 	}
+	if verdict.Class == quarantine.Quarantined {
+		return refusedReport(out, refusalOfQuarantined(verdict, now), "the request has crashed searchers")
+	}
 	a, ok := x.admit(now)
 	for _, p := range x.subrequests {
 		out.Shards = append(out.Shards, p.explain(now, ok))
 	}
+	if x.suspect {
+		x.explainTrial(out.Shards)
+	}
 	if !ok {
 		return refusedReport(out, a, x.explainRefusal())
 	}
@@ -94,6 +98,53 @@
 	return out
 }
 
+// explainSuspicion adds to a report whether the request is known to crash searchers, and holds the
+// parts of a suspect. A fingerprint is used as it is given, as the body is not known here;
+// without one, only a request without a body is judged.
+func (x *dispatch) explainSuspicion(out *explain.Report, v explain.Query) quarantine.Verdict {
+	if f, err := quarantine.ParseFingerprint(v.Fingerprint); err == nil {
+		x.fingerprint = f
+	} else if v.BodyBytes > 0 {
+		return quarantine.Verdict{}
+	}
+	g, running := x.engine.c.Guard.Peek(x.fingerprint)
+	out.Fingerprint = quarantine.FormatFingerprint(x.fingerprint)
+	switch g.Class {
+	case quarantine.Quarantined:
+		out.Suspicion = explain.Quarantined
+	case quarantine.Suspect:
+		out.Suspicion, out.TrialRunning = explain.Suspected, running
+		x.hold(g)
+	default:
+		out.Suspicion = explain.NotSuspected
+	}
+	return g
+}
+
+// explainTrial tells of the shards of a suspect that only the first one which can be sent is sent
+// at once, without hedges.
+func (x *dispatch) explainTrial(shards []explain.Shard) {
+	trial := ""
+	for p := x.nextHeld(); p != nil; p = x.nextHeld() {
+		p.held = false
+		s := &shards[slices.Index(x.subrequests, p)]
+		switch {
+		case s.Why != "":
+			continue
+		case trial == "":
+			trial = p.service
+			s.Hedge = explain.Hedge{Why: "the request is suspected of crashing searchers and runs alone"}
+			continue
+		}
+		s.Why, s.Hedge = fmt.Sprintf("sent once %s has answered, as the request is suspected of crashing searchers", trial), explain.Hedge{}
+		for n := range s.Searchers {
+			if c := &s.Searchers[n]; c.Chosen {
+				c.Chosen, c.Why = false, "it would be chosen"
+			}
+		}
+	}
+}
+
 // explainRefusal returns why admission has refused the request.
 func (x *dispatch) explainRefusal() string {
 	f := x.refusal
--- a/internal/query/forward/suspect.go
+++ b/internal/query/forward/suspect.go
@@ -35,11 +35,7 @@
 // fingerprint identifies the request when a client of the named account, if any, sends it
 // again, with another attempt ID and at any VM.
 func (q *Request) fingerprint(account string) uint64 {
-	credentials := q.Header.Get("Authorization")
-	if account != "" {
-		credentials += "\x00" + account
-	}
-	return quarantine.FingerprintHTTP(q.Method, q.Host, q.Target, credentials, q.Body)
+	return quarantine.FingerprintHTTP(q.Method, q.Host, q.Target, quarantine.Credentials(q.Header.Get("Authorization"), account), q.Body)
 }
 
 // awaitPermission returns true once the request may be sent, otherwise its answer. A
@@ -51,17 +47,15 @@
 		v := g.Verdict(x.fingerprint)
 		switch v.Class {
 		case quarantine.Quarantined:
-			return Answer{Status: http.StatusServiceUnavailable, Reason: Quarantined, RetryAfter: time.Until(v.Until)}, false
+			return refusalOfQuarantined(v, time.Now()), false
 		case quarantine.Suspect:
 		default:
 			return Answer{}, true
 		}
 		end, running := g.BeginTrial(x.fingerprint)
 		if running == nil {
-			x.suspect, x.trial = true, &trial{end: end}
-			for _, p := range x.subrequests {
-				p.held, p.alone = true, v.Services[p.service]
-			}
+			x.trial = &trial{end: end}
+			x.hold(v)
 			return Answer{}, true
 		}
 		t := time.NewTimer(time.Until(x.deadline))
@@ -76,6 +70,35 @@
 	}
 }
 
+// refusalOfQuarantined returns the answer to a quarantined request.
+func refusalOfQuarantined(v quarantine.Verdict, now time.Time) Answer {
+	return Answer{Status: http.StatusServiceUnavailable, Reason: Quarantined, RetryAfter: v.Until.Sub(now)}
+}
+
+// hold holds all parts of a suspect.
+func (x *dispatch) hold(v quarantine.Verdict) {
+	x.suspect = true
+	for _, p := range x.subrequests {
+		p.held, p.alone = true, v.Services[p.service]
+	}
+}
+
+// nextHeld returns the next part to send of those that are held, preferably to a service that has
+// lost searchers with the request; nil if none is held.
+func (x *dispatch) nextHeld() *subrequest {
+	var next *subrequest
+	for _, p := range x.subrequests {
+		switch {
+		case !p.held:
+		case p.alone:
+			return p
+		case next == nil:
+			next = p
+		}
+	}
+	return next
+}
+
 // sendFirst sends all parts of the request, or the first one of a suspect.
 func (x *dispatch) sendFirst(now time.Time) {
 	if x.suspect {
@@ -87,24 +110,19 @@
 	}
 }
 
-// startTrial sends the next part of a request whose parts are held, preferably to a
-// service that has lost searchers with it. If none can be sent, it fails those parts.
+// startTrial sends the next part of a request whose parts are held. If none can be sent, it
+// fails those parts.
 func (x *dispatch) startTrial(now time.Time) {
-	for _, lostBefore := range []bool{true, false} {
-		for _, p := range x.subrequests {
-			if !p.held || p.alone != lostBefore {
-				continue
-			}
-			x.trial.part, p.held = p, false
-			if x.suspect {
-				p.alone = true
-			} else {
-				x.trial.releaseAt = now.Add(x.hedgeDelay)
-			}
-			p.resume(now)
-			if !p.failed {
-				return
-			}
+	for p := x.nextHeld(); p != nil; p = x.nextHeld() {
+		x.trial.part, p.held = p, false
+		if x.suspect {
+			p.alone = true
+		} else {
+			x.trial.releaseAt = now.Add(x.hedgeDelay)
+		}
+		p.resume(now)
+		if !p.failed {
+			return
 		}
 	}
 	x.trial.part = nil
