Explain: decide on a hedge as a request does

Cause: the report on a hedge left out that the first send counts as an attempt, so that the last permitted one was weighed like others; that a scarce budget is divided by priority; and the purpose of a late hedge. A suspect's hedge was explained as any other.

Change: noHedge and hedgePurpose, which hedgeIfLate uses too; the first send counts as made while its hedge is explained.

--- a/internal/query/forward/explain.go
+++ b/internal/query/forward/explain.go
@@ -10,8 +10,6 @@
 	"egrethaven/internal/back/quarantine"
 	"egrethaven/internal/query/explain"
 	"egrethaven/internal/query/placement"
-	"egrethaven/internal/query/retrybudget"
-	"egrethaven/internal/state/routing"
 )
 
 // Explain returns what would be done with a request that arrives now, without sending it.
@@ -133,7 +131,8 @@
 			continue
 		case trial == "":
 			trial = p.service
-			s.Hedge = explain.Hedge{Why: "the request is suspected of crashing searchers and runs alone"}
+			p.alone = true
+			s.Hedge = explain.Hedge{Why: p.noHedge()}
 			continue
 		}
 		s.Why, s.Hedge = fmt.Sprintf("sent once %s has answered, as the request is suspected of crashing searchers", trial), explain.Hedge{}
@@ -245,23 +244,19 @@
 // explainHedge returns what a hedge would do if the chosen searcher did not answer.
 func (p *subrequest) explainHedge(now time.Time) explain.Hedge {
 	x := p.dispatch
-	switch {
-	case x.engine.c.Policy.NoHedges:
-		return explain.Hedge{Why: "hedges are disabled"}
-	case x.route.Idempotency != routing.Idempotent:
-		return explain.Hedge{Why: "requests of the route may run once only"}
-	case x.route.MaxAttempts < 2:
-		return explain.Hedge{Why: "the route permits one attempt"}
+	// The first send counts as made, to the searcher that is chosen for it.
+	p.sends, p.avoid = p.sends+1, append(p.avoid, p.preferred)
+	defer func() { p.sends, p.avoid = p.sends-1, nil }()
+	if why := p.noHedge(); why != "" {
+		return explain.Hedge{Why: why}
 	}
 	out := explain.Hedge{AfterMS: milliseconds(x.hedgeDelay)}
-	p.avoid = append(p.avoid, p.preferred)
 	_, expected := placement.Predict(p.candidate(p.preferred, now))
 	i, _ := p.chooseSearcher(now, takesHedge(expected, x.hedgeDelay))
-	p.avoid = nil
 	switch {
 	case i == nil:
 		out.Why = "no other searcher takes one now"
-	case !p.budget.WouldAllow(now, retrybudget.EarlyHedge):
+	case !p.maySpend(now) || !p.budget.WouldAllow(now, x.hedgePurpose(now.Add(x.hedgeDelay))):
 		out.Why = "the retry budget is used up; it would be tried again later"
 	default:
 		out.Searcher = i.Searcher().ID
--- a/internal/query/forward/subrequest.go
+++ b/internal/query/forward/subrequest.go
@@ -480,16 +480,12 @@
 	}
 	current := p.candidate(f.searcher, now)
 	x.noteLate(current)
-	if p.alone || x.route.Idempotency != routing.Idempotent || p.sends >= x.route.MaxAttempts || x.engine.c.Policy.NoHedges || !p.hasUntried(now, takesRetry) {
+	if p.noHedge() != "" || !p.hasUntried(now, takesRetry) {
 		return
 	}
-	purpose := retrybudget.EarlyHedge
-	if !now.Before(x.lastHedgeAt) {
-		purpose = retrybudget.LastHedge
-	}
 	_, expected := placement.Predict(current)
 	i, _ := p.chooseSearcher(now, takesHedge(expected, now.Sub(f.startedAt)))
-	if i == nil || !p.maySpend(now) || !p.budget.AllowExtra(now, purpose) {
+	if i == nil || !p.maySpend(now) || !p.budget.AllowExtra(now, x.hedgePurpose(now)) {
 		if i != nil {
 			x.short.Add(shortage.Budget)
 		}
@@ -503,6 +499,31 @@
 	x.hedges++
 }
 
+// noHedge returns why the subrequest gets no hedge, whatever the searchers and the budget permit;
+// empty if it may get one.
+func (p *subrequest) noHedge() string {
+	x := p.dispatch
+	switch {
+	case p.alone:
+		return "the request is suspected of crashing searchers and runs alone"
+	case x.engine.c.Policy.NoHedges:
+		return "hedges are disabled"
+	case x.route.Idempotency != routing.Idempotent:
+		return "requests of the route may run once only"
+	case p.sends >= x.route.MaxAttempts:
+		return "the route permits no further attempt"
+	}
+	return ""
+}
+
+// hedgePurpose returns the purpose of a hedge at a time.
+func (x *dispatch) hedgePurpose(at time.Time) retrybudget.Purpose {
+	if at.Before(x.lastHedgeAt) {
+		return retrybudget.EarlyHedge
+	}
+	return retrybudget.LastHedge
+}
+
 // hasBetter reports whether an untried searcher has a shorter queue than the
 // current one, or is not stalled while the current one is.
 func (p *subrequest) hasBetter(now time.Time, current *instance.Instance) bool {
