Explain: what makes a searcher's estimate higher, and why one is not in use

Cause: of a searcher that was not chosen the report said only by how much it is expected later, and named two possible causes for one that takes no requests.

Change: placement.Breakdown returns the parts of the estimate, and Estimate is their sum. The report lists the parts that are higher than those of the best searcher. Instance.Closure tells draining from displaced, and Usable uses it.

Measured: TestExplainSearchers.

--- a/internal/back/instance/observe.go
+++ b/internal/back/instance/observe.go
@@ -167,10 +167,31 @@
 
 // Usable reports whether the instance accepts requests: it is not draining and
 // no other searcher answered at its address.
-func (i *Instance) Usable() bool {
+func (i *Instance) Usable() bool { return i.Closure() == Open }
+
+// Closure tells why an instance accepts no requests.
+type Closure int
+
+// The closures.
+const (
+	// Open instances accept requests.
+	Open Closure = iota
+	Draining
+	// Displaced means that another searcher answered at the address.
+	Displaced
+)
+
+// Closure returns why the instance accepts no requests, Open if it does.
+func (i *Instance) Closure() Closure {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return !i.draining && !i.stats.wrongSearcher
+	switch {
+	case i.draining:
+		return Draining
+	case i.stats.wrongSearcher:
+		return Displaced
+	}
+	return Open
 }
 
 // isUnreachable reports whether no connection is open and the last attempt to
--- a/internal/cli/command/cmd_explain.go
+++ b/internal/cli/command/cmd_explain.go
@@ -216,12 +216,21 @@
 	}
 }
 
+// causeTexts says why a searcher is expected to answer later than another one.
+var causeTexts = map[explain.Cause]string{
+	explain.Slower: "slower", explain.Waits: "waits for a connection or a limit", explain.Busier: "busier", explain.Stalled: "an answer is overdue",
+	explain.Failing: "has failed requests", explain.NearLimit: "near its limit", explain.OtherDomain: "in another failure domain",
+}
+
 // describeSearcher returns why a searcher is not chosen, and its state.
 func describeSearcher(c explain.Searcher) string {
 	var parts []string
 	if c.Why != "" {
 		parts = append(parts, c.Why)
 	}
+	for _, d := range c.Later {
+		parts = append(parts, fmt.Sprintf("%s +%g ms", causeTexts[d.Cause], d.MS))
+	}
 	for _, o := range c.ExcludedBy {
 		parts = append(parts, "excluded by the "+string(o))
 	}
--- a/internal/query/explain/report.go
+++ b/internal/query/explain/report.go
@@ -121,7 +121,10 @@
 	// are chosen; 0 if the searcher is not considered.
 	EstimateMS float64 `json:"estimate_ms,omitempty"`
 	// WaitMS is the part of it before the request is sent.
-	WaitMS   float64 `json:"wait_ms,omitempty"`
+	WaitMS float64 `json:"wait_ms,omitempty"`
+	// Later tells why EstimateMS is higher than that of the best searcher, the greatest
+	// difference first. What the searcher is better at is left out.
+	Later    []Delay `json:"later,omitempty"`
 	InFlight int     `json:"in_flight,omitempty"`
 	Cold     bool    `json:"cold,omitempty"`
 	Limited  bool    `json:"limited,omitempty"`
@@ -129,6 +132,33 @@
 	ExcludedBy []Owner `json:"excluded_by,omitempty"`
 }
 
+// Delay is a part of the difference between two estimates.
+type Delay struct {
+	Cause Cause   `json:"cause"`
+	MS    float64 `json:"ms"`
+}
+
+// Cause is why a searcher is expected to answer later than another one.
+type Cause string
+
+// The causes.
+const (
+	// Slower searchers take longer, also because they are cold.
+	Slower Cause = "slower"
+	// Waits means that a request waits for a connection or a limit.
+	Waits Cause = "waits"
+	// Busier searchers have more requests.
+	Busier Cause = "busier"
+	// Stalled searchers have an answer that is overdue.
+	Stalled Cause = "stalled"
+	// Failing searchers have failed requests lately.
+	Failing Cause = "failing"
+	// NearLimit means that the searcher's limit has less to spare.
+	NearLimit Cause = "near_limit"
+	// OtherDomain means that the searcher is in another failure domain than the gateway.
+	OtherDomain Cause = "other_domain"
+)
+
 // Owner is what has a list of permitted regions.
 type Owner string
 
--- a/internal/query/forward/explain.go
+++ b/internal/query/forward/explain.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"slices"
@@ -173,9 +174,9 @@
 	case !admitted:
 		out.Why = "the request is not admitted"
 	}
-	best := time.Duration(0)
+	var best placement.Parts
 	if p.preferred != nil {
-		best = placement.Estimate(p.candidate(p.preferred, now))
+		best = placement.Breakdown(p.candidate(p.preferred, now))
 	}
 	for _, i := range p.instances {
 		out.Searchers = append(out.Searchers, p.explainSearcher(i, now, i == p.preferred && out.Why == "", best))
@@ -213,18 +214,27 @@
 }
 
 // explainSearcher returns why a searcher is chosen or not, given the lowest estimate.
-func (p *subrequest) explainSearcher(i *instance.Instance, now time.Time, chosen bool, best time.Duration) explain.Searcher {
+func (p *subrequest) explainSearcher(i *instance.Instance, now time.Time, chosen bool, best placement.Parts) explain.Searcher {
 	s, c := i.Searcher(), p.candidate(i, now)
 	out := explain.Searcher{ID: s.ID, Domain: s.Domain, Chosen: chosen, InFlight: c.InFlight, Cold: c.Cold, Limited: c.Limited}
-	if !i.Usable() {
-		out.Why = "it is leaving, or another searcher has its address"
+	switch i.Closure() {
+	case instance.Draining:
+		out.Why = "it is leaving"
 		return out
+	case instance.Displaced:
+		out.Why = "another searcher has its address"
+		return out
+	}
+	parts := placement.Breakdown(c)
+	estimate, lowest := parts.Sum(), best.Sum()
+	out.EstimateMS, out.WaitMS = milliseconds(estimate), milliseconds(parts.Wait)
+	if !chosen && estimate > lowest {
+		out.Later = laterBy(parts, best)
 	}
-	wait, _ := placement.Predict(c)
-	estimate := placement.Estimate(c)
-	out.EstimateMS, out.WaitMS = milliseconds(estimate), milliseconds(wait)
 	switch {
 	case chosen:
+	case c.Suspect && c.StalledFor > 0:
+		out.Why = fmt.Sprintf("it has not answered for %s", c.StalledFor.Round(time.Millisecond))
 	case c.Suspect:
 		out.Why = "it does not respond"
 	case c.NamedWait > 0:
@@ -233,11 +243,31 @@
 		out.Why = fmt.Sprintf("its limit permits the next request in %s", c.LimitWait.Round(time.Millisecond))
 	case i == p.preferred:
 		out.Why = "it would be chosen"
-	case estimate == best:
+	case estimate == lowest:
 		out.Why = "as good as the chosen one"
 	default:
-		out.Why = fmt.Sprintf("expected %s later than the best one", (estimate - best).Round(10*time.Microsecond))
+		out.Why = fmt.Sprintf("expected %s later than the best one", (estimate - lowest).Round(10*time.Microsecond))
+	}
+	return out
+}
+
+// laterBy returns the parts of an estimate that are higher than those of the lowest one, the
+// greatest difference first.
+func laterBy(parts, best placement.Parts) []explain.Delay {
+	var out []explain.Delay
+	for _, v := range []struct {
+		cause explain.Cause
+		by    time.Duration
+	}{
+		{explain.Slower, parts.Service - best.Service}, {explain.Waits, parts.Wait - best.Wait}, {explain.Busier, parts.Queue - best.Queue},
+		{explain.Stalled, parts.Stall - best.Stall}, {explain.Failing, parts.Failures - best.Failures}, {explain.NearLimit, parts.Limit - best.Limit},
+		{explain.OtherDomain, parts.Remote - best.Remote},
+	} {
+		if v.by > 0 {
+			out = append(out, explain.Delay{Cause: v.cause, MS: milliseconds(v.by)})
+		}
 	}
+	slices.SortStableFunc(out, func(a, b explain.Delay) int { return cmp.Compare(b.MS, a.MS) })
 	return out
 }
 
--- a/internal/query/forward/explain_test.go
+++ b/internal/query/forward/explain_test.go
@@ -4,15 +4,19 @@
 	"maps"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"egrethaven/internal/back/crashguard"
+	"egrethaven/internal/back/healthscore"
+	"egrethaven/internal/back/instance"
 	"egrethaven/internal/back/quarantine"
 	"egrethaven/internal/query/explain"
 	"egrethaven/internal/query/retrypool"
 	"egrethaven/internal/state/account"
+	"egrethaven/internal/state/registry"
 	"egrethaven/internal/state/routing"
 )
 
@@ -182,3 +186,82 @@
 		}
 	})
 }
+
+// TestExplainSearchers guards against a wrong reason why a searcher is not chosen, against a
+// hedge that goes elsewhere than explained, and against one that the route does not permit.
+func TestExplainSearchers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all := map[string]*fakeSearcher{}
+		var hangs atomic.Bool
+		for _, id := range []string{"best", "second", "failing", "busy", "leaving", "displaced"} {
+			all[id] = &fakeSearcher{id: id, slots: 8, answer: func(int, *http.Request) fakeAnswer {
+				a := fakeAnswer{delay: 10 * time.Millisecond, status: http.StatusOK, body: "0123456789abcdef"}
+				if hangs.Load() && (id == "best" || id == "busy") {
+					a.delay = 2 * time.Second
+				}
+				return a
+			}}
+		}
+		route := plainRoute(routing.Idempotent)
+		route.MaxAttempts = 3
+		fx := newFixture(t, []routing.Route{route}, map[string][]*fakeSearcher{"s": slices.Collect(maps.Values(all))})
+		far := &fakeSearcher{id: "far", answer: all["best"].answer, stop: make(chan struct{}), slotSem: make(chan struct{}, 8)}
+		fx.searchers["far"] = far
+		i := fx.connect("vm-0", registry.Searcher{ID: "far", Service: "s", Addr: "far", Domain: "b", Slots: 2, State: registry.Ready})
+		defer i.Close()
+		fx.snapshot.Instances["s"] = append(fx.snapshot.Instances["s"], i)
+		synctest.Wait()
+		for _, i := range fx.snapshot.Instances["s"] {
+			switch i.Searcher().ID {
+			case "second":
+				i.SetSharedScore(time.Now(), healthscore.Score{SlowdownFactor: 1.2})
+			case "failing":
+				i.SetSharedScore(time.Now(), healthscore.Score{SlowdownFactor: 1, FailureRate: 0.9})
+			case "busy":
+				i.RecordLoad(instance.Load{Waiting: 9})
+			case "leaving":
+				i.Drain()
+			case "displaced":
+				i.RecordOutcome(instance.WrongSearcher, 0, 0)
+			}
+		}
+		q := explain.Query{Method: http.MethodGet, Host: "h", Path: "/x"}
+		r := fx.engine.Explain(q)
+		got := map[string]string{}
+		lowest := 0.0
+		for _, s := range r.Shards[0].Searchers {
+			if s.Chosen {
+				lowest = s.EstimateMS
+			}
+		}
+		for _, s := range r.Shards[0].Searchers {
+			got[s.ID] = s.Why
+			sum := 0.0
+			for n, d := range s.Later {
+				if sum += d.MS; n == 0 {
+					got[s.ID] = string(d.Cause)
+				}
+			}
+			if s.EstimateMS > 0 && sum < s.EstimateMS-lowest-0.01 {
+				t.Errorf("%s: %+v is %g ms of %g", s.ID, s.Later, sum, s.EstimateMS-lowest)
+			}
+		}
+		want := map[string]string{"best": "", "second": "slower", "failing": "failing", "busy": "busier", "far": "other_domain",
+			"leaving": "it is leaving", "displaced": "another searcher has its address"}
+		if !maps.Equal(got, want) {
+			t.Errorf("explained as %v, want %v", got, want)
+		}
+		hangs.Store(true)
+		before := all["second"].requests()
+		if a := fx.engine.Do(t.Context(), newRequest(time.Second)); a.Status != http.StatusOK || all["best"].requests() != 1 {
+			t.Errorf("status %d, %d requests at the searcher explained as chosen", a.Status, all["best"].requests())
+		}
+		if all["second"].requests() != before+1 || r.Shards[0].Hedge.Searcher != "second" {
+			t.Errorf("hedge explained as %+v", r.Shards[0].Hedge)
+		}
+		fx.snapshot.Config.Routes[0].MaxAttempts = 1
+		if h := fx.engine.Explain(q).Shards[0].Hedge; h.Searcher != "" || h.Why != "the route permits no further attempt" {
+			t.Errorf("hedge without a second attempt: %+v", h)
+		}
+	})
+}
--- a/internal/query/placement/placement.go
+++ b/internal/query/placement/placement.go
@@ -107,10 +107,29 @@
 	return max(wait, c.LimitWait), service
 }
 
+// Parts are the parts of an estimate.
+type Parts struct {
+	// Service and Wait are those of Predict, and Queue is the time for the requests that
+	// the searcher has.
+	Service, Wait, Queue time.Duration
+	// The others are penalties: for an answer that is overdue, for recent failures, for the use
+	// of a limit, for another failure domain and for a searcher that seems unresponsive.
+	Stall, Failures, Limit, Remote, Suspect time.Duration
+}
+
+// Sum returns the estimate.
+func (p Parts) Sum() time.Duration {
+	return p.Service + p.Wait + p.Queue + p.Stall + p.Failures + p.Limit + p.Remote + p.Suspect
+}
+
 // Estimate returns the expected time to an answer from c, plus penalties for
 // stalls, failures, a remote domain and unresponsiveness.
-func Estimate(c Candidate) time.Duration {
-	wait, service := Predict(c)
+func Estimate(c Candidate) time.Duration { return Breakdown(c).Sum() }
+
+// Breakdown returns the parts of the estimate.
+func Breakdown(c Candidate) Parts {
+	var p Parts
+	p.Wait, p.Service = Predict(c)
 	slots := max(c.Slots, 1)
 	ahead := float64(c.InFlight)
 	if c.ReportAge < maxFullWeightAge {
@@ -118,26 +137,26 @@
 	} else {
 		ahead += float64(c.Waiting) * float64(maxFullWeightAge) / float64(c.ReportAge)
 	}
-	d := service + wait + time.Duration(float64(service)*max(0, ahead+1-float64(slots))/float64(slots))
-	d += time.Duration(float64(service) * otherVMsLoad * float64(c.InFlight) / float64(slots))
-	if c.StalledFor > max(stallFactor*service, minStallTime) {
-		d += c.StalledFor
+	p.Queue = time.Duration(float64(p.Service) * max(0, ahead+1-float64(slots)) / float64(slots))
+	p.Queue += time.Duration(float64(p.Service) * otherVMsLoad * float64(c.InFlight) / float64(slots))
+	if c.StalledFor > max(stallFactor*p.Service, minStallTime) {
+		p.Stall = c.StalledFor
 	}
 	penalty := failurePenalty * c.FailureRate
 	if c.LastAttempt {
 		penalty = lastFailurePenalty * c.FailureRate
 	}
-	d += time.Duration(penalty * float64(c.MedianLatency))
+	p.Failures = time.Duration(penalty * float64(c.MedianLatency))
 	if c.Limited {
-		d += time.Duration(scarcePenalty * (1 - c.LimitSpare) * float64(c.MedianLatency))
+		p.Limit = time.Duration(scarcePenalty * (1 - c.LimitSpare) * float64(c.MedianLatency))
 	}
 	if !c.Local {
-		d += remotePenalty
+		p.Remote = remotePenalty
 	}
 	if c.Suspect {
-		d += suspectPenalty
+		p.Suspect = suspectPenalty
 	}
-	return d
+	return p
 }
 
 // Choose returns the index of the candidate with the lowest estimate, or -1 if
