Gateway: derive the other VMs once

Cause: storeView kept two lists of the same VMs, each with its own pointer and check. Change: newOtherVMs derives both, and one pointer publishes them. Behaviour is unchanged.

--- a/internal/node/gateway/quota.go
+++ b/internal/node/gateway/quota.go
@@ -72,8 +72,8 @@
 // quotaCandidates returns the other VMs that can coordinate quotas: those that accept calls, if
 // this VM does, as they accept none from it otherwise.
 func (v *storeView) quotaCandidates() []quota.Candidate {
-	if c := v.otherCandidates.Load(); c != nil && v.c.Self.PeerAddr != "" {
-		return *c
+	if o := v.otherVMs.Load(); o != nil && v.c.Self.PeerAddr != "" {
+		return o.candidates
 	}
 	return nil
 }
--- a/internal/node/gateway/storeview.go
+++ b/internal/node/gateway/storeview.go
@@ -18,9 +18,7 @@
 	"egrethaven/internal/back/subset"
 	"egrethaven/internal/infra/readbudget"
 	"egrethaven/internal/observe/event"
-	"egrethaven/internal/peer/peerchoice"
 	"egrethaven/internal/query/forward"
-	"egrethaven/internal/query/quota"
 	"egrethaven/internal/state/evacuation"
 	"egrethaven/internal/state/follow"
 	"egrethaven/internal/state/registry"
@@ -107,9 +105,7 @@
 	relayAddrs atomic.Pointer[[]string]
 	knownAddrs atomic.Pointer[map[netip.Addr]bool]
 	// otherVMs are the other VMs that accept calls.
-	otherVMs atomic.Pointer[[]peerchoice.Peer]
-	// otherCandidates are the same as coordinators of quotas.
-	otherCandidates atomic.Pointer[[]quota.Candidate]
+	otherVMs atomic.Pointer[otherVMs]
 	// sharesScores reports whether the VMs of the domain share their
 	// measurements of searchers.
 	sharesScores atomic.Bool
--- a/internal/node/gateway/vms.go
+++ b/internal/node/gateway/vms.go
@@ -38,14 +38,8 @@
 func (v *storeView) updatePeers() {
 	vms := make([]vmregistry.VM, 0, len(v.vms))
 	known := make(map[netip.Addr]bool, len(v.vms))
-	var others []peerchoice.Peer
-	var candidates []quota.Candidate
 	for _, r := range v.vms {
 		vms = append(vms, r)
-		if r.PeerAddr != "" && r.ID != v.c.Self.ID {
-			others = append(others, peerchoice.Peer{Addr: r.PeerAddr, Domain: r.Domain})
-			candidates = append(candidates, candidate(r))
-		}
 		if a, err := netip.ParseAddrPort(r.PeerAddr); err == nil {
 			known[a.Addr()] = true
 		}
@@ -57,14 +51,31 @@
 	v.sharesScores.Store(v.c.Self.PeerAddr != "" && vmregistry.CountPeers(vms, v.c.Self.Domain) >= minSharingVMs)
 	v.relayAddrs.Store(&addrs)
 	v.knownAddrs.Store(&known)
-	v.otherVMs.Store(&others)
-	v.otherCandidates.Store(&candidates)
+	v.otherVMs.Store(newOtherVMs(vms, v.c.Self.ID))
+}
+
+// otherVMs holds the other VMs that accept calls, as those that use them take them.
+type otherVMs struct {
+	peers      []peerchoice.Peer
+	candidates []quota.Candidate
+}
+
+// newOtherVMs derives the other VMs from all registered ones.
+func newOtherVMs(all []vmregistry.VM, self string) *otherVMs {
+	o := &otherVMs{}
+	for _, r := range all {
+		if r.PeerAddr != "" && r.ID != self {
+			o.peers = append(o.peers, peerchoice.Peer{Addr: r.PeerAddr, Domain: r.Domain})
+			o.candidates = append(o.candidates, candidate(r))
+		}
+	}
+	return o
 }
 
 // peers returns the other VMs that accept calls.
 func (v *storeView) peers() []peerchoice.Peer {
-	if p := v.otherVMs.Load(); p != nil {
-		return *p
+	if o := v.otherVMs.Load(); o != nil {
+		return o.peers
 	}
 	return nil
 }
