--- a/internal/back/crashguard/guard.go
+++ b/internal/back/crashguard/guard.go
@@ -65,8 +65,8 @@
 // suspect of a trial that is under way at this VM.
 func (g *Guard) Peek(fingerprint uint64) (v quarantine.Verdict, running bool) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
 	_, running = g.trials[fingerprint]
+	g.mu.Unlock()
 	return g.c.Quarantine.Peek(fingerprint), running
 }
 
