Explain: searchers that reject a send

Cause: a searcher with a full queue, or one to which no connection can be opened, was explained as the one that gets the request, though Send rejects it at once and another one is tried. Change: Instance.WouldReject, by the function that Send uses; the report goes on to the next searcher as resendUnsent does. Measured: TestExplainSearchers fills a queue and compares; go test of internal/query/forward and back/instance passes.

--- a/internal/back/instance/send.go
+++ b/internal/back/instance/send.go
@@ -19,20 +19,13 @@
 	now := time.Now()
 	x := &Call{i: i, req: q, startedAt: now}
 	i.mu.Lock()
-	switch {
-	case i.draining:
-		i.mu.Unlock()
-		x.fail(ErrClosed)
-		return x
-	case i.isUnreachable(now):
-		i.recordAsked(now)
-		i.openMissingConn(now)
-		i.mu.Unlock()
-		x.fail(ErrUnreachable)
-		return x
-	case len(i.queue) >= i.maxQueued(q.Shed.Standing):
+	if err := i.rejects(now, q.Shed.Standing); err != nil {
+		if err == ErrUnreachable {
+			i.recordAsked(now)
+			i.openMissingConn(now)
+		}
 		i.mu.Unlock()
-		x.fail(ErrQueueFull)
+		x.fail(err)
 		return x
 	}
 	i.calls[x] = struct{}{}
@@ -43,6 +36,27 @@
 	return x
 }
 
+// WouldReject returns the error with which Send would reject a request now; nil if it would take
+// it. It changes nothing.
+func (i *Instance) WouldReject(now time.Time, s shedding.Standing) error {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.rejects(now, s)
+}
+
+// rejects is WouldReject. The caller holds the lock.
+func (i *Instance) rejects(now time.Time, s shedding.Standing) error {
+	switch {
+	case i.draining:
+		return ErrClosed
+	case i.isUnreachable(now):
+		return ErrUnreachable
+	case len(i.queue) >= i.maxQueued(s):
+		return ErrQueueFull
+	}
+	return nil
+}
+
 // maxQueued returns the length up to which a request may fill the queue. The caller holds the
 // lock.
 func (i *Instance) maxQueued(s shedding.Standing) int {
--- a/internal/query/forward/explain.go
+++ b/internal/query/forward/explain.go
@@ -178,16 +178,36 @@
 	if p.preferred != nil {
 		best = placement.Breakdown(p.candidate(p.preferred, now))
 	}
+	var chosen *instance.Instance
+	if out.Why == "" {
+		if chosen = p.firstSend(now); chosen == nil {
+			out.Why = "no searcher takes it now; it is tried again later"
+		}
+	}
 	for _, i := range p.instances {
-		out.Searchers = append(out.Searchers, p.explainSearcher(i, now, i == p.preferred && out.Why == "", best))
+		out.Searchers = append(out.Searchers, p.explainSearcher(i, now, i == chosen, best))
 	}
 	out.Searchers = append(out.Searchers, p.explainExcluded()...)
-	if out.Why == "" {
-		out.Hedge = p.explainHedge(now)
+	if chosen != nil {
+		out.Hedge = p.explainHedge(now, chosen)
 	}
 	return out
 }
 
+// firstSend returns the searcher that takes the first send: the preferred one, unless it rejects
+// the send, which then goes to another one as in resendUnsent. It is nil if none takes it.
+func (p *subrequest) firstSend(now time.Time) *instance.Instance {
+	i := p.preferred
+	for range maxUnsentResends {
+		if i == nil || i.WouldReject(now, p.dispatch.shed.Standing) == nil {
+			return i
+		}
+		p.avoid = append(p.avoid, i)
+		i, _ = p.chooseSearcher(now, p.permitsInTime(now))
+	}
+	return nil
+}
+
 // explainExcluded returns the searchers in regions that are not permitted, and whose lists of
 // regions exclude them.
 func (p *subrequest) explainExcluded() []explain.Searcher {
@@ -233,6 +253,8 @@
 	}
 	switch {
 	case chosen:
+	case slices.Contains(p.avoid, i):
+		out.Why = rejectionTexts[i.WouldReject(now, p.dispatch.shed.Standing)]
 	case c.Suspect && c.StalledFor > 0:
 		out.Why = fmt.Sprintf("it has not answered for %s", c.StalledFor.Round(time.Millisecond))
 	case c.Suspect:
@@ -271,17 +293,21 @@
 	return out
 }
 
+// rejectionTexts says why a searcher's queue takes no send.
+var rejectionTexts = map[error]string{
+	instance.ErrQueueFull: "the queue of requests to it is full", instance.ErrUnreachable: "no connection to it can be opened", instance.ErrClosed: "it is leaving",
+}
+
 // explainHedge returns what a hedge would do if the chosen searcher did not answer.
-func (p *subrequest) explainHedge(now time.Time) explain.Hedge {
+func (p *subrequest) explainHedge(now time.Time, chosen *instance.Instance) explain.Hedge {
 	x := p.dispatch
-	// The first send counts as made, to the searcher that is chosen for it.
-	p.sends, p.avoid = p.sends+1, append(p.avoid, p.preferred)
-	defer func() { p.sends, p.avoid = p.sends-1, nil }()
+	// The first send counts as made.
+	p.sends, p.avoid = p.sends+1, append(p.avoid, chosen)
 	if why := p.noHedge(); why != "" {
 		return explain.Hedge{Why: why}
 	}
 	out := explain.Hedge{AfterMS: milliseconds(x.hedgeDelay)}
-	_, expected := placement.Predict(p.candidate(p.preferred, now))
+	_, expected := placement.Predict(p.candidate(chosen, now))
 	i, _ := p.chooseSearcher(now, takesHedge(expected, x.hedgeDelay))
 	switch {
 	case i == nil:
--- a/internal/query/forward/explain_test.go
+++ b/internal/query/forward/explain_test.go
@@ -8,12 +8,14 @@
 	"testing/synctest"
 	"time"
 
+	"egrethaven/internal/back/conn"
 	"egrethaven/internal/back/crashguard"
 	"egrethaven/internal/back/healthscore"
 	"egrethaven/internal/back/instance"
 	"egrethaven/internal/back/quarantine"
 	"egrethaven/internal/query/explain"
 	"egrethaven/internal/query/retrypool"
+	"egrethaven/internal/query/shedding"
 	"egrethaven/internal/state/account"
 	"egrethaven/internal/state/routing"
 )
@@ -237,5 +239,13 @@
 		if h := fx.engine.Explain(q).Shards[0].Hedge; h.Searcher != "" || h.Why != "the route permits no further attempt" {
 			t.Errorf("hedge without a second attempt: %+v", h)
 		}
+		full := fx.snapshot.Instances["s"][slices.IndexFunc(fx.snapshot.Instances["s"], func(i *instance.Instance) bool { return i.Searcher().ID == "best" })]
+		fx.snapshot.Instances["s"] = []*instance.Instance{full}
+		for full.WouldReject(time.Now(), shedding.Standing{}) == nil {
+			full.Send(instance.Request{Build: func() []byte { return []byte("GET /x HTTP/1.1\r\nHost: h\r\nId: a1\r\n\r\n") }, Done: func(conn.Result) {}, Matches: func(http.Header) bool { return true }})
+		}
+		if s := fx.engine.Explain(q).Shards[0]; s.Why != "no searcher takes it now; it is tried again later" || s.Searchers[0].Chosen || s.Searchers[0].Why != "the queue of requests to it is full" {
+			t.Errorf("with a full queue: %+v", s)
+		}
 	})
 }
--- a/internal/query/forward/subrequest.go
+++ b/internal/query/forward/subrequest.go
@@ -143,14 +143,17 @@
 
 // sendToBest sends to the best untried searcher whose limit permits it in time. It
 // returns false if there is none.
-func (p *subrequest) sendToBest(now time.Time) bool {
+func (p *subrequest) sendToBest(now time.Time) bool { return p.sendToBestOf(now, p.permitsInTime(now)) }
+
+// permitsInTime returns whether the limit of a searcher permits a send in time.
+func (p *subrequest) permitsInTime(now time.Time) func(placement.Candidate) bool {
 	cutoff := p.dispatch.deadline
 	if p.dispatch.route.IsFanOut() {
 		cutoff = p.dispatch.partialDeadline
 	}
-	return p.sendToBestOf(now, func(c placement.Candidate) bool {
+	return func(c placement.Candidate) bool {
 		return c.LimitWait == 0 || now.Add(c.LimitWait).Before(cutoff)
-	})
+	}
 }
 
 // sendToBestOf is like sendToBest, for the searchers that eligible accepts.
