Explain: list the searchers of a request over its quota or in quarantine too

Cause: such a report ended before the shards, so it did not tell which searchers regions exclude. One refused for its key was said not to be checked for quarantine, as if a body were missing. Change: the steps are explained in their order, and the first refusal is the answer. The command tells of the missing body only when shards were looked at. Measured: TestClientAccounts checks that shards are listed whenever the request was routed to searchers; go test of internal/query/forward and cli/command passes.

--- a/internal/cli/command/cmd_explain.go
+++ b/internal/cli/command/cmd_explain.go
@@ -161,20 +161,7 @@
 		fmt.Fprintf(s.out, "quota of all gateways together: %g requests/s, burst %g\n", r.QuotaPerSecond, r.QuotaBurst)
 		printPermits(s, r)
 	}
-	switch r.Suspicion {
-	case explain.NotSuspected:
-		fmt.Fprintf(s.out, "fingerprint %s, not known to crash searchers\n", printable(r.Fingerprint))
-	case explain.Suspected:
-		wait := ""
-		if r.TrialRunning {
-			wait = ", after another one like it that runs now"
-		}
-		fmt.Fprintf(s.out, "fingerprint %s, suspected of crashing searchers: runs on one at a time%s\n", printable(r.Fingerprint), wait)
-	case explain.Quarantined:
-		fmt.Fprintf(s.out, "fingerprint %s, quarantined\n", printable(r.Fingerprint))
-	case "":
-		fmt.Fprintln(s.out, "not checked whether it is quarantined; --body tells the body")
-	}
+	printSuspicion(s, r)
 	if len(r.Shards) == 0 {
 		return nil
 	}
@@ -222,6 +209,28 @@
 	explain.Failing: "has failed requests", explain.NearLimit: "near its limit", explain.OtherDomain: "in another failure domain",
 }
 
+// printSuspicion prints whether the request is known to crash searchers.
+func printSuspicion(s *session, r explain.Report) {
+	switch r.Suspicion {
+	case explain.NotSuspected:
+		fmt.Fprintf(s.out, "fingerprint %s, not known to crash searchers\n", printable(r.Fingerprint))
+	case explain.Suspected:
+		wait := ""
+		if r.TrialRunning {
+			wait = ", after another one like it that runs now"
+		}
+		fmt.Fprintf(s.out, "fingerprint %s, suspected of crashing searchers: runs on one at a time%s\n", printable(r.Fingerprint), wait)
+	case explain.Quarantined:
+		fmt.Fprintf(s.out, "fingerprint %s, quarantined\n", printable(r.Fingerprint))
+	case "":
+		// A request that is refused before it is routed to searchers has no shards.
+		if len(r.Shards) == 0 {
+			return
+		}
+		fmt.Fprintln(s.out, "not checked whether it is quarantined; --body tells the body")
+	}
+}
+
 // describeSearcher returns why a searcher is not chosen, and its state.
 func describeSearcher(c explain.Searcher) string {
 	var parts []string
--- a/internal/cli/command/explain_test.go
+++ b/internal/cli/command/explain_test.go
@@ -52,7 +52,7 @@
 		"no such body":    {"--body " + body + "x", 200, held, 2, []string{"no such file"}},
 		"body and size":   {"--body-bytes 4 --body " + body, 200, held, 2, []string{"body-bytes"}},
 		"no fingerprint":  {"--body " + body, 201, held, 2, []string{"earlier build"}},
-		"body not known":  {"--body-bytes 4", 200, explain.Report{Admitted: true, Route: "f"}, 0, []string{"not checked"}},
+		"body not known":  {"--body-bytes 4", 200, explain.Report{Admitted: true, Route: "f", Shards: []explain.Shard{shard}}, 0, []string{"not checked"}},
 		"no slash":        {"--path x", 200, explain.Report{}, 2, []string{"begins with a slash"}},
 		"no host":         {"--host=", 200, explain.Report{}, 2, []string{"a host"}},
 		"negative length": {"--body-bytes -1", 200, explain.Report{}, 2, []string{"at least 0"}},
--- a/internal/query/forward/client_test.go
+++ b/internal/query/forward/client_test.go
@@ -133,7 +133,7 @@
 				}
 				if !strings.HasPrefix(c.key, "handed over") {
 					r := fx.engine.Explain(explain.Query{Method: http.MethodGet, Host: "h", Path: c.target, Key: c.key})
-					if r.Admitted != (c.status == http.StatusOK) || !r.Admitted && r.Status != c.status || len(fx.permits) > 0 {
+					if r.Admitted != (c.status == http.StatusOK) || (len(r.Shards) > 0) != (r.DeadlineMS > 0) || !r.Admitted && r.Status != c.status || len(fx.permits) > 0 {
 						t.Errorf("explained as %+v, with permits %v", r, fx.permits)
 					}
 					if held := r.QuotaNext == explain.PermitHeld; held != (len(r.QuotaPermits) > 0) || held != (r.Admitted && r.Account != "") {
--- a/internal/query/forward/explain.go
+++ b/internal/query/forward/explain.go
@@ -45,21 +45,23 @@
 	out.Priority, out.NeededShards = x.priority(), x.minShards()
 	out.RouteRegions, out.AccountRegions = r.Regions, c.regions()
 	out.ObjectiveMS, out.DeadlineMS = milliseconds(x.partialDeadline.Sub(now)), milliseconds(x.deadline.Sub(now))
+	// A request takes these steps in the same order, and ends at the first one that refuses it.
 	verdict := x.explainSuspicion(&out, v)
-	if permit, ok := x.explainQuota(&out); !ok {
-		return refusedReport(out, permit, "the account's quota is used up")
-	}
-	if verdict.Class == quarantine.Quarantined {
-		return refusedReport(out, refusalOfQuarantined(verdict, now), "the request has crashed searchers")
-	}
-	a, ok := x.admit(now)
+	permit, permitted := x.explainQuota(&out)
+	quarantined := verdict.Class == quarantine.Quarantined
+	a, admitted := x.admit(now)
 	for _, p := range x.subrequests {
-		out.Shards = append(out.Shards, p.explain(now, ok))
+		out.Shards = append(out.Shards, p.explain(now, permitted && !quarantined && admitted))
 	}
 	if x.suspect {
 		x.explainTrial(out.Shards)
 	}
-	if !ok {
+	switch {
+	case !permitted:
+		return refusedReport(out, permit, "the account's quota is used up")
+	case quarantined:
+		return refusedReport(out, refusalOfQuarantined(verdict, now), "the request has crashed searchers")
+	case !admitted:
 		return refusedReport(out, a, x.explainRefusal())
 	}
 	out.Admitted, out.Why = true, "enough searchers are expected to answer in time"
@@ -198,6 +200,9 @@
 // the send, which then goes to another one as in resendUnsent. It is nil if none takes it.
 func (p *subrequest) firstSend(now time.Time) *instance.Instance {
 	i := p.preferred
+	if i == nil {
+		i, _ = p.chooseSearcher(now, p.permitsInTime(now))
+	}
 	for range maxUnsentResends {
 		if i == nil || i.WouldReject(now, p.dispatch.shed.Standing) == nil {
 			return i
