--- a/internal/query/forward/client_test.go
+++ b/internal/query/forward/client_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -11,6 +12,8 @@
 	"testing/synctest"
 	"time"
 
+	"egrethaven/internal/query/explain"
+	"egrethaven/internal/query/quota"
 	"egrethaven/internal/state/account"
 	"egrethaven/internal/state/region"
 	"egrethaven/internal/state/registry"
@@ -60,6 +63,14 @@
 	return a.Name != "poor", fx.count(a, 1)
 }
 
+// WouldTake returns what Take would do.
+func (fx *accountsFixture) WouldTake(a *account.Account) quota.Outlook {
+	if a.Name == "poor" {
+		return quota.Outlook{RetryAfter: time.Second}
+	}
+	return quota.Outlook{OK: true, Lots: []quota.Lot{{Permits: 3, For: time.Second}}}
+}
+
 // Return gives a permit back.
 func (fx *accountsFixture) Return(a *account.Account) { fx.count(a, -1) }
 
@@ -120,6 +131,15 @@
 				if strings.HasPrefix(c.accounts, "none") {
 					fx.current.Store(nil)
 				}
+				if !strings.HasPrefix(c.key, "handed over") {
+					r := fx.engine.Explain(explain.Query{Method: http.MethodGet, Host: "h", Path: c.target, Key: c.key})
+					if r.Admitted != (c.status == http.StatusOK) || (len(r.Shards) > 0) != (r.DeadlineMS > 0) || !r.Admitted && r.Status != c.status || len(fx.permits) > 0 {
+						t.Errorf("explained as %+v, with permits %v", r, fx.permits)
+					}
+					if held := r.QuotaNext == explain.PermitHeld; held != (len(r.QuotaPermits) > 0) || held != (r.Admitted && r.Account != "") {
+						t.Errorf("quota explained as %s, %v", r.QuotaNext, r.QuotaPermits)
+					}
+				}
 				status, arrived := fx.ask(t, c.target, c.key), ""
 				if s.requests() > 0 {
 					arrived = s.received[0].Header.Get("Account") + " " + s.received[0].Header.Get("Key")
@@ -239,9 +259,10 @@
 	north, south := []string{"north"}, []string{"south"}
 	for _, c := range []struct {
 		route, account []string
-		// arrived are the failure domains that get requests, "-" if they are handed over.
-		arrived string
-	}{{nil, nil, "ab"}, {nil, south, "b"}, {north, nil, "a"}, {north, south, "-"}} {
+		// arrived are the failure domains that get requests, "-" if they are handed over, and
+		// explained those that explain says get none, with the owners of the lists.
+		arrived, explained string
+	}{{nil, nil, "ab", "bother_domain"}, {nil, south, "b", "a[account]"}, {north, nil, "a", "b[route]"}, {north, south, "-", "a[account]b[route]"}} {
 		synctest.Test(t, func(t *testing.T) {
 			near := &fakeSearcher{id: "s-a", answer: answerAfter(20*time.Millisecond, "x")}
 			fx := newAccountsFixture(t, "a:ka", near)
@@ -254,6 +275,19 @@
 			fx.setConfig("a:ka", routing.Route{Regions: c.route, Shards: c.account})
 			got := fx.recordHandovers()
 			synctest.Wait()
+			explained := ""
+			r := fx.engine.Explain(explain.Query{Method: http.MethodGet, Host: "h", Path: "/x", Key: "ka"})
+			for _, s := range r.Shards[0].Searchers {
+				if len(s.ExcludedBy) > 0 && !s.Chosen && s.Why != "" {
+					explained += fmt.Sprint(s.Domain, s.ExcludedBy)
+				}
+				for _, d := range s.Later {
+					explained += s.Domain + string(d.Cause)
+				}
+			}
+			if explained != c.explained || !slices.Equal(r.RouteRegions, c.route) || !slices.Equal(r.AccountRegions, c.account) {
+				t.Errorf("%v and %v: explained as %q, want %q", c.route, c.account, explained, c.explained)
+			}
 			var wg sync.WaitGroup
 			for range 8 {
 				wg.Go(func() { fx.ask(t, "/x", "ka") })
--- a/internal/query/forward/explain_test.go
+++ b/internal/query/forward/explain_test.go
@@ -8,8 +8,14 @@
 	"testing/synctest"
 	"time"
 
+	"egrethaven/internal/back/conn"
+	"egrethaven/internal/back/crashguard"
+	"egrethaven/internal/back/healthscore"
+	"egrethaven/internal/back/instance"
+	"egrethaven/internal/back/quarantine"
 	"egrethaven/internal/query/explain"
 	"egrethaven/internal/query/retrypool"
+	"egrethaven/internal/query/shedding"
 	"egrethaven/internal/state/account"
 	"egrethaven/internal/state/routing"
 )
@@ -125,3 +131,113 @@
 		check("no configuration", q, http.StatusServiceUnavailable, NoConfig)
 	})
 }
+
+// TestExplainSuspect guards against a report on a request that crashes searchers which differs
+// from what happens to it, is made without its body, or ends its quarantine.
+func TestExplainSuspect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fx, steps := newFanOut(t, 4, answerAfter(10*time.Millisecond, "0123456789abcdef")), 0
+		fx.engine.c.Guard = crashguard.New(crashguard.Config{Quarantine: quarantine.New(quarantine.Config{MinIncidents: MinIncidents, TrustAnswered: true,
+			OnStep: func(quarantine.Step) { steps++ }})})
+		req := newRequest(time.Second)
+		req.Body = []byte("body")
+		f := req.fingerprint("")
+		q := explain.Query{Method: req.Method, Host: req.Host, Path: req.Target, BodyBytes: 4}
+		check := func(want explain.Suspicion) explain.Report {
+			t.Helper()
+			before, r := steps, fx.engine.Explain(q)
+			if steps != before || r.Suspicion != want || r.Fingerprint != q.Fingerprint || r.Admitted != (want != explain.Quarantined) || fx.requests() > 0 {
+				t.Errorf("want %s, got %+v after %d steps and %d requests", want, r, steps-before, fx.requests())
+			}
+			return r
+		}
+		lose := func(trial bool, service string) {
+			fx.engine.c.Guard.AddEvidence(f, []quarantine.Incident{{Searcher: service, Service: service, At: time.Now(), Weight: 1, Trial: trial}})
+		}
+		check("")
+		q.Fingerprint = quarantine.FormatFingerprint(f)
+		check(explain.NotSuspected)
+		lose(false, "s2")
+		for n, s := range check(explain.Suspected).Shards {
+			if sent := s.Why == ""; sent != (n == 2) || len(best(s)) == 0 && sent || sent != (s.Hedge.Why != "") || s.Hedge.Searcher != "" {
+				t.Errorf("a suspect is sent as %+v", s)
+			}
+		}
+		lose(true, "s0")
+		lose(true, "s1")
+		r, a := check(explain.Quarantined), fx.engine.Do(t.Context(), req)
+		if string(a.Reason) != r.Reason || a.Status != r.Status || milliseconds(a.RetryAfter) != r.RetryAfterMS {
+			t.Errorf("answered %+v, explained as %+v", a, r)
+		}
+		time.Sleep(quarantine.DefaultDuration)
+		end, _ := fx.engine.c.Guard.BeginTrial(f)
+		if running := check(explain.Suspected).TrialRunning; !running {
+			t.Error("a trial under way was not told")
+		}
+		end()
+		if check(explain.Suspected).TrialRunning {
+			t.Error("a trial that has ended was told")
+		}
+	})
+}
+
+// TestExplainSearchers guards against a wrong reason why a searcher is not chosen, against a
+// hedge that goes elsewhere than explained, and against one that the route does not permit.
+func TestExplainSearchers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		score := func(slowdown, failures float64) func(*instance.Instance) {
+			return func(i *instance.Instance) {
+				i.SetSharedScore(time.Now(), healthscore.Score{SlowdownFactor: slowdown, FailureRate: failures})
+			}
+		}
+		cases := map[string]struct {
+			why   string
+			setup func(*instance.Instance)
+		}{
+			"best": {"", score(1, 0)}, "second": {"slower", score(1.2, 0)}, "failing": {"failing", score(1, 0.9)}, "leaving": {"it is leaving", (*instance.Instance).Drain},
+			"busy":      {"busier", func(i *instance.Instance) { i.RecordLoad(instance.Load{Waiting: 9}) }},
+			"displaced": {"another searcher has its address", func(i *instance.Instance) { i.RecordOutcome(instance.WrongSearcher, 0, 0) }},
+		}
+		var all []*fakeSearcher
+		for id := range cases {
+			delay := map[bool]time.Duration{true: 2 * time.Second, false: 10 * time.Millisecond}[id == "best"]
+			all = append(all, &fakeSearcher{id: id, slots: 8, answer: answerAfter(delay, "0123456789abcdef")})
+		}
+		route := plainRoute(routing.Idempotent)
+		route.MaxAttempts = 3
+		fx := newFixture(t, []routing.Route{route}, map[string][]*fakeSearcher{"s": all})
+		synctest.Wait()
+		for _, i := range fx.snapshot.Instances["s"] {
+			cases[i.Searcher().ID].setup(i)
+		}
+		q := explain.Query{Method: http.MethodGet, Host: "h", Path: "/x"}
+		r := fx.engine.Explain(q)
+		ss := r.Shards[0].Searchers
+		best := ss[slices.IndexFunc(ss, func(s explain.Searcher) bool { return s.Chosen })]
+		for _, s := range ss {
+			why, sum := s.Why, 0.0
+			for _, d := range slices.Backward(s.Later) {
+				why, sum = string(d.Cause), sum+d.MS
+			}
+			if why != cases[s.ID].why || s.EstimateMS > 0 && sum < s.EstimateMS-best.EstimateMS-0.01 {
+				t.Errorf("%+v, want %q", s, cases[s.ID].why)
+			}
+		}
+		fx.engine.Do(t.Context(), newRequest(time.Second))
+		if best, second := fx.searchers["best"].requests(), fx.searchers["second"].requests(); best != 1 || second != 1 || r.Shards[0].Hedge.Searcher != "second" {
+			t.Errorf("%d requests at the best, %d at the second; hedge explained as %+v", best, second, r.Shards[0].Hedge)
+		}
+		fx.snapshot.Config.Routes[0].MaxAttempts = 1
+		if h := fx.engine.Explain(q).Shards[0].Hedge; h.Searcher != "" || h.Why != "the route permits no further attempt" {
+			t.Errorf("hedge without a second attempt: %+v", h)
+		}
+		full := fx.snapshot.Instances["s"][slices.IndexFunc(fx.snapshot.Instances["s"], func(i *instance.Instance) bool { return i.Searcher().ID == "best" })]
+		fx.snapshot.Instances["s"] = []*instance.Instance{full}
+		for full.WouldReject(time.Now(), shedding.Standing{}) == nil {
+			full.Send(instance.Request{Build: func() []byte { return []byte("GET /x HTTP/1.1\r\nHost: h\r\nId: a1\r\n\r\n") }, Done: func(conn.Result) {}, Matches: func(http.Header) bool { return true }})
+		}
+		if s := fx.engine.Explain(q).Shards[0]; s.Why != "no searcher takes it now; it is tried again later" || s.Searchers[0].Chosen || s.Searchers[0].Why != "the queue of requests to it is full" {
+			t.Errorf("with a full queue: %+v", s)
+		}
+	})
+}
