File watch: watching a file in a package of its own

Cause: the gateway's settings are read again when their file changes. Client accounts of egrethaven serve need the same for another file.

Measured: tests of gatewaysettings pass.

--- a/internal/state/gatewaysettings/watcher.go
+++ b/internal/state/gatewaysettings/watcher.go
@@ -1,17 +1,12 @@
 package gatewaysettings
 
 import (
-	"bytes"
-	"context"
 	"os"
-	"time"
 
+	"egrethaven/internal/state/filewatch"
 	"egrethaven/internal/state/problem"
 )
 
-// pollInterval is the time within which a change takes effect without a signal.
-const pollInterval = 5 * time.Second
-
 // WatcherConfig configures a Watcher.
 type WatcherConfig struct {
 	// File is the path of the settings file.
@@ -27,49 +22,20 @@
 }
 
 // Watcher reloads a settings file periodically and on a signal.
-type Watcher struct {
-	c WatcherConfig
-	// last is the content that was read last, or the text of the read error.
-	last []byte
-}
+type Watcher = filewatch.Watcher
 
 // NewWatcher returns a watcher of a file that was read before.
-func NewWatcher(c WatcherConfig) *Watcher { return &Watcher{c: c, last: c.CurrentContent} }
-
-// Run watches until ctx ends.
-func (w *Watcher) Run(ctx context.Context) {
-	t := time.NewTicker(pollInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		case <-w.c.Signal:
-		}
-		w.reload()
-	}
-}
-
-// reload reads the file and reports new settings or problems, unless the content or
-// the read error is the same as last time.
-func (w *Watcher) reload() {
-	b, err := os.ReadFile(w.c.File)
-	if err != nil {
-		b = []byte(err.Error())
-	}
-	if bytes.Equal(b, w.last) {
-		return
-	}
-	w.last = b
-	if err != nil {
-		w.c.OnInvalid([]problem.Problem{{File: w.c.File, Message: err.Error()}})
-		return
-	}
-	s, ps := Parse(w.c.File, b)
-	if len(ps) > 0 {
-		w.c.OnInvalid(ps)
-		return
-	}
-	w.c.OnChange(s)
+func NewWatcher(c WatcherConfig) *Watcher {
+	return filewatch.New(filewatch.Config{
+		File: c.File, CurrentContent: c.CurrentContent, Signal: c.Signal,
+		OnContent: func(b []byte) {
+			s, ps := Parse(c.File, b)
+			if len(ps) > 0 {
+				c.OnInvalid(ps)
+				return
+			}
+			c.OnChange(s)
+		},
+		OnError: func(err error) { c.OnInvalid([]problem.Problem{{File: c.File, Message: err.Error()}}) },
+	})
 }
