Serve: client accounts, with keys, priorities and a file of their own

Cause: any caller of egrethaven serve could send requests; only the gateway has client accounts.

A file that cannot be used leaves the accounts before in force and logs why, without text that may be a key. A file without accounts counts as such, as it may be one that is being written. - A request under /v1 without a known key gets 401 unknown_key; 503 not_ready before the configuration or the accounts are known. The key is removed from the request first, by the dialect's TakeKey. Requests of operators need none. - An account's priority orders the queries that wait for admission, where all had the same one.

Without [accounts] file nothing changes.

Not measured: queries a second with priorities under load.

--- a/internal/cli/command/cmd_serve.go
+++ b/internal/cli/command/cmd_serve.go
@@ -8,6 +8,7 @@
 
 	"github.com/spf13/cobra"
 
+	"egrethaven/internal/infra/hangup"
 	"egrethaven/internal/node/entry"
 	"egrethaven/internal/observe/clock"
 	"egrethaven/internal/observe/event"
@@ -15,8 +16,11 @@
 	"egrethaven/internal/state/settings"
 )
 
+// serveCommand is the name of the command that handles SIGHUP if the settings name client accounts.
+const serveCommand = "serve"
+
 var cmdServe = command{
-	use:     "serve -c FILE",
+	use:     serveCommand + " -c FILE",
 	help:    "Run one entry VM; SIGTERM begins a graceful shutdown",
 	example: "  egrethaven serve -c examples/node-takasago.ini",
 	setup: func(c *cobra.Command) action {
@@ -42,7 +46,13 @@
 	defer stop()
 	// A second signal gets the default handling and ends the process immediately.
 	context.AfterFunc(ctx, stop)
-	n, err := entry.New(entry.Config{Settings: v, LogOutput: s.errOut, Version: Version()})
+	c := entry.Config{Settings: v, LogOutput: s.errOut, Version: Version()}
+	if v.Accounts.File == "" {
+		hangup.Restore()
+	} else {
+		c.Hangup = hangup.C()
+	}
+	n, err := entry.New(c)
 	if err != nil {
 		return &exitError{code: exitDegraded, message: "the node did not start: " + err.Error(), hint: "check the addresses in " + file}
 	}
--- a/internal/cli/command/main.go
+++ b/internal/cli/command/main.go
@@ -45,7 +45,7 @@
 // Main runs the program with args and returns its exit code.
 func Main(args []string, in io.Reader, out, errOut io.Writer) int {
 	s := &session{in: in, out: out, errOut: errOut}
-	if len(args) == 0 || args[0] != gatewayCommand {
+	if len(args) == 0 || args[0] != gatewayCommand && args[0] != serveCommand {
 		hangup.Restore()
 	}
 	r := newRootCommand(s)
--- a/internal/front/caller/caller.go
+++ b/internal/front/caller/caller.go
@@ -26,6 +26,7 @@
 	"egrethaven/internal/query/ask"
 	"egrethaven/internal/query/outcome"
 	"egrethaven/internal/query/write"
+	"egrethaven/internal/state/account"
 	"egrethaven/internal/state/config"
 )
 
@@ -42,6 +43,12 @@
 	Engine Engine
 	// Snapshot returns the configuration in force, or nil if there is none yet.
 	Snapshot func() *config.Snapshot
+	// Accounts returns the client accounts in force, one of whose keys each request under /v1
+	// has to bear, or nil if they are not known yet. If Accounts itself is nil, there are none.
+	Accounts func() *account.Index
+	// TakeKey removes the key of a client account from a request's header and returns it; empty
+	// if there is none, or not exactly one. It is not used without Accounts.
+	TakeKey func(http.Header) string
 	// Gate admits requests and serves /ready and /live.
 	Gate *readiness.Gate
 	// MaxBodyBytes is the maximum size of a request body, in bytes.
@@ -64,10 +71,10 @@
 	h := &handler{c: c}
 	r := mux.NewRouter()
 	r.Use(h.instrument)
-	r.HandleFunc("/v1/searches", h.list).Methods(http.MethodGet)
-	r.HandleFunc("/v1/searches/{search}/query", h.checkGate(h.query)).Methods(http.MethodPost)
-	r.HandleFunc("/v1/searches/{search}/records", h.checkGate(h.record)).Methods(http.MethodPost)
-	r.HandleFunc("/v1/searches/{search}/health", h.health).Methods(http.MethodGet)
+	r.HandleFunc("/v1/searches", h.authenticate(h.list)).Methods(http.MethodGet)
+	r.HandleFunc("/v1/searches/{search}/query", h.authenticate(h.checkGate(h.query))).Methods(http.MethodPost)
+	r.HandleFunc("/v1/searches/{search}/records", h.authenticate(h.checkGate(h.record))).Methods(http.MethodPost)
+	r.HandleFunc("/v1/searches/{search}/health", h.authenticate(h.health)).Methods(http.MethodGet)
 	r.HandleFunc("/ready", c.Gate.ServeReady).Methods(http.MethodGet, http.MethodHead)
 	r.HandleFunc("/live", c.Gate.ServeLive).Methods(http.MethodGet, http.MethodHead)
 	if c.Metrics != nil {
--- a/internal/front/caller/caller_test.go
+++ b/internal/front/caller/caller_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -14,6 +15,7 @@
 	"egrethaven/internal/front/caller"
 	"egrethaven/internal/front/problemdetail"
 	"egrethaven/internal/front/readiness"
+	"egrethaven/internal/observe/event"
 	"egrethaven/internal/observe/health"
 	"egrethaven/internal/observe/metric"
 	"egrethaven/internal/query/ask"
@@ -21,8 +23,10 @@
 	"egrethaven/internal/query/keyrange"
 	"egrethaven/internal/query/outcome"
 	"egrethaven/internal/query/write"
+	"egrethaven/internal/state/account"
 	"egrethaven/internal/state/config"
 	"egrethaven/internal/state/search"
+	"egrethaven/platform/dialect"
 )
 
 // fakeEngine returns fixed results and counts the dispatched requests.
@@ -260,3 +264,70 @@
 		}
 	})
 }
+
+// eventText collects the text of events.
+type eventText struct{ strings.Builder }
+
+func (e *eventText) Emit(n event.Number, s, d string) { fmt.Fprintln(e, n.Name(), s, d) }
+
+// TestAccounts guards against a request that is dispatched without a valid key, a 401 while it is
+// not known which keys are valid, a priority without effect, and a key that stays in the request
+// or gets elsewhere.
+func TestAccounts(t *testing.T) {
+	x, err := account.NewIndex([]account.Entry{
+		{Account: account.Account{Name: "first", Priority: 3, HasPriority: true}, Keys: []string{"secret-1"}},
+		{Account: account.Account{Name: "plain"}, Keys: []string{"secret-2"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	index, unknown := func() *account.Index { return x }, func() *account.Index { return nil }
+	none := func() *config.Snapshot { return nil }
+	for _, c := range []struct {
+		name     string
+		accounts func() *account.Index
+		snapshot func() *config.Snapshot
+		keys     string
+		status   int
+		priority int
+	}{
+		{"no accounts in use", nil, snapshot, "other", 200, 0},
+		{"no configuration yet", index, none, "secret-1", 503, 0},
+		{"no configuration yet, no key", index, none, "", 503, 0},
+		{"accounts not known yet", unknown, snapshot, "secret-1", 503, 0},
+		{"no key", index, snapshot, "", 401, 0},
+		{"unknown key", index, snapshot, "secret", 401, 0},
+		{"two keys", index, snapshot, "secret-1 secret-2", 401, 0},
+		{"no priority", index, snapshot, "secret-2", 200, 0},
+		{"priority", index, snapshot, "secret-1", 200, 3},
+	} {
+		for path, body := range map[string]string{"": "", "/s/health": "", "/s/query": `{"deadline_ms":40}`, "/s/records": `{"deadline_ms":40,"key":"k","schema_version":1,"fields":{"a":"b"}}`} {
+			e := &fakeEngine{answer: ask.Answer{Outcome: outcome.OK(), Coverage: coverage.New(1, []keyrange.Range{keyrange.Whole}, nil)}}
+			e.result.Outcome = outcome.OK()
+			g, log := readiness.New(readiness.Config{MaxInFlight: 1}), &eventText{}
+			g.SetReady()
+			h := caller.New(caller.Config{Engine: e, Snapshot: c.snapshot, Accounts: c.accounts, TakeKey: dialect.Dialect{}.TakeKey, Gate: g, MaxBodyBytes: 4096, Events: log})
+			method, status, sent := http.MethodGet, c.status, 0
+			if body != "" {
+				method = http.MethodPost
+				if status == 200 {
+					sent = 1
+				}
+			}
+			if path == "/s/records" && status == 200 {
+				status = 201
+			}
+			r := httptest.NewRequest(method, "/v1/searches"+path, strings.NewReader(body))
+			r.Header = http.Header{"Content-Type": {"application/json"}, "Idempotency-Key": {key}, dialect.APIKey: strings.Fields(c.keys)}
+			w := httptest.NewRecorder()
+			h.ServeHTTP(w, r)
+			all := fmt.Sprint(r.Header, w.Header(), w.Body, log.String(), e.query)
+			got := fmt.Sprint(w.Code, e.dispatched, g.InFlight(), strings.Contains(all, "secret"), strings.Contains(all, "Www-Authenticate"))
+			if want := fmt.Sprint(status, sent, 0, false, status == 401); got != want {
+				t.Errorf("%s, %s: got %s, want %s: %s", c.name, path, got, want, all)
+			}
+			if path == "/s/query" && e.query.Priority != c.priority {
+				t.Errorf("%s: priority %d, want %d", c.name, e.query.Priority, c.priority)
+			}
+		}
+	}
+}
--- a/internal/front/caller/query.go
+++ b/internal/front/caller/query.go
@@ -91,6 +91,9 @@
 	}
 	a, p := decodeQuery(b, d, now)
 	a.QueryID, a.Caller = newID(), name
+	if c := accountOf(r); c != nil && c.HasPriority {
+		a.Priority = c.Priority
+	}
 	return a, p
 }
 
--- a/internal/front/problemdetail/default_detail.go
+++ b/internal/front/problemdetail/default_detail.go
@@ -28,4 +28,5 @@
 	outcome.NotReady:           "the node is not ready; send the request to another",
 	outcome.Rejected:           "the backend server ran the request and turned the record down",
 	outcome.IncompleteCoverage: "parts of the key space could not be reached",
+	outcome.UnknownKey:         "the request bears no known key of a client account; send exactly one X-Api-Key header with a key of yours",
 }
--- a/internal/front/problemdetail/detail.go
+++ b/internal/front/problemdetail/detail.go
@@ -81,6 +81,8 @@
 		return http.StatusNotFound
 	case outcome.OverShare:
 		return http.StatusTooManyRequests
+	case outcome.UnknownKey:
+		return http.StatusUnauthorized
 	case outcome.InProgress:
 		return http.StatusConflict
 	case outcome.KeyReused, outcome.Rejected, outcome.Quarantined:
--- a/internal/node/entry/apis.go
+++ b/internal/node/entry/apis.go
@@ -10,19 +10,26 @@
 	"egrethaven/internal/front/operator"
 	"egrethaven/internal/infra/readbudget"
 	"egrethaven/internal/observe/health"
+	"egrethaven/platform/dialect"
 )
 
 // bindAPIs binds the ports of the caller and the operator API.
 func (n *Node) bindAPIs() error {
 	s := n.c.Settings
-	api := caller.New(caller.Config{
+	c := caller.Config{
 		Engine:       n,
 		Snapshot:     n.configs.Current,
 		Gate:         n.gate,
 		MaxBodyBytes: int64(s.Limits.MaxBody),
 		Events:       n.log,
 		Metrics:      n.metrics,
-	})
+	}
+	// Operators are authorized by their own API and have no client account.
+	operatorCalls := caller.New(c)
+	if n.accounts != nil {
+		c.Accounts, c.TakeKey = n.accounts.Current, dialect.Dialect{}.TakeKey
+	}
+	api := caller.New(c)
 	heads := n.headBudget()
 	var err error
 	n.callerServer, err = httpserver.New(httpserver.Config{Addr: s.Listen.Caller, Handler: api, Events: n.log, HeadBudget: heads,
@@ -37,7 +44,7 @@
 		Configs:   n.configs,
 		Fleet:     n.fleet,
 		Health:    n.health.FleetReport,
-		CallerAPI: api,
+		CallerAPI: operatorCalls,
 		Events:    n.log,
 	})})
 	return errors.Annotate(err, "operator port")
--- a/internal/node/entry/fanout_test.go
+++ b/internal/node/entry/fanout_test.go
@@ -45,22 +45,8 @@
 // answers.
 func TestTwoLevelFanOut(t *testing.T) {
 	t.Cleanup(func() { goleak.VerifyNone(t) })
-	p, err := platform.New(platform.Config{})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = p.Close() })
-	d, err := deployment.New(deployment.Config{
-		Service: "svc", Domains: nil, Shards: 16, Replicas: 2, Records: dataset.Synthetic(400, 20),
-		Searcher: searcher.Config{Slots: 4, MaxConnections: 5, ServiceTime: searcher.ServiceTime{Median: time.Millisecond}},
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(d.Close)
+	p, d := startServices(t, 16, 2, searcher.Config{Slots: 4, MaxConnections: 5})
 	nodes := startNodes(t, p, d.VMs(), 6)
-	def := search.Definition{Name: "s", Service: "svc", SchemaVersions: []int{1}, Reconcile: search.ReconcileNewestRevision,
-		Prefer: search.PreferCoverage, Deadline: 5 * time.Second, ExtraLoad: 0.05, MaxLimit: 1000}
 	r := nodes[0].Apply(context.Background(), config.Change{ID: "c1", Author: "test", Put: []search.Definition{def}})
 	if r.Verdict != config.Accepted {
 		t.Fatalf("change not accepted: %+v", r)
@@ -92,13 +78,39 @@
 	}
 }
 
-// startNodes starts n entry VMs and stops them when the test ends.
-func startNodes(t *testing.T, p *platform.Platform, searchers []vm.VM, n int) []*entry.Node {
+// def is the search of the tests.
+var def = search.Definition{Name: "s", Service: "svc", SchemaVersions: []int{1}, Reconcile: search.ReconcileNewestRevision,
+	Prefer: search.PreferCoverage, Deadline: 5 * time.Second, ExtraLoad: 0.05, MaxLimit: 1000}
+
+// startServices starts a platform and searchers and stops them when the test ends.
+func startServices(t *testing.T, shards, replicas int, c searcher.Config) (*platform.Platform, *deployment.Deployment) {
+	t.Helper()
+	p, err := platform.New(platform.Config{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = p.Close() })
+	c.ServiceTime.Median = time.Millisecond
+	d, err := deployment.New(deployment.Config{Service: "svc", Shards: shards, Replicas: replicas, Records: dataset.Synthetic(400, 20), Searcher: c})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Close)
+	return p, d
+}
+
+// startNodes starts n entry VMs, with configurations changed by configure, and stops them when the
+// test ends.
+func startNodes(t *testing.T, p *platform.Platform, searchers []vm.VM, n int, configure ...func(*entry.Config)) []*entry.Node {
 	t.Helper()
 	var nodes []*entry.Node
 	vms := searchers
 	for i := range n {
-		e, err := entry.New(entry.Config{Settings: nodeSettings(i, p), Seed: uint64(i) + 1})
+		c := entry.Config{Settings: nodeSettings(i, p), Seed: uint64(i) + 1}
+		for _, f := range configure {
+			f(&c)
+		}
+		e, err := entry.New(c)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/node/entry/node.go
+++ b/internal/node/entry/node.go
@@ -12,6 +12,7 @@
 	"fmt"
 	"hash/maphash"
 	"io"
+	"os"
 
 	"github.com/juju/errors"
 
@@ -34,6 +35,7 @@
 	"egrethaven/internal/platform/vmlist"
 	"egrethaven/internal/query/register"
 	"egrethaven/internal/query/scatter"
+	"egrethaven/internal/state/accountfile"
 	"egrethaven/internal/state/config"
 	"egrethaven/internal/state/configsync"
 	"egrethaven/internal/state/idempotency"
@@ -51,6 +53,8 @@
 	Version string
 	// Seed is the random seed; 0 selects a random one.
 	Seed uint64
+	// Hangup has the file of client accounts read again; nil for none.
+	Hangup <-chan os.Signal
 }
 
 // Node is one entry VM. The fields are in the order of construction; they are
@@ -61,6 +65,8 @@
 	log     *event.Log
 	metrics *metric.Metrics
 	gate    *readiness.Gate
+	// accounts are the client accounts; nil if the settings name none.
+	accounts *accountfile.Source
 
 	store   *kv.Client
 	vms     *vmlist.Poller
@@ -104,6 +110,9 @@
 	}
 	n.budget.OnAbort(func(size int64) { n.log.Emit(event.ResponseAborted, "", fmt.Sprintf("%d bytes", size)) })
 	n.gate = readiness.New(readiness.Config{MaxInFlight: c.Settings.Limits.MaxInFlight, Events: n.log})
+	if file := c.Settings.Accounts.File; file != "" {
+		n.accounts = accountfile.New(accountfile.Config{File: file, Signal: c.Hangup, Events: n.log})
+	}
 	if err := n.build(); err != nil {
 		n.Close()
 		return nil, errors.Trace(err)
--- a/internal/node/entry/run.go
+++ b/internal/node/entry/run.go
@@ -83,6 +83,9 @@
 	default:
 		return "no list of VMs from the platform"
 	}
+	if n.accounts != nil && n.accounts.Current() == nil {
+		return "no client accounts: " + n.c.Settings.Accounts.File + " was not read"
+	}
 	return ""
 }
 
@@ -158,6 +161,9 @@
 }
 
 func (n *Node) closePlatform() {
+	if n.accounts != nil {
+		n.accounts.Close()
+	}
 	if n.configs != nil {
 		_ = n.configs.Close()
 	}
--- a/internal/query/adaptivelimit/gate.go
+++ b/internal/query/adaptivelimit/gate.go
@@ -6,12 +6,13 @@
 // adaptive concurrency limit keeps the mean query duration near that of an
 // unloaded system. Queries above the limit wait in a queue ordered by deadline,
 // or are refused if they would miss it. Callers that exceed their share of the
-// limit are admitted after all others.
+// limit are admitted after all others, and queries of higher priorities before
+// those of lower ones, but for every fourth one that is admitted.
 //
 // # Usage
 //
 //	g := adaptivelimit.New(adaptivelimit.Config{Shares: d.Shares})
-//	o := g.Acquire(ctx, "claims_desk", deadline)
+//	o := g.Acquire(ctx, "claims_desk", 0, deadline)
 //	if o.OK() {
 //		defer func() { g.Release("claims_desk", adaptivelimit.Feedback{Elapsed: e, Congested: c}) }()
 //	}
@@ -26,6 +27,10 @@
 	"egrethaven/internal/state/search"
 )
 
+// deadlineTurn is how often the next waiting query is chosen by its deadline alone: each fourth
+// time, so that queries of higher priorities do not starve others with the same time left.
+const deadlineTurn = 4
+
 // maxWaitFraction is the largest fraction of the time left that a query may
 // wait for admission.
 const maxWaitFraction = 0.3
@@ -56,11 +61,14 @@
 	inFlight int
 	callers  map[string]int
 	waiting  []*waiter
+	// turn counts the admissions of waiting queries.
+	turn int
 }
 
 // waiter is a query that waits for admission.
 type waiter struct {
 	caller   string
+	priority int
 	deadline time.Time
 	admitted chan struct{}
 }
@@ -70,16 +78,17 @@
 	return &Gate{fixed: c.Fixed, shares: newShares(c.Shares), limit: newLimiter(), callers: make(map[string]int)}
 }
 
-// Acquire waits for admission. If the outcome is not ok, the query must not
-// run; otherwise Release has to be called when the query ends.
-func (g *Gate) Acquire(ctx context.Context, caller string, deadline time.Time) outcome.Outcome {
+// Acquire waits for admission of a query with a priority, of which 0 is the highest. If the
+// outcome is not ok, the query must not run; otherwise Release has to be called when the query
+// ends.
+func (g *Gate) Acquire(ctx context.Context, caller string, priority int, deadline time.Time) outcome.Outcome {
 	g.m.Lock()
 	if g.fixed || g.inFlight < g.limit.current() && len(g.waiting) == 0 {
 		g.admit(caller)
 		g.m.Unlock()
 		return outcome.OK()
 	}
-	w := &waiter{caller: caller, deadline: deadline, admitted: make(chan struct{})}
+	w := &waiter{caller: caller, priority: priority, deadline: deadline, admitted: make(chan struct{})}
 	if o := g.checkWait(w, time.Now()); !o.OK() {
 		g.m.Unlock()
 		return o
@@ -146,13 +155,17 @@
 
 // checkWait estimates the wait of w and refuses w if the wait is too long.
 func (g *Gate) checkWait(w *waiter, now time.Time) outcome.Outcome {
-	ahead := 0
+	ahead, earlier := 0, 0
 	over := g.overShare(w.caller)
 	for _, v := range g.waiting {
-		if g.before(v, w, over) {
+		if g.before(v, w, over, false) {
 			ahead++
 		}
+		if g.before(v, w, over, true) {
+			earlier++
+		}
 	}
+	ahead = min(ahead, deadlineTurn*(earlier+1)-1)
 	mean := g.limit.mean()
 	left := w.deadline.Sub(now)
 	wait := time.Duration(float64(mean) * float64(ahead+1) / float64(g.limit.current()))
@@ -172,19 +185,24 @@
 }
 
 // before reports whether v is admitted before w. wOver tells whether the caller
-// of w is over its share.
-func (g *Gate) before(v, w *waiter, wOver bool) bool {
+// of w is over its share, and byDeadline that priorities do not count.
+func (g *Gate) before(v, w *waiter, wOver, byDeadline bool) bool {
 	if vOver := g.overShare(v.caller); vOver != wOver {
 		return wOver
 	}
+	if v.priority != w.priority && !byDeadline {
+		return v.priority < w.priority
+	}
 	return !w.deadline.Before(v.deadline)
 }
 
 // next returns the index of the waiter to admit next.
 func (g *Gate) next() int {
+	g.turn++
+	byDeadline := g.turn%deadlineTurn == 0
 	best := 0
 	for i, v := range g.waiting {
-		if !g.before(g.waiting[best], v, g.overShare(v.caller)) {
+		if !g.before(g.waiting[best], v, g.overShare(v.caller), byDeadline) {
 			best = i
 		}
 	}
--- a/internal/query/ask/ask.go
+++ b/internal/query/ask/ask.go
@@ -29,6 +29,8 @@
 	Search string
 	// Caller is the name of the caller, which selects its share of the capacity.
 	Caller string
+	// Priority is the priority of the query while some have to wait; 0 is the highest.
+	Priority int
 	// Text has to occur in the key or a field of a record, ignoring case; empty
 	// text matches all records.
 	Text string
--- a/internal/query/outcome/outcome.go
+++ b/internal/query/outcome/outcome.go
@@ -54,6 +54,7 @@
 	NotReady           Reason = "not_ready"
 	Rejected           Reason = "rejected"
 	IncompleteCoverage Reason = "incomplete_coverage"
+	UnknownKey         Reason = "unknown_key"
 )
 
 // Outcome is the result of a request.
--- a/internal/query/scatter/engine.go
+++ b/internal/query/scatter/engine.go
@@ -109,7 +109,7 @@
 // runAdmitted waits for admission and runs the query.
 func (e *Engine) runAdmitted(ctx context.Context, q ask.Query, d search.Definition, start time.Time) ask.Answer {
 	st := e.searches.get(d)
-	if o := st.gate.Acquire(ctx, q.Caller, q.Deadline); !o.OK() {
+	if o := st.gate.Acquire(ctx, q.Caller, q.Priority, q.Deadline); !o.OK() {
 		e.c.Events.Emit(event.QueryRefused, q.Search, o.String())
 		return refusedAnswer(q, o.Reason, 0, start)
 	}
--- a/internal/state/inifile/file.go
+++ b/internal/state/inifile/file.go
@@ -47,6 +47,8 @@
 type File struct {
 	Name     string
 	Sections []Section
+	// secret keeps lines out of problems.
+	secret bool
 	// headers are the headers of the sections.
 	headers map[string]bool
 }
@@ -62,11 +64,16 @@
 // problem for each line with a syntax error and each duplicate section or key.
 // name is the file name in problems.
 func Parse(name string, b []byte) (File, []problem.Problem) {
-	f := File{Name: name, headers: map[string]bool{}}
+	return parse(File{Name: name}, b)
+}
+
+// parse adds the lines of b to f.
+func parse(f File, b []byte) (File, []problem.Problem) {
 	if len(b) > MaxSize {
 		message := fmt.Sprintf("file has %d bytes", len(b))
-		return f, []problem.Problem{{File: name, Message: message, Allowed: "at most 1048576 bytes"}}
+		return f, []problem.Problem{{File: f.Name, Message: message, Allowed: "at most 1048576 bytes"}}
 	}
+	f.headers = map[string]bool{}
 	var ps []problem.Problem
 	for i, line := range bytes.Split(b, []byte("\n")) {
 		if p, ok := f.addLine(i+1, bytes.TrimSpace(line)); !ok {
@@ -76,6 +83,12 @@
 	return f, ps
 }
 
+// ParseSecret is Parse for a file with secrets. Problems do not quote lines; the sections and keys
+// that they name may still be text of the file.
+func ParseSecret(name string, b []byte) (File, []problem.Problem) {
+	return parse(File{Name: name, secret: true}, b)
+}
+
 // addLine adds one line to f, or returns a problem and false.
 func (f *File) addLine(lineNumber int, line []byte) (problem.Problem, bool) {
 	p := problem.Problem{File: f.Name, Line: lineNumber}
@@ -85,6 +98,9 @@
 	parsed, err := ini.LoadSources(loadOptions, line)
 	if err != nil {
 		p.Message, p.Allowed = fmt.Sprintf("cannot read %q", truncate(line)), "[section], key = value, or # comment"
+		if f.secret {
+			p.Message = "cannot be read"
+		}
 		return p, false
 	}
 	if line[0] == '[' {
--- a/internal/state/settings/fields.go
+++ b/internal/state/settings/fields.go
@@ -10,6 +10,9 @@
 // minSecretBytes is the minimum length of tokens and keys, in bytes.
 const minSecretBytes = 16
 
+// maxPathBytes is the maximum length of a path, in bytes; systems permit no longer ones.
+const maxPathBytes = 4095
+
 // fields defines all keys of the settings file.
 var fields = []field.Field[Settings]{
 	field.Name(field.Spec{Section: "node", Key: "id", Required: true,
@@ -45,6 +48,10 @@
 		Help: "bearer token that the operator API asks for"},
 		minSecretBytes, func(s *Settings) *string { return &s.Operator.Token }),
 
+	field.Text(field.Spec{Section: "accounts", Key: "file",
+		Help: "path of the file of client accounts, one of whose keys each request has to bear; no request needs a key if not given"},
+		maxPathBytes, func(s *Settings) *string { return &s.Accounts.File }),
+
 	field.Int(field.Spec{Section: "limits", Key: "max_body", Unit: "bytes", Default: "65536",
 		Help: "largest body of a caller's request"},
 		1<<10, 1<<20, func(s *Settings) *int { return &s.Limits.MaxBody }),
--- a/internal/state/settings/page_test.go
+++ b/internal/state/settings/page_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 
+	"egrethaven/internal/state/accountfile"
 	"egrethaven/internal/state/field"
 	"egrethaven/internal/state/gatewaysettings"
 	"egrethaven/internal/state/search"
@@ -28,6 +29,7 @@
 	}
 	specs := append(settings.Reference(), search.Reference()...)
 	specs = append(specs, gatewaysettings.Reference()...)
+	specs = append(specs, accountfile.Reference()...)
 	for _, spec := range specs {
 		if row := formatRow(spec); !contains(page, row) {
 			t.Errorf("docs/SETTINGS.md lacks the row\n%s", row)
--- a/internal/state/settings/settings.go
+++ b/internal/state/settings/settings.go
@@ -29,6 +29,7 @@
 	Platform Platform
 	Peer     Peer
 	Operator Operator
+	Accounts Accounts
 	Limits   Limits
 	Observe  Observe
 	Health   Health
@@ -69,6 +70,12 @@
 	Token string
 }
 
+// Accounts configures client accounts.
+type Accounts struct {
+	// File is the path of the file of client accounts; there are none if it is empty.
+	File string
+}
+
 // Limits holds the limits for requests and for shutdown.
 type Limits struct {
 	// MaxBody is the maximum size of a request body, in bytes.
