VM count: counting VMs in a package of its own

Cause: the gateway's count of VMs, which decreases late, is needed for the quotas of egrethaven serve too.

Change: vmCounter of internal/node/gateway is vmcount.Counter. Tests change names only.

--- a/internal/node/gateway/vmcounter_test.go
+++ b/internal/infra/vmcount/vmcount_test.go
@@ -1,4 +1,4 @@
-package gateway
+package vmcount
 
 import (
 	"testing"
@@ -10,7 +10,7 @@
 func TestVMCountDecreasesLate(t *testing.T) {
 	start := time.Now()
 	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
-	var c vmCounter
+	var c Counter
 	for _, x := range []struct {
 		second           float64
 		registered, want int
@@ -25,11 +25,11 @@
 		{34, 60, 95}, // 60 has lasted less than decreaseDelay
 		{49, 60, 60},
 	} {
-		if got := c.update(at(x.second), x.registered); got != x.want {
+		if got := c.Update(at(x.second), x.registered); got != x.want {
 			t.Errorf("at %g s, %d registered: counted %d, want %d", x.second, x.registered, got, x.want)
 		}
 	}
-	if !c.nextChange().IsZero() {
+	if !c.NextChange().IsZero() {
 		t.Error("a change is pending, but the registered VMs are not below the count")
 	}
 }
--- a/internal/node/gateway/cold_test.go
+++ b/internal/node/gateway/cold_test.go
@@ -15,7 +15,7 @@
 func TestColdShareOfNewVM(t *testing.T) {
 	v := newStoreView(storeViewConfig{Self: vmregistry.VM{ID: "a"}, Events: event.Discard{}, ColdOverage: 1.5, ColdSlack: 5})
 	v.config = &routing.Config{Services: map[string]routing.Service{"cold": {ColdPerSecond: 10}, "free": {}}}
-	v.vmCounter.current = 3
+	v.vmCounter.Current = 3
 	now := time.Now()
 	share := func(at time.Time, service string) int {
 		v.noteRegistration(at)
--- a/internal/node/gateway/limits.go
+++ b/internal/node/gateway/limits.go
@@ -10,7 +10,7 @@
 // updateLimits updates the number of VMs among which limits of searchers are divided.
 // The lock is held.
 func (v *storeView) updateLimits() {
-	d := limitshare.Divider{VM: v.c.Self.ID, VMs: slices.Collect(maps.Keys(v.vms)), Count: v.vmCounter.current}
+	d := limitshare.Divider{VM: v.c.Self.ID, VMs: slices.Collect(maps.Keys(v.vms)), Count: v.vmCounter.Current}
 	if _, registered := v.vms[v.c.Self.ID]; !registered {
 		d.VMs = append(d.VMs, v.c.Self.ID)
 	}
--- a/internal/node/gateway/limits_test.go
+++ b/internal/node/gateway/limits_test.go
@@ -12,7 +12,7 @@
 func TestNewVMTakesWholeLimit(t *testing.T) {
 	v := newStoreView(storeViewConfig{Self: vmregistry.VM{ID: "new"}, Events: event.Discard{}})
 	v.vms["other"] = vmregistry.VM{ID: "other"}
-	v.vmCounter.current, v.vmCountTrusted = 1, true
+	v.vmCounter.Current, v.vmCountTrusted = 1, true
 	v.updateLimits()
 	if got := v.limitShare("i-1", 10); got != 5 {
 		t.Errorf("part of a limit of 10: %g, want 5", got)
--- a/internal/node/gateway/quota.go
+++ b/internal/node/gateway/quota.go
@@ -87,7 +87,7 @@
 	if !v.vmCountTrusted {
 		return 0
 	}
-	n := max(v.vmCounter.current, len(v.vms))
+	n := max(v.vmCounter.Current, len(v.vms))
 	if _, registered := v.vms[v.c.Self.ID]; !registered {
 		n++
 	}
--- a/internal/node/gateway/storeview.go
+++ b/internal/node/gateway/storeview.go
@@ -17,6 +17,7 @@
 	"egrethaven/internal/back/limitshare"
 	"egrethaven/internal/back/subset"
 	"egrethaven/internal/infra/readbudget"
+	"egrethaven/internal/infra/vmcount"
 	"egrethaven/internal/observe/event"
 	"egrethaven/internal/peer/peerchoice"
 	"egrethaven/internal/query/forward"
@@ -138,7 +139,7 @@
 	// previousLease is the lease of this VM's registration from before a
 	// restart; zero if there is none.
 	previousLease follow.Lease
-	vmCounter     vmCounter
+	vmCounter     vmcount.Counter
 	countedVMs    int
 	// vmCountTrusted is set by the first rebuild at or after trustVMCountAt. The
 	// time alone is not enough: if its timer is stopped late, as after a freeze,
@@ -397,7 +398,7 @@
 // schedules a rebuild for the next change that depends on time only. The lock is
 // held.
 func (v *storeView) scheduleRebuild(now time.Time) {
-	next := v.vmCounter.nextChange()
+	next := v.vmCounter.NextChange()
 	if !v.storeDown {
 		next = earlier(next, v.registry.Expire(now))
 	}
@@ -433,7 +434,7 @@
 		return
 	}
 	v.vmCountTrusted = v.vmCountTrusted || !now.Before(v.trustVMCountAt)
-	if n := max(v.vmCounter.update(now, len(v.vms)), minVMCount); n != v.countedVMs {
+	if n := max(v.vmCounter.Update(now, len(v.vms)), minVMCount); n != v.countedVMs {
 		v.countedVMs = n
 		v.c.Events.Emit(event.VMsCounted, "", fmt.Sprintf("%d counted, %d registered", n, len(v.vms)))
 		v.c.OnVMCount(n)
