Serve: quotas of client accounts, each VM for its part

Cause: accounts of egrethaven serve had no rate_per_s and burst.

Change: queries and records of an account with rate_per_s take a permit of quotapool.Limiter once they are admitted; what has not run gives it back. Without one they get 429 over_quota with Retry-After, in whole seconds rounded up.

--- a/internal/front/caller/account.go
+++ b/internal/front/caller/account.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
+	"math"
 	"net/http"
+	"time"
 
 	"egrethaven/internal/front/problemdetail"
 	"egrethaven/internal/observe/event"
@@ -10,6 +13,13 @@
 	"egrethaven/internal/state/account"
 )
 
+const (
+	// maxQuotaWait limits the wait for a permit from another VM, and quotaWaitShare is the share
+	// of the time to the deadline that it may take.
+	maxQuotaWait   = 20 * time.Millisecond
+	quotaWaitShare = 0.25
+)
+
 // challenge is the WWW-Authenticate header of a response with status 401.
 const challenge = `ApiKey realm="egrethaven"`
 
@@ -50,3 +60,30 @@
 		next(w, r.WithContext(context.WithValue(r.Context(), accountKey{}, a)))
 	}
 }
+
+// takePermit takes a permit of the quota of the request's account, or refuses the request and
+// returns false.
+func (h *handler) takePermit(ctx context.Context, w http.ResponseWriter, r *http.Request, deadline time.Time) bool {
+	a := accountOf(r)
+	if a == nil || !a.Limited() || h.c.Quota == nil {
+		return true
+	}
+	now := time.Now()
+	wait := min(maxQuotaWait, time.Duration(quotaWaitShare*float64(deadline.Sub(now))))
+	ok, retryAfter := h.c.Quota.Take(ctx, a, now.Add(wait))
+	if ok {
+		return true
+	}
+	h.c.Events.Emit(event.QuotaExceeded, a.Name, fmt.Sprintf("%s, retry after %s", route(r), retryAfter.Round(time.Millisecond)))
+	d := problemdetail.New(outcome.NotRun(outcome.OverQuota), "")
+	d.RetryAfter = int(math.Ceil(retryAfter.Seconds()))
+	writeProblem(w, r, d)
+	return false
+}
+
+// returnPermit gives the permit of a request back if it has not run.
+func (h *handler) returnPermit(r *http.Request, o outcome.Outcome) {
+	if a := accountOf(r); a != nil && a.Limited() && h.c.Quota != nil && o.Kind == outcome.KindNotRun {
+		h.c.Quota.Return(a)
+	}
+}
--- a/internal/front/caller/caller.go
+++ b/internal/front/caller/caller.go
@@ -38,6 +38,15 @@
 	Health(search string) health.Report
 }
 
+// Quota limits the requests of client accounts. *quotapool.Limiter implements it.
+type Quota interface {
+	// Take takes a permit for one request of an account. It may wait until the given time. If it
+	// returns false, retryAfter is the time after which one fits.
+	Take(ctx context.Context, a *account.Account, until time.Time) (ok bool, retryAfter time.Duration)
+	// Return gives a permit back whose request has not run.
+	Return(a *account.Account)
+}
+
 // Config configures the API.
 type Config struct {
 	Engine Engine
@@ -49,6 +58,8 @@
 	// TakeKey removes the key of a client account from a request's header and returns it; empty
 	// if there is none, or not exactly one. It is not used without Accounts.
 	TakeKey func(http.Header) string
+	// Quota limits the queries and records of client accounts. It is not used without Accounts.
+	Quota Quota
 	// Gate admits requests and serves /ready and /live.
 	Gate *readiness.Gate
 	// MaxBodyBytes is the maximum size of a request body, in bytes.
--- a/internal/front/caller/caller_test.go
+++ b/internal/front/caller/caller_test.go
@@ -265,51 +265,71 @@
 	})
 }
 
-// eventText collects the text of events.
-type eventText struct{ strings.Builder }
+// fakeQuota is a quota and an event sink that count what they get.
+type fakeQuota struct {
+	strings.Builder
+	refuseFor, wait time.Duration
+	taken, returned int
+}
+
+func (q *fakeQuota) Emit(n event.Number, s, d string) { fmt.Fprintln(q, n.Name(), s, d) }
+
+func (q *fakeQuota) Take(_ context.Context, _ *account.Account, until time.Time) (bool, time.Duration) {
+	q.taken, q.wait = q.taken+1, time.Until(until)
+	return q.refuseFor == 0, q.refuseFor
+}
 
-func (e *eventText) Emit(n event.Number, s, d string) { fmt.Fprintln(e, n.Name(), s, d) }
+func (q *fakeQuota) Return(*account.Account) { q.returned++ }
 
-// TestAccounts guards against a request that is dispatched without a valid key, a 401 while it is
-// not known which keys are valid, a priority without effect, and a key that stays in the request
-// or gets elsewhere.
+// TestAccounts guards against a request that is dispatched without a valid key or over the quota, a
+// 401 while it is not known which keys are valid, a priority without effect, a key that stays in
+// the request or gets elsewhere, a Retry-After that is too short, and permits that are lost with
+// requests that have not run, or returned for others.
 func TestAccounts(t *testing.T) {
 	x, err := account.NewIndex([]account.Entry{
-		{Account: account.Account{Name: "first", Priority: 3, HasPriority: true}, Keys: []string{"secret-1"}},
-		{Account: account.Account{Name: "plain"}, Keys: []string{"secret-2"}}})
+		{Account: account.Account{Name: "limited", Priority: 3, HasPriority: true, RatePerSecond: 1}, Keys: []string{"secret-1"}},
+		{Account: account.Account{Name: "free"}, Keys: []string{"secret-2"}}})
 	if err != nil {
 		t.Fatal(err)
 	}
 	index, unknown := func() *account.Index { return x }, func() *account.Index { return nil }
 	none := func() *config.Snapshot { return nil }
+	ok, shed, lost := outcome.OK(), outcome.NotRun(outcome.Shed), outcome.Unknown(outcome.Timeout)
 	for _, c := range []struct {
-		name     string
-		accounts func() *account.Index
-		snapshot func() *config.Snapshot
-		keys     string
-		status   int
-		priority int
+		name                      string
+		accounts                  func() *account.Index
+		snapshot                  func() *config.Snapshot
+		keys                      string
+		refuseFor                 time.Duration
+		o                         outcome.Outcome
+		status, list              int
+		retryAfter                string
+		priority, taken, returned int
 	}{
-		{"no accounts in use", nil, snapshot, "other", 200, 0},
-		{"no configuration yet", index, none, "secret-1", 503, 0},
-		{"no configuration yet, no key", index, none, "", 503, 0},
-		{"accounts not known yet", unknown, snapshot, "secret-1", 503, 0},
-		{"no key", index, snapshot, "", 401, 0},
-		{"unknown key", index, snapshot, "secret", 401, 0},
-		{"two keys", index, snapshot, "secret-1 secret-2", 401, 0},
-		{"no priority", index, snapshot, "secret-2", 200, 0},
-		{"priority", index, snapshot, "secret-1", 200, 3},
+		{"no accounts in use", nil, snapshot, "other", 0, ok, 200, 200, "", 0, 0, 0},
+		{"no configuration yet", index, none, "secret-1", 0, ok, 503, 503, "1", 0, 0, 0},
+		{"no configuration yet, no key", index, none, "", 0, ok, 503, 503, "1", 0, 0, 0},
+		{"accounts not known yet", unknown, snapshot, "secret-1", 0, ok, 503, 503, "1", 0, 0, 0},
+		{"no key", index, snapshot, "", 0, ok, 401, 401, "", 0, 0, 0},
+		{"unknown key", index, snapshot, "secret", 0, ok, 401, 401, "", 0, 0, 0},
+		{"two keys", index, snapshot, "secret-1 secret-2", 0, ok, 401, 401, "", 0, 0, 0},
+		{"no limit", index, snapshot, "secret-2", time.Second, ok, 200, 200, "", 0, 0, 0},
+		{"served", index, snapshot, "secret-1", 0, ok, 200, 200, "", 3, 1, 0},
+		{"not run", index, snapshot, "secret-1", 0, shed, 503, 200, "1", 3, 1, 1},
+		{"perhaps run", index, snapshot, "secret-1", 0, lost, 504, 200, "", 3, 1, 0},
+		{"over quota", index, snapshot, "secret-1", 2100 * time.Millisecond, ok, 429, 200, "3", 0, 1, 0},
+		{"just over quota", index, snapshot, "secret-1", time.Millisecond, ok, 429, 200, "1", 0, 1, 0},
 	} {
 		for path, body := range map[string]string{"": "", "/s/health": "", "/s/query": `{"deadline_ms":40}`, "/s/records": `{"deadline_ms":40,"key":"k","schema_version":1,"fields":{"a":"b"}}`} {
-			e := &fakeEngine{answer: ask.Answer{Outcome: outcome.OK(), Coverage: coverage.New(1, []keyrange.Range{keyrange.Whole}, nil)}}
-			e.result.Outcome = outcome.OK()
-			g, log := readiness.New(readiness.Config{MaxInFlight: 1}), &eventText{}
+			e := &fakeEngine{answer: ask.Answer{Outcome: c.o, Coverage: coverage.New(1, []keyrange.Range{keyrange.Whole}, nil)}}
+			e.result.Outcome = c.o
+			g, q := readiness.New(readiness.Config{MaxInFlight: 1}), &fakeQuota{refuseFor: c.refuseFor}
 			g.SetReady()
-			h := caller.New(caller.Config{Engine: e, Snapshot: c.snapshot, Accounts: c.accounts, TakeKey: dialect.Dialect{}.TakeKey, Gate: g, MaxBodyBytes: 4096, Events: log})
-			method, status, sent := http.MethodGet, c.status, 0
+			h := caller.New(caller.Config{Engine: e, Snapshot: c.snapshot, Accounts: c.accounts, TakeKey: dialect.Dialect{}.TakeKey, Quota: q, Gate: g, MaxBodyBytes: 4096, Events: q})
+			method, status, sent := http.MethodGet, c.list, 0
 			if body != "" {
-				method = http.MethodPost
-				if status == 200 {
+				method, status = http.MethodPost, c.status
+				if c.list == 200 && status != 429 {
 					sent = 1
 				}
 			}
@@ -320,13 +340,14 @@
 			r.Header = http.Header{"Content-Type": {"application/json"}, "Idempotency-Key": {key}, dialect.APIKey: strings.Fields(c.keys)}
 			w := httptest.NewRecorder()
 			h.ServeHTTP(w, r)
-			all := fmt.Sprint(r.Header, w.Header(), w.Body, log.String(), e.query)
-			got := fmt.Sprint(w.Code, e.dispatched, g.InFlight(), strings.Contains(all, "secret"), strings.Contains(all, "Www-Authenticate"))
-			if want := fmt.Sprint(status, sent, 0, false, status == 401); got != want {
+			all := fmt.Sprint(r.Header, w.Header(), w.Body, q.String(), e.query)
+			got := fmt.Sprint(w.Code, e.dispatched, g.InFlight(), strings.Contains(all, "secret"), q.wait > 10*time.Millisecond, strings.Contains(all, "Www-Authenticate"))
+			if want := fmt.Sprint(status, sent, 0, false, false, status == 401); got != want {
 				t.Errorf("%s, %s: got %s, want %s: %s", c.name, path, got, want, all)
 			}
-			if path == "/s/query" && e.query.Priority != c.priority {
-				t.Errorf("%s: priority %d, want %d", c.name, e.query.Priority, c.priority)
+			got = fmt.Sprint(w.Header().Get("Retry-After"), " ", e.query.Priority, q.taken, q.returned)
+			if want := fmt.Sprint(c.retryAfter, " ", c.priority, c.taken, c.returned); path == "/s/query" && got != want {
+				t.Errorf("%s, %s: Retry-After, priority and permits %s, want %s", c.name, path, got, want)
 			}
 		}
 	}
--- a/internal/front/caller/query.go
+++ b/internal/front/caller/query.go
@@ -59,7 +59,11 @@
 	defer release()
 	ctx, cancel := withDeadline(r, a.Deadline)
 	defer cancel()
+	if !h.takePermit(ctx, w, r, a.Deadline) {
+		return
+	}
 	res := h.c.Engine.Ask(ctx, a)
+	h.returnPermit(r, res.Outcome)
 	if h.c.Metrics != nil {
 		h.c.Metrics.RecordQuery(a.Search, res, time.Since(start))
 	}
--- a/internal/front/caller/record.go
+++ b/internal/front/caller/record.go
@@ -23,7 +23,11 @@
 	defer release()
 	ctx, cancel := withDeadline(r, q.Deadline)
 	defer cancel()
+	if !h.takePermit(ctx, w, r, q.Deadline) {
+		return
+	}
 	res := h.c.Engine.Write(ctx, q)
+	h.returnPermit(r, res.Outcome)
 	if h.c.Metrics != nil {
 		h.c.Metrics.RecordWrite(q.Search, res, time.Since(start))
 	}
--- a/internal/front/problemdetail/default_detail.go
+++ b/internal/front/problemdetail/default_detail.go
@@ -28,5 +28,6 @@
 	outcome.NotReady:           "the node is not ready; send the request to another",
 	outcome.Rejected:           "the backend server ran the request and turned the record down",
 	outcome.IncompleteCoverage: "parts of the key space could not be reached",
+	outcome.OverQuota:          "the client account has used its quota; send the request again after the time in Retry-After",
 	outcome.UnknownKey:         "the request bears no known key of a client account; send exactly one X-Api-Key header with a key of yours",
 }
--- a/internal/front/problemdetail/detail.go
+++ b/internal/front/problemdetail/detail.go
@@ -79,7 +79,7 @@
 		return http.StatusBadRequest
 	case outcome.UnknownSearch:
 		return http.StatusNotFound
-	case outcome.OverShare:
+	case outcome.OverShare, outcome.OverQuota:
 		return http.StatusTooManyRequests
 	case outcome.UnknownKey:
 		return http.StatusUnauthorized
--- a/internal/node/entry/accounts_test.go
+++ b/internal/node/entry/accounts_test.go
@@ -9,8 +9,10 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	"go.uber.org/goleak"
 
@@ -53,12 +55,13 @@
 }
 
 // TestAccounts guards against queries that are answered without a valid key while the file of
-// accounts is missing, changed or invalid, changes of it without a line in the log, and keys in a
-// log or in what searchers get.
+// accounts is missing, changed or invalid, changes of it without a line in the log, keys in a log
+// or in what searchers get, an account that gets more than its quota of all VMs or nothing of it,
+// refusals without a time to return, and accounts that the requests of another one cost something.
 func TestAccounts(t *testing.T) {
 	t.Cleanup(func() { goleak.VerifyNone(t) })
-	const keyA, keyB = "secret-a-0123456789", "secret-b-0123456789"
-	b := "[account \"b\"]\napi_keys = " + keyB + "\n"
+	const keyA, keyB, rate, burst, bound = "secret-a-0123456789", "secret-b-0123456789", 20, 5, (20*5+5)*1.1 + 20
+	b := fmt.Sprintf("[account \"b\"]\nrate_per_s = %d\nburst = %d\napi_keys = %s\n", rate, burst, keyB)
 	both := "[account \"a\"]\napi_keys = " + keyA + "\n" + b
 	for _, vms := range []int{1, 3} {
 		t.Run(fmt.Sprint(vms), func(t *testing.T) {
@@ -109,7 +112,41 @@
 					}
 				}
 			}
-			if count(log, "secret")+count(sent, "secret") > 0 || count(log, "key_refused") == 0 || count(sent, "HTTP") == 0 {
+			var mu sync.Mutex
+			var wg sync.WaitGroup
+			var from, to []time.Time
+			for _, n := range nodes {
+				wg.Go(func() {
+					for end := time.Now().Add(8 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+						start := time.Now()
+						if w := post(t, n.CallerAddr()+path, keyB); w.StatusCode == 200 {
+							mu.Lock()
+							from, to = append(from, start), append(to, time.Now())
+							mu.Unlock()
+						} else if w.StatusCode < 500 && (w.StatusCode != 429 || w.Header.Get("Retry-After") == "") {
+							t.Errorf("status %d, headers %v", w.StatusCode, w.Header)
+						}
+						// On a busy machine a query may take longer than its deadline.
+						if w := post(t, n.CallerAddr()+path, keyA); w.StatusCode != 200 && w.StatusCode < 500 {
+							t.Errorf("another account got %d", w.StatusCode)
+						}
+					}
+				})
+			}
+			wg.Wait()
+			t.Logf("%d requests served in 8 s at %d/s", len(from), rate)
+			for _, start := range from {
+				n := 0
+				for i := range from {
+					if !from[i].Before(start) && to[i].Before(start.Add(5*time.Second)) {
+						n++
+					}
+				}
+				if float64(n) > bound {
+					t.Fatalf("%d requests within 5 s, at most %g are allowed", n, bound)
+				}
+			}
+			if count(log, "secret")+count(sent, "secret") > 0 || count(log, "key_refused") == 0 || count(log, "quota_exceeded") == 0 || count(sent, "HTTP") == 0 {
 				t.Error("a key is in the logs or in what searchers got, or these lack what they should have")
 			}
 		})
--- a/internal/node/entry/apis.go
+++ b/internal/node/entry/apis.go
@@ -27,7 +27,7 @@
 	// Operators are authorized by their own API and have no client account.
 	operatorCalls := caller.New(c)
 	if n.accounts != nil {
-		c.Accounts, c.TakeKey = n.accounts.Current, dialect.Dialect{}.TakeKey
+		c.Accounts, c.TakeKey, c.Quota = n.accounts.Current, dialect.Dialect{}.TakeKey, n.quota
 	}
 	api := caller.New(c)
 	heads := n.headBudget()
--- a/internal/node/entry/node.go
+++ b/internal/node/entry/node.go
@@ -13,6 +13,7 @@
 	"hash/maphash"
 	"io"
 	"os"
+	"sync"
 
 	"github.com/juju/errors"
 
@@ -29,6 +30,7 @@
 	"egrethaven/internal/observe/logger"
 	"egrethaven/internal/observe/metric"
 	"egrethaven/internal/peer/member"
+	"egrethaven/internal/peer/quotapool"
 	"egrethaven/internal/peer/rpc"
 	"egrethaven/internal/peer/rumor"
 	"egrethaven/internal/platform/kv"
@@ -67,6 +69,9 @@
 	gate    *readiness.Gate
 	// accounts are the client accounts; nil if the settings name none.
 	accounts *accountfile.Source
+	// quota limits the accounts' requests, in calls of quotaRun; nil if there are no accounts.
+	quota    *quotapool.Limiter
+	quotaRun sync.WaitGroup
 
 	store   *kv.Client
 	vms     *vmlist.Poller
--- a/internal/node/entry/observe.go
+++ b/internal/node/entry/observe.go
@@ -97,6 +97,9 @@
 			return errors.Annotatef(err, "registering metric %s", g.name)
 		}
 	}
+	if err := n.registerQuotaMetrics(); err != nil {
+		return errors.Trace(err)
+	}
 	return n.registerLabeledMetrics()
 }
 
--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -55,6 +55,9 @@
 
 		RestoredAt: n.store.RestoredAt,
 	})
+	if n.accounts != nil {
+		n.quota = n.newQuota()
+	}
 	return nil
 }
 
@@ -80,6 +83,7 @@
 	n.peerServer.Serve()
 	n.membership.Start()
 	n.configSync.Start(n.membership)
+	n.startQuota()
 	return nil
 }
 
--- a/internal/node/entry/run.go
+++ b/internal/node/entry/run.go
@@ -146,6 +146,7 @@
 }
 
 func (n *Node) closePeers() {
+	n.closeQuota()
 	if n.configSync != nil {
 		_ = n.configSync.Close()
 	}
--- a/internal/query/outcome/outcome.go
+++ b/internal/query/outcome/outcome.go
@@ -55,6 +55,7 @@
 	Rejected           Reason = "rejected"
 	IncompleteCoverage Reason = "incomplete_coverage"
 	UnknownKey         Reason = "unknown_key"
+	OverQuota          Reason = "over_quota"
 )
 
 // Outcome is the result of a request.
--- a/internal/state/accountfile/accountfile_test.go
+++ b/internal/state/accountfile/accountfile_test.go
@@ -13,11 +13,11 @@
 const (
 	key1 = "secret-1-0123456789"
 	key2 = "secret-2-0123456789=="
-	acme = "[account \"acme\"]\napi_keys = " + key1 + ", " + key2 + "\npriority = 2\n"
+	acme = "[account \"acme\"]\napi_keys = " + key1 + ", " + key2 + "\npriority = 2\nrate_per_s = 0.5\nburst = 3\n"
 )
 
 // limited is the account of acme.
-var limited = account.Account{Name: "acme", Priority: 2, HasPriority: true}
+var limited = account.Account{Name: "acme", Priority: 2, HasPriority: true, RatePerSecond: 0.5, Burst: 3}
 
 // TestParse guards against a file that is accepted although a key would find another account than
 // meant or none, and against problems that show a key.
@@ -47,6 +47,8 @@
 		"unknown setting":     acme + "regions = a",
 		"priority":            "[account \"a\"]\napi_keys = " + key1 + "\npriority = -1",
 		"priority is a key":   "[account \"a\"]\napi_keys = " + key2 + "\npriority 1 = " + key1,
+		"rate":                "[account \"a\"]\napi_keys = " + key1 + "\nrate_per_s = -1",
+		"burst only":          "[account \"a\"]\napi_keys = " + key1 + "\nburst = 5",
 		"too large":           acme + strings.Repeat("#"+key1+"\n", 60000),
 	} {
 		_, ps := accountfile.Parse("a.ini", []byte(text))
--- a/internal/state/accountfile/parse.go
+++ b/internal/state/accountfile/parse.go
@@ -22,6 +22,9 @@
 	maxKeyBytes = 256
 	maxKeys     = 100
 	maxPriority = 100
+	// maxRate and maxBurst are far above what VMs serve.
+	maxRate  = 1e6
+	maxBurst = 1e6
 )
 
 // keyChars are the characters of a key, those of a bearer token (RFC 6750). None of them has a
@@ -37,6 +40,12 @@
 		Help: "priority of the account's queries while some have to wait; 0, the highest, if not given"},
 		"a whole number from 0 to 100", parsePriority,
 		func(e *account.Entry) bool { return e.Account.Priority >= 0 && e.Account.Priority <= maxPriority }),
+	field.Float(field.Spec{Section: sectionKind, Key: "rate_per_s", Unit: "requests/s",
+		Help: "queries and records of the account that all VMs together run in a second; no limit if 0 or not given"},
+		0, maxRate, func(e *account.Entry) *float64 { return &e.Account.RatePerSecond }),
+	field.Float(field.Spec{Section: sectionKind, Key: "burst", Unit: "requests",
+		Help: "queries and records beyond the rate that all VMs together run in a burst; needs rate_per_s"},
+		0, maxBurst, func(e *account.Entry) *float64 { return &e.Account.Burst }),
 }
 
 // Reference returns the definitions of all keys, in the order of the table.
@@ -84,6 +93,10 @@
 			ps = append(ps, more...)
 			continue
 		}
+		if e.Account.Burst > 0 && !e.Account.Limited() {
+			ps = append(ps, problem.Problem{File: file, Line: s.Line, Section: s.Header, Key: "burst", Message: "burst has no effect without rate_per_s"})
+			continue
+		}
 		if err := builder.Add(e); err != nil {
 			ps = append(ps, problem.Problem{File: file, Line: s.Line, Message: errors.Cause(err).Error()})
 		}
