Serve: quotas over all VMs by one that coordinates

Cause: each VM granted only its own part of a quota, so that an account whose clients are connected to one of N VMs got 1/N of it.

Change: an entry VM of serve answers the Share call about quotas on its peer port, and its limiter chooses the coordinator among the live members, as the gateway's does. The service is registered, and calls are made, only with [accounts] file, the latter only if an account has a limit.

--- a/internal/node/entry/accounts_test.go
+++ b/internal/node/entry/accounts_test.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"regexp"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -112,6 +114,17 @@
 					}
 				}
 			}
+			eventually(t, "one VM coordinates all parts of the quotas", func() bool {
+				return slices.ContainsFunc(nodes, func(n *entry.Node) bool {
+					w, err := http.Get("http://" + n.CallerAddr() + "/metrics")
+					if err != nil {
+						return false
+					}
+					defer w.Body.Close()
+					b, _ := io.ReadAll(w.Body)
+					return regexp.MustCompile(`(?m)^egrethaven_quota_fraction\S* (1|0\.99\d*)$`).Match(b)
+				})
+			})
 			var mu sync.Mutex
 			var wg sync.WaitGroup
 			var from, to []time.Time
--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -80,6 +80,9 @@
 	if err := n.fleet.Register(m); err != nil {
 		return errors.Trace(err)
 	}
+	if err := n.registerQuota(m); err != nil {
+		return errors.Trace(err)
+	}
 	n.peerServer.Serve()
 	n.membership.Start()
 	n.configSync.Start(n.membership)
--- a/internal/node/entry/quota.go
+++ b/internal/node/entry/quota.go
@@ -6,10 +6,12 @@
 	"time"
 
 	"github.com/juju/errors"
+	"storj.io/drpc"
 
 	"egrethaven/internal/infra/vm"
 	"egrethaven/internal/infra/vmcount"
 	"egrethaven/internal/peer/quotapool"
+	"egrethaven/internal/peer/relayrpc"
 	"egrethaven/internal/query/quota"
 )
 
@@ -24,16 +26,55 @@
 func (n *Node) newQuota() *quotapool.Limiter {
 	counter := &quotaVMs{node: n}
 	return quotapool.New(quotapool.Config{
-		Self: candidate(n.self), Others: func() []quota.Candidate { return nil }, VMs: counter.count,
+		Self: candidate(n.self), Others: n.otherCandidates, VMs: counter.count,
 		Rule: quotaRule, Accounts: n.accounts.Current, Conn: n.dialer.Conn, Events: n.log,
 	})
 }
 
+// otherCandidates returns the other VMs that can coordinate quotas.
+func (n *Node) otherCandidates() []quota.Candidate {
+	var out []quota.Candidate
+	for _, v := range n.membership.LiveAll() {
+		if v.ID != n.self.ID {
+			out = append(out, candidate(v))
+		}
+	}
+	return out
+}
+
 // candidate returns an entry VM as a coordinator of quotas. The bandwidths of links are not known.
 func candidate(v vm.VM) quota.Candidate {
 	return quota.Candidate{ID: v.ID, Domain: string(v.Domain), Addr: v.Addr}
 }
 
+// quotaService answers the calls of VMs whose quotas this one coordinates. It is the only part of
+// the Relay service on an entry VM of this kind.
+type quotaService struct {
+	relayrpc.DRPCRelayUnimplementedServer
+	serve func(vm string, in *relayrpc.QuotaCall) (*relayrpc.QuotaReply, error)
+}
+
+// Share answers a call about quotas.
+func (s *quotaService) Share(_ context.Context, in *relayrpc.ShareRequest) (*relayrpc.ShareReply, error) {
+	c := in.GetQuota()
+	if c == nil {
+		return nil, errors.NotSupportedf("sharing other than of quotas")
+	}
+	r, err := s.serve(in.GetVm(), c)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return &relayrpc.ShareReply{Quota: r}, nil
+}
+
+// registerQuota registers the service of the peer port.
+func (n *Node) registerQuota(mux drpc.Mux) error {
+	if n.quota == nil {
+		return nil
+	}
+	return errors.Trace(relayrpc.DRPCRegisterRelay(mux, &quotaService{serve: n.quota.Serve}))
+}
+
 // startQuota starts the calls about quotas.
 func (n *Node) startQuota() {
 	if n.quota != nil {
