--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -55,6 +55,9 @@
 
 		RestoredAt: n.store.RestoredAt,
 	})
+	if n.accounts != nil {
+		n.quota = n.newQuota()
+	}
 	return nil
 }
 
@@ -77,9 +80,13 @@
 	if err := n.fleet.Register(m); err != nil {
 		return errors.Trace(err)
 	}
+	if err := n.registerQuota(m); err != nil {
+		return errors.Trace(err)
+	}
 	n.peerServer.Serve()
 	n.membership.Start()
 	n.configSync.Start(n.membership)
+	n.startQuota()
 	return nil
 }
 
--- a/internal/node/entry/run.go
+++ b/internal/node/entry/run.go
@@ -83,6 +83,9 @@
 	default:
 		return "no list of VMs from the platform"
 	}
+	if n.accounts != nil && n.accounts.Current() == nil {
+		return "no client accounts: " + n.c.Settings.Accounts.File + " was not read"
+	}
 	return ""
 }
 
@@ -143,6 +146,7 @@
 }
 
 func (n *Node) closePeers() {
+	n.closeQuota()
 	if n.configSync != nil {
 		_ = n.configSync.Close()
 	}
@@ -158,6 +162,9 @@
 }
 
 func (n *Node) closePlatform() {
+	if n.accounts != nil {
+		n.accounts.Close()
+	}
 	if n.configs != nil {
 		_ = n.configs.Close()
 	}
--- a/internal/query/outcome/outcome.go
+++ b/internal/query/outcome/outcome.go
@@ -54,6 +54,8 @@
 	NotReady           Reason = "not_ready"
 	Rejected           Reason = "rejected"
 	IncompleteCoverage Reason = "incomplete_coverage"
+	UnknownKey         Reason = "unknown_key"
+	OverQuota          Reason = "over_quota"
 )
 
 // Outcome is the result of a request.
