--- a/internal/front/ingress/memory_test.go
+++ b/internal/front/ingress/memory_test.go
@@ -18,7 +18,7 @@
 )
 
 // patientDialect is a dialect whose clients wait for longer than any test takes.
-type patientDialect struct{ dialect }
+type patientDialect struct{}
 
 // ExtractAttempt returns a time that does not run out on a busy machine, where a body that
 // waits for memory or processor time would be refused with 408 instead of 503.
