Quota member: calls of their own for accounts over their quota

Cause: three calls of a VM may follow each other and then one every 20 ms, for all accounts together. An account at ten times its rate used them up, so that requests of others at the same VM were refused after having waited for a call that was not due.

Change: an account that was refused for lack of permits within the last second makes a call due only every 40 ms, beside the others' calls, and its requests are refused at once until then. TestGreedyAccount is the test that was missing: an account at ten times its rate, and four others at half of theirs, with and without it.

--- a/internal/query/quota/member.go
+++ b/internal/query/quota/member.go
@@ -18,6 +18,13 @@
 	// burstCalls calls may follow each other at once, and then one every minGap.
 	burstCalls = 3
 	minGap     = 20 * time.Millisecond
+	// overGap is the time between calls that only accounts over their quota need. They do not count
+	// for the others: with three calls and then one every 20 ms for all accounts, one account at ten
+	// times its rate cost another one at the same VMs a tenth of its requests.
+	overGap = 2 * minGap
+	// overTime is how long an account counts as over its quota after a reply without enough permits
+	// or a refusal that followed from it.
+	overTime = time.Second
 	// minRefusal is the shortest time for which requests are refused after a reply without
 	// permits, so that an account over its quota does not cost a call for each request.
 	minRefusal = 100 * time.Millisecond
@@ -57,12 +64,15 @@
 	// free is set once this process's fraction counts, and counted if the other VMs count this
 	// one since before it started.
 	free, counted bool
-	// called are the times of the last calls, the newest first.
-	called [burstCalls]boottime.Instant
-	// urgent reports whether a call is due as soon as allowed.
-	urgent   bool
-	wake     chan struct{}
-	accounts map[uint64]*stock
+	// called are the times of the last calls, the newest first, without those that only accounts
+	// over their quota needed, of which the last one was at overCalled.
+	called     [burstCalls]boottime.Instant
+	overCalled boottime.Instant
+	// urgent reports whether a call is due as soon as allowed, and overdue whether one is due
+	// for an account over its quota.
+	urgent, overdue bool
+	wake            chan struct{}
+	accounts        map[uint64]*stock
 }
 
 // permits is a number of permits that expire, of which taken more are in use or used.
@@ -85,8 +95,9 @@
 	reportedUsed, reportedAsked int
 	waiting                     int
 	lastAsked                   boottime.Instant
-	// fitsAt is when another permit fits; requests are refused until refusedUntil.
-	fitsAt, refusedUntil boottime.Instant
+	// fitsAt is when another permit fits; requests are refused until refusedUntil. The account
+	// counts as over its quota until overUntil.
+	fitsAt, refusedUntil, overUntil boottime.Instant
 }
 
 // NewMember returns a member without permits.
@@ -100,6 +111,21 @@
 // hurry makes the next call due as soon as allowed. The lock is held.
 func (m *Member) hurry() {
 	m.urgent = true
+	m.notify()
+}
+
+// hurryFor makes the next call due as soon as allowed for an account. The lock is held.
+func (m *Member) hurryFor(now boottime.Instant, s *stock) {
+	if !now.Before(s.overUntil) {
+		m.hurry()
+		return
+	}
+	m.overdue = true
+	m.notify()
+}
+
+// notify reports that the time of the next call has changed.
+func (m *Member) notify() {
 	select {
 	case m.wake <- struct{}{}:
 	default:
@@ -179,14 +205,19 @@
 		s.current.taken++
 		s.used++
 		if !refused && s.granted >= minRefill && float64(s.current.n) < refillShare*float64(s.granted) {
-			m.hurry()
+			m.hurryFor(now, s)
 		}
 		return true, 0
 	}
 	if refused {
 		return false, max(s.fitsAt.Sub(now), time.Millisecond)
 	}
-	m.hurry()
+	m.hurryFor(now, s)
+	if next := m.overCalled.Add(overGap); now.Before(s.overUntil) && now.Before(next) {
+		// Waiting for the next call would take too long for most requests.
+		s.overUntil = now.Add(overTime)
+		return false, max(boottime.Later(s.fitsAt, next).Sub(now), time.Millisecond)
+	}
 	return false, 0
 }
 
@@ -230,8 +261,11 @@
 		return now
 	}
 	next := m.called[0].Add(Interval(m.vms))
-	if m.urgent {
-		next = boottime.Later(m.called[0], m.called[burstCalls-1].Add(burstCalls*minGap))
+	switch soon := boottime.Later(m.called[0], m.called[burstCalls-1].Add(burstCalls*minGap)); {
+	case m.urgent:
+		next = soon
+	case m.overdue:
+		next = boottime.Later(soon, m.overCalled.Add(overGap))
 	}
 	if free := m.freeAt; !m.delegates && now.Before(free) && free.Before(next) {
 		next = free
@@ -268,15 +302,20 @@
 			s.earlier = append(s.earlier, s.current)
 		}
 		s.current, s.granted, s.used, s.asked = permits{}, 0, 0, 0
-		s.refusedUntil = boottime.Instant{}
+		s.refusedUntil, s.overUntil = boottime.Instant{}, boottime.Instant{}
 	}
 }
 
 // begin returns a call. The lock is held.
 func (m *Member) begin(now boottime.Instant, release bool) Call {
 	m.seq++
-	copy(m.called[1:], m.called[:])
-	m.called[0], m.urgent = now, false
+	if m.overdue && !m.urgent && now.Before(m.called[0].Add(Interval(m.vms))) {
+		m.overCalled = now
+	} else {
+		copy(m.called[1:], m.called[:])
+		m.called[0] = now
+	}
+	m.urgent, m.overdue = false, false
 	c := Call{VM: m.c.VM, Session: m.session, Seq: m.seq, Acked: m.acked, Coordinator: m.process, Clock: m.clock,
 		Lease: Lease(m.vms), sentAt: now, echoAt: m.echoAt}
 	start := c.Lease
@@ -345,7 +384,7 @@
 		s.granted = g.Permits
 		s.fitsAt, s.refusedUntil = now.Add(g.Wait), boottime.Instant{}
 		if g.Wait > 0 {
-			s.refusedUntil = now.Add(max(g.Wait, minRefusal))
+			s.refusedUntil, s.overUntil = now.Add(max(g.Wait, minRefusal)), now.Add(overTime)
 		}
 	}
 }
--- a/internal/query/quota/sim_test.go
+++ b/internal/query/quota/sim_test.go
@@ -29,12 +29,18 @@
 	// others are the VMs that any of them may choose: those with wide links, and the first one
 	// of the rest.
 	others []Candidate
-	limit  Limit
+	// limits and counts have an entry for each account.
+	limits map[uint64]Limit
+	counts map[uint64]*simCount
 	calls  int
-	// asked and served count the requests.
-	asked, served int
 }
 
+// simCount counts the requests of an account.
+type simCount struct{ asked, served int }
+
+// share returns the share of the requests that were served.
+func (c *simCount) share() float64 { return float64(c.served) / float64(c.asked) }
+
 // simVM is a simulated VM.
 type simVM struct {
 	Candidate
@@ -51,8 +57,11 @@
 	waiting []simRequest
 }
 
-// simRequest is a request that waits until a time.
-type simRequest struct{ until time.Duration }
+// simRequest is a request of an account that waits until a time.
+type simRequest struct {
+	account uint64
+	until   time.Duration
+}
 
 // simEvent is something that happens at a time. Those of the same time keep their order.
 type simEvent struct {
@@ -77,17 +86,30 @@
 	return x
 }
 
-// newSim returns a deployment of n VMs in three failure domains that have run for ten seconds.
-func newSim(n int, l Limit) *sim {
-	s := &sim{origin: boottime.Now(), limit: l, vms: make([]*simVM, n), random: rand.New(rand.NewPCG(1, 2))}
+// newSim returns a deployment of n VMs in three failure domains that have run for ten seconds. The
+// accounts have the numbers from account on.
+func newSim(n int, limits ...Limit) *sim {
+	s := &sim{origin: boottime.Now(), limits: map[uint64]Limit{}, vms: make([]*simVM, n), random: rand.New(rand.NewPCG(1, 2))}
+	for i, l := range limits {
+		s.limits[account+uint64(i)] = l
+	}
+	s.reset()
 	for i := range s.vms {
 		s.start(i)
 	}
 	s.run(10 * time.Second)
-	s.calls = 0
+	s.reset()
 	return s
 }
 
+// reset starts to count at 0.
+func (s *sim) reset() {
+	s.calls, s.counts = 0, map[uint64]*simCount{}
+	for a := range s.limits {
+		s.counts[a] = &simCount{}
+	}
+}
+
 // clock returns the simulated time.
 func (s *sim) clock() boottime.Instant { return s.origin.Add(s.now) }
 
@@ -120,7 +142,7 @@
 	s.order++
 	id := uint64(s.order) << 20
 	rule := Rule{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
-	v.pool = NewPool(PoolConfig{Incarnation: id, Rule: rule, Start: s.clock(), Limit: func(uint64) (Limit, bool) { return s.limit, true }})
+	v.pool = NewPool(PoolConfig{Incarnation: id, Rule: rule, Start: s.clock(), Limit: func(a uint64) (Limit, bool) { return s.limits[a], true }})
 	v.member = NewMember(MemberConfig{VM: v.ID, Session: id, Start: s.clock()})
 	v.member.SetVMs(len(s.vms))
 	v.chooser = NewChooser(v.Candidate)
@@ -188,16 +210,16 @@
 	return s.vms[i]
 }
 
-// ask makes a request at a VM that is not down.
-func (s *sim) ask(v *simVM) {
-	s.asked++
-	ok, retryAfter := v.member.Take(s.clock(), account, s.limit)
+// ask makes a request of an account at a VM that is not down.
+func (s *sim) ask(v *simVM, a uint64) {
+	s.counts[a].asked++
+	ok, retryAfter := v.member.Take(s.clock(), a, s.limits[a])
 	switch {
 	case ok:
-		s.served++
+		s.counts[a].served++
 	case retryAfter == 0:
-		v.member.Wait(account, 1)
-		v.waiting = append(v.waiting, simRequest{s.now + simPatience})
+		v.member.Wait(a, 1)
+		v.waiting = append(v.waiting, simRequest{a, s.now + simPatience})
 	}
 	s.poll(v)
 }
@@ -208,37 +230,42 @@
 	for _, r := range v.waiting {
 		ok, retryAfter := false, time.Duration(0)
 		if s.now <= r.until {
-			ok, retryAfter = v.member.TakeAgain(s.clock(), account)
+			ok, retryAfter = v.member.TakeAgain(s.clock(), r.account)
 		}
 		switch {
 		case ok:
-			s.served++
+			s.counts[r.account].served++
 		case retryAfter == 0 && s.now < r.until:
 			still = append(still, r)
 			continue
 		}
-		v.member.Wait(account, -1)
+		v.member.Wait(r.account, -1)
 	}
 	v.waiting = still
 }
 
-// load makes requests at random times for a time, at the given VMs in turn by chance.
+// load makes requests at random times for a time, at some VMs by chance, and runs until after it.
 func (s *sim) load(perSecond float64, d time.Duration, vms int) {
+	s.begin(account, perSecond, d, vms, s.random)
+	s.run(d + time.Second)
+}
+
+// begin makes requests of an account as load does, while other events run.
+func (s *sim) begin(a uint64, perSecond float64, d time.Duration, vms int, random *rand.Rand) {
 	end := s.now + d
 	var next func()
 	next = func() {
 		if s.now >= end {
 			return
 		}
-		i := s.random.IntN(vms)
+		i := random.IntN(vms)
 		for s.vms[i].down {
 			i = (i + 1) % len(s.vms)
 		}
-		s.ask(s.vms[i])
-		s.after(time.Duration(s.random.ExpFloat64()/perSecond*float64(time.Second)), next)
+		s.ask(s.vms[i], a)
+		s.after(time.Duration(random.ExpFloat64()/perSecond*float64(time.Second)), next)
 	}
 	next()
-	s.run(d + time.Second)
 }
 
 // replace ends a tenth of the VMs at once and starts as many others; coordinator reports
@@ -300,7 +327,7 @@
 					for _, l := range c.limits {
 						s := newSim(n, l)
 						s.load(c.demand*l.Rate, 2*time.Second, from)
-						s.asked, s.served, s.calls = 0, 0, 0
+						s.reset()
 						// Ten times the rate of the largest account are most of the test's events.
 						seconds := 30.0
 						if c.demand > 1 {
@@ -310,7 +337,8 @@
 							s.after(5*time.Second, func() { s.replace(c.killed) })
 						}
 						s.load(c.demand*l.Rate, time.Duration(seconds)*time.Second, from)
-						share := float64(s.served) / min(float64(s.asked), l.Rate*seconds)
+						got := s.counts[account]
+						share := float64(got.served) / min(float64(got.asked), l.Rate*seconds)
 						calls := float64(s.calls) / (seconds + 1) / float64(n)
 						t.Logf("from %d of %d VMs, rate %g: %.4f served, %.2f calls per VM and second", from, n, l.Rate, share, calls)
 						if share < c.want || calls > c.maxCalls {
@@ -322,3 +350,42 @@
 		})
 	}
 }
+
+// TestGreedyAccount guards against an account that asks at ten times its rate and takes from what
+// other accounts get: by calls that delay those for the requests of the others, or by messages
+// that the coordinator does not get through.
+func TestGreedyAccount(t *testing.T) {
+	limits := []Limit{{Rate: 41, Burst: 20}, {Rate: 4, Burst: 4}, {Rate: 41, Burst: 20}, {Rate: 20, Burst: 0}, {Rate: 300, Burst: 100}}
+	for _, n := range []int{9, 68, 300} {
+		for _, from := range []int{1, n} {
+			t.Run(fmt.Sprintf("from %d of %d", from, n), func(t *testing.T) {
+				t.Parallel()
+				play := func(greedy float64) map[uint64]*simCount {
+					s := newSim(n, limits...)
+					for i, l := range limits {
+						a, demand, vms := account+uint64(i), 0.5, n
+						if i == 0 {
+							demand, vms = greedy, from
+						}
+						s.begin(a, demand*l.Rate, 32*time.Second, vms, rand.New(rand.NewPCG(a, 3)))
+					}
+					s.run(2 * time.Second)
+					s.reset()
+					s.run(31 * time.Second)
+					return s.counts
+				}
+				without, with := play(0.001), play(10)
+				for i := 1; i < len(limits); i++ {
+					a := account + uint64(i)
+					t.Logf("rate %g: %.4f without, %.4f with", limits[i].Rate, without[a].share(), with[a].share())
+					if with[a].share() < without[a].share() {
+						t.Errorf("an account of rate %g loses", limits[i].Rate)
+					}
+				}
+				if got := float64(with[account].served) / (30 * limits[0].Rate); got < 0.9 {
+					t.Errorf("the account that asks too much gets %.3f of its quota, want 0.9", got)
+				}
+			})
+		}
+	}
+}
