Quota pool: free starting VMs only if no pool holds their fractions

Cause: a coordinator frees the fractions of all VMs if all say that they are starting, as the processes to which they had delegated are gone. But a VM's earlier process may have delegated to another VM that was starting already.

Change: a VM tells another one that it is starting only while its own pool holds nothing, and the pool refuses delegations for two leases then. The coordinator counts only calls that echo its process. The messages are the same; the fault remains while the coordinator is of an earlier build.

--- a/internal/query/quota/pool.go
+++ b/internal/query/quota/pool.go
@@ -55,6 +55,8 @@
 	// the last one or of the last removal of unused buckets.
 	cuts      []cut
 	clippedAt time.Duration
+	// emptyUntil is until when nothing can be delegated to this pool.
+	emptyUntil time.Duration
 }
 
 // integrals are what buckets were filled with, in seconds at an account's rate: filled by the sum
@@ -87,7 +89,8 @@
 	fraction     float64
 	since, until time.Duration
 	lease        time.Duration
-	// starting is set while the VM's own fraction does not count yet, and ended once a later
+	// starting is set while the VM's own fraction does not count yet, as it said after this process
+	// had started, and ended once a later
 	// process of the VM has taken its fraction back. free is set when all VMs were starting.
 	starting, ended, free bool
 	// accounts holds the accounts of which the VM may hold permits.
@@ -148,8 +151,8 @@
 	repeated := c.Acked != d.seq
 	d.seq, d.seenAt, d.lease = c.Seq, p.clock, min(c.Lease, maxLease)
 	p.delegate(d, c)
-	d.starting = c.Starting > 0
-	r := Reply{Coordinator: p.c.Incarnation, Clock: p.clock, Free: d.starting && p.takesBack(id, c.Starting, d.lease)}
+	d.starting = c.Starting > 0 && c.Coordinator == p.c.Incarnation
+	r := Reply{Coordinator: p.c.Incarnation, Clock: p.clock, Free: c.Starting > 0 && p.takesBack(id, c.Starting, d.lease)}
 	reported := make(map[uint64]bool, len(c.Reports))
 	for _, a := range c.Reports {
 		reported[a.Account] = true
@@ -230,7 +233,7 @@
 		return
 	}
 	until := c.Clock + d.lease
-	if d.ended || c.Coordinator != p.c.Incarnation || c.Clock > p.clock || until <= p.clock {
+	if d.ended || p.clock < p.emptyUntil || c.Coordinator != p.c.Incarnation || c.Clock > p.clock || until <= p.clock {
 		return
 	}
 	if d.fraction == 0 {
@@ -247,7 +250,8 @@
 
 // takesBack reports whether the fraction of a starting VM is free. It is if this coordinator
 // holds it of the VM's process before, whose session ends then. It also is if all VMs are
-// starting, as the processes to which they had delegated are gone as well.
+// starting, as the processes to which they had delegated are gone as well, and those that are
+// there keep their pools empty.
 func (p *Pool) takesBack(id session, vms int, lease time.Duration) bool {
 	held := false
 	for o, d := range p.vms {
@@ -290,6 +294,21 @@
 	}
 }
 
+// KeepEmpty reports whether nothing is delegated to this pool, and has it refuse delegations for two
+// leases if so. A VM that tells another one that it is starting has to keep its pool empty: the
+// other may free the fractions of all VMs within a lease, and what this pool accepts within a second
+// lease may have been sent by a process that has ended since.
+func (p *Pool) KeepEmpty(now boottime.Instant, lease time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.advance(now)
+	if p.sum > 0 {
+		return false
+	}
+	p.emptyUntil = p.clock + 2*lease
+	return true
+}
+
 // clip cuts all buckets to their capacity after the loss of a fraction. Otherwise what they
 // held of it would count again when the fraction is back. Full buckets that are not in use are
 // removed.
--- a/internal/query/quota/quota.go
+++ b/internal/query/quota/quota.go
@@ -134,7 +134,8 @@
 	// delegates nothing, which also ends an earlier delegation.
 	VMs int
 	// Starting is the number of VMs if the VM's fraction does not count yet, as a coordinator
-	// may still hold it of the process before; 0 otherwise. It is more than any number of VMs
+	// may still hold it of the process before; 0 otherwise. In calls to another VM it is 0 as well
+	// if this VM's own pool cannot be kept empty. It is more than any number of VMs
 	// if that is not known.
 	Starting int
 	// Lease is how long the delegation lasts from Clock on, and permits from the reply on.
--- a/internal/query/quota/quota_test.go
+++ b/internal/query/quota/quota_test.go
@@ -87,9 +87,18 @@
 
 // call has a machine call a coordinator.
 func (w *world) call(from, to int) {
-	w.machines[from].coordinator = to
-	m := w.machines[from].member
-	w.messages = append(w.messages, message{to: to, member: m, call: m.Begin(w.at(0), fmt.Sprint(to))})
+	m := w.machines[from]
+	m.coordinator = to
+	w.send(from, m.member.Begin(w.at(0), fmt.Sprint(to)))
+}
+
+// send sends a call of a machine to its coordinator.
+func (w *world) send(from int, c Call) {
+	m := w.machines[from]
+	if c.Starting > 0 && m.coordinator != from && !m.pool.KeepEmpty(w.at(0), c.Lease) {
+		c.Starting = 0
+	}
+	w.messages = append(w.messages, message{to: m.coordinator, member: m.member, call: c})
 }
 
 // deliver delivers a message. The receiver of a call may have been suspended after it read the
@@ -360,8 +369,8 @@
 	case "call":
 		w.call(vm.Draw(w.t, "from"), vm.Draw(w.t, "to"))
 	case "release":
-		m := w.machines[vm.Draw(w.t, "from")]
-		w.messages = append(w.messages, message{to: m.coordinator, member: m.member, call: m.member.Release(w.at(0))})
+		i := vm.Draw(w.t, "from")
+		w.send(i, w.machines[i].member.Release(w.at(0)))
 	case "choose":
 		w.choose(vm)
 	case "move":
--- a/internal/query/quota/sim_test.go
+++ b/internal/query/quota/sim_test.go
@@ -177,6 +177,9 @@
 	}
 	v.coordinator = to
 	c := v.member.Begin(s.clock(), to.Addr)
+	if c.Starting > 0 && to.ID != v.ID && !v.pool.KeepEmpty(s.clock(), c.Lease) {
+		c.Starting = 0
+	}
 	v.calling = true
 	s.calls++
 	ended := false
--- a/internal/query/quota/start_test.go
+++ b/internal/query/quota/start_test.go
@@ -79,3 +79,44 @@
 		t.Errorf("coordinator and one VM were restarted: fraction %g", f)
 	}
 }
+
+// TestKeepEmpty guards against fractions that add up to more than 1 after VMs were restarted one
+// after the other: all said that they were starting and had their fractions freed, while the pool of
+// one of them held a fraction of a process that had ended before.
+func TestKeepEmpty(t *testing.T) {
+	for _, first := range []bool{true, false} {
+		start := boottime.Now()
+		now := start.Add(minStart)
+		p := NewPool(PoolConfig{Incarnation: 1, Start: now, Limit: func(uint64) (Limit, bool) { return Limit{}, false }})
+		m := NewMember(MemberConfig{VM: "a", Session: 1, Start: start})
+		m.SetVMs(2)
+		call := func() {
+			c := m.Begin(now, "b")
+			if r, ok := p.Serve(now, c); ok {
+				m.End(now, c, r)
+			}
+			now = now.Add(10 * time.Millisecond)
+		}
+		want := 0.5
+		if first {
+			want = 0
+			if !p.KeepEmpty(now, minLease) {
+				t.Error("an empty pool cannot be kept empty")
+			}
+		}
+		call()
+		call()
+		if f := p.Fraction(now); f != want {
+			t.Errorf("kept empty %t: fraction %g, want %g", first, f, want)
+		}
+		if p.KeepEmpty(now, minLease) != first {
+			t.Errorf("kept empty %t: then %t", first, !first)
+		}
+		now = now.Add(2 * minLease)
+		call()
+		call()
+		if f := p.Fraction(now); f != 0.5 {
+			t.Errorf("kept empty %t: fraction %g two leases later, want 0.5", first, f)
+		}
+	}
+}
