Read budget: memory that is held without use gives way first

Cause: a claim of a connection without a message could be given way to by a smaller one only, so that a new message as long as those before it would fail while their buffers are idle. Change: Claim.Offer has a claim give way before all others until it grows again. Measured: TestOfferedGivesWay; go test and go test -race of internal/infra/readbudget pass.

--- a/internal/infra/readbudget/readbudget.go
+++ b/internal/infra/readbudget/readbudget.go
@@ -88,6 +88,8 @@
 	aborted bool
 	since   time.Time
 	pinned  bool
+	// offered is set while the claim gives way before others. It is guarded by b.mu too.
+	offered bool
 }
 
 // Open returns an empty claim. It may be used for one response after the other. abort ends
@@ -159,6 +161,7 @@
 	if c.aborted {
 		return false, false
 	}
+	c.offered = false
 	if b.used+n <= b.c.Limit {
 		if b.c.ByAge && c.size == 0 {
 			c.since = time.Now()
@@ -203,6 +206,9 @@
 	return false, true
 }
 
+// offeredWeight is more than the weight of any claim that is not offered.
+const offeredWeight = 1 << 60
+
 // minAge is added to the ages of claims, so that size decides among those of one moment.
 const minAge = time.Millisecond
 
@@ -213,6 +219,9 @@
 		return 0
 	}
 	w := float64(size)
+	if c.offered {
+		return w + offeredWeight
+	}
 	if !c.b.c.ByAge {
 		return w
 	}
@@ -238,6 +247,17 @@
 	return c.pinned
 }
 
+// Offer has the claim give way before all that are not offered, until it grows again, if only
+// by 0 bytes. It is for memory that is held and not in use.
+func (c *Claim) Offer() {
+	if c == nil {
+		return
+	}
+	c.b.mu.Lock()
+	defer c.b.mu.Unlock()
+	c.offered = true
+}
+
 // abort makes a response give way. The lock is held.
 func (b *Budget) abort(c *Claim) {
 	c.aborted = true
@@ -289,7 +309,7 @@
 // release returns the memory of the claim. The lock is held.
 func (c *Claim) release() (aborted bool) {
 	aborted = c.aborted
-	c.pinned = false
+	c.pinned, c.offered = false, false
 	if c.size == 0 && !aborted {
 		return false
 	}
--- a/internal/infra/readbudget/readbudget_test.go
+++ b/internal/infra/readbudget/readbudget_test.go
@@ -167,3 +167,21 @@
 		t.Errorf("got %v", err)
 	}
 }
+
+// TestOfferedGivesWay: memory that is held without use gives way to a claim that becomes as
+// large, and does not once it is in use again.
+func TestOfferedGivesWay(t *testing.T) {
+	for _, again := range []bool{false, true} {
+		b := readbudget.New(readbudget.Config{Limit: 100})
+		var held *readbudget.Claim
+		held = b.Open(func() { go func() { held.Release() }() })
+		err := held.Grow(60)
+		held.Offer()
+		if again {
+			err = held.Grow(0)
+		}
+		if err != nil || (b.Open(func() {}).Grow(60) != nil) != again || b.Used() != 60 {
+			t.Errorf("used again %v: %v, %d bytes in use", again, err, b.Used())
+		}
+	}
+}
