Peer connections: count the buffers that a long message leaves

Cause: messages at the port for other VMs were counted, but not all that drpc makes of them. (1) A Read without memory returned its error with the bytes, for which drpc doubles its buffer before it looks at the error. (2) It read as much at once as drpc offered, up to megabytes, and counted them afterwards. (3) The memory was released at the failed Read, while the reader's goroutine still had to run to let go of it. (4) It was released with the answer, while drpc keeps the buffers of its reader for as long as the connection.

A message of a Server's connection ends with its call, no longer with any write.

--- a/internal/peer/rpc/server.go
+++ b/internal/peer/rpc/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/juju/errors"
 	"storj.io/drpc"
+	"storj.io/drpc/drpcctx"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
@@ -148,6 +149,8 @@
 	stop := context.AfterFunc(s.ctx, func() { c.Close() })
 	defer stop()
 	t := newCountedConn(c, &s.counters, s.c.Budget)
+	t.served = true
+	defer t.release()
 	err := serverHandshake(t, s.c.SharedKey, s.isKnownAddr(c), handshakeTimeout)
 	pending.Remove()
 	if err != nil {
@@ -171,5 +174,10 @@
 func (s *Server) HandleRPC(st drpc.Stream, rpc string) error {
 	s.activeCalls.Add(1)
 	defer s.activeCalls.Add(-1)
+	if t, ok := drpcctx.Transport(st.Context()); ok {
+		if c, ok := t.(*countedConn); ok {
+			defer c.endMessage()
+		}
+	}
 	return s.mux.HandleRPC(st, rpc)
 }
