Quota: an allowance for the buckets of a new coordinator

Cause: when a coordinator is lost, the buckets of the new one start empty.

Change: a VM that begins to delegate to a coordinator gives it an allowance of M/4 times its fraction, if it did not begin to delegate, nor its process start, in the W + 3T before. That is 2T more than required: a call may be read T after it was sent, and a suspended coordinator may count it T later. The boost for missing VMs gets the other M/4 instead of M/2. The message of a call has a new field, which earlier builds ignore: their buckets start empty as before.

--- a/internal/peer/quotapool/limiter.go
+++ b/internal/peer/quotapool/limiter.go
@@ -108,7 +108,7 @@
 	}
 	now := boottime.Now()
 	l := &Limiter{c: c, chooser: quota.NewChooser(c.Self), called: make(chan struct{})}
-	l.member = quota.NewMember(quota.MemberConfig{VM: c.Self.ID, Session: rand.Uint64(), Start: now})
+	l.member = quota.NewMember(quota.MemberConfig{VM: c.Self.ID, Session: rand.Uint64(), Start: now, Window: c.Rule.Window})
 	l.pool = quota.NewPool(quota.PoolConfig{Incarnation: rand.Uint64() | 1, Rule: c.Rule, Start: now, Limit: l.limit})
 	l.ctx, l.stop = context.WithCancel(context.Background())
 	return l
--- a/internal/peer/quotapool/message.go
+++ b/internal/peer/quotapool/message.go
@@ -10,7 +10,7 @@
 // encodeCall converts a call to a message.
 func encodeCall(c quota.Call) *relayrpc.ShareRequest {
 	out := &relayrpc.QuotaCall{Session: c.Session, Seq: int64(c.Seq), Acked: int64(c.Acked), Coordinator: c.Coordinator, ClockUs: c.Clock.Microseconds(),
-		Vms: int64(c.VMs), Starting: int64(c.Starting), LeaseMs: c.Lease.Milliseconds()}
+		Vms: int64(c.VMs), Allowance: c.Allowance, Starting: int64(c.Starting), LeaseMs: c.Lease.Milliseconds()}
 	for _, r := range c.Reports {
 		out.Reports = append(out.Reports, &relayrpc.QuotaReport{Account: r.Account, Held: int64(r.Held), Used: int64(r.Used), Asked: int64(r.Asked), Waiting: int64(r.Waiting)})
 	}
@@ -21,7 +21,7 @@
 // that of used permits.
 func decodeCall(vm string, in *relayrpc.QuotaCall) quota.Call {
 	out := quota.Call{VM: vm, Session: in.GetSession(), Seq: uint64(max(0, in.GetSeq())), Acked: uint64(max(0, in.GetAcked())), Coordinator: in.GetCoordinator(),
-		Clock: time.Duration(in.GetClockUs()) * time.Microsecond, VMs: int(in.GetVms()), Starting: int(max(0, in.GetStarting())), Lease: max(0, time.Duration(in.GetLeaseMs())*time.Millisecond)}
+		Clock: time.Duration(in.GetClockUs()) * time.Microsecond, VMs: int(in.GetVms()), Allowance: in.GetAllowance(), Starting: int(max(0, in.GetStarting())), Lease: max(0, time.Duration(in.GetLeaseMs())*time.Millisecond)}
 	for _, r := range in.GetReports() {
 		out.Reports = append(out.Reports, quota.Report{Account: r.GetAccount(), Held: int(max(0, r.GetHeld())), Used: int(r.GetUsed()), Asked: int(max(0, r.GetAsked())), Waiting: int(max(0, r.GetWaiting()))})
 	}
--- a/internal/query/quota/member.go
+++ b/internal/query/quota/member.go
@@ -41,6 +41,8 @@
 	Session uint64
 	// Start is when the process started.
 	Start boottime.Instant
+	// Window is that of the Rule.
+	Window time.Duration
 }
 
 // Member holds the permits of a VM. It is safe for concurrent use.
@@ -61,6 +63,9 @@
 	// freeAt from the coordinators of earlier sessions.
 	leaseEnd, freeAt boottime.Instant
 	delegates        bool
+	// begunAt is when this process began to delegate to its latest coordinator, begun that session.
+	begunAt boottime.Instant
+	begun   uint64
 	// free is set once this process's fraction counts, and counted if the other VMs count this
 	// one since before it started.
 	free, counted bool
@@ -102,7 +107,7 @@
 
 // NewMember returns a member without permits.
 func NewMember(c MemberConfig) *Member {
-	return &Member{c: c, session: c.Session, wake: make(chan struct{}, 1), accounts: map[uint64]*stock{}}
+	return &Member{c: c, session: c.Session, begunAt: c.Start, wake: make(chan struct{}, 1), accounts: map[uint64]*stock{}}
 }
 
 // Wake returns a channel that receives a value when the time of the next call has changed.
@@ -332,6 +337,10 @@
 	if m.delegates = m.free && m.vms > 0 && !release && m.acked > 0 && !now.Before(m.freeAt); m.delegates {
 		c.VMs = m.vms
 		m.leaseEnd = boottime.Later(m.leaseEnd, m.echoAt.Add(c.Lease))
+		if m.begun != m.session {
+			c.Allowance = now.Sub(m.begunAt) >= m.c.Window+allowanceLeases*c.Lease
+			m.begunAt, m.begun = now, m.session
+		}
 	}
 	for account, s := range m.accounts {
 		if !now.Before(s.current.until) {
--- a/internal/query/quota/pool.go
+++ b/internal/query/quota/pool.go
@@ -60,12 +60,13 @@
 }
 
 // integrals are what buckets were filled with, in seconds at an account's rate: filled by the sum
-// of the fractions, and boosted by what is added while VMs are missing.
-type integrals struct{ filled, boosted float64 }
+// of the fractions, and boosted by what is added while VMs are missing. allowed is the sum of the
+// fractions that began with an allowance.
+type integrals struct{ filled, boosted, allowed float64 }
 
 // since returns what was added after an earlier time.
 func (i integrals) since(earlier integrals) integrals {
-	return integrals{i.filled - earlier.filled, i.boosted - earlier.boosted}
+	return integrals{i.filled - earlier.filled, i.boosted - earlier.boosted, i.allowed - earlier.allowed}
 }
 
 // cut is a loss of fractions, after which buckets are cut to the capacity of the rest.
@@ -236,10 +237,13 @@
 	if d.ended || p.clock < p.emptyUntil || c.Coordinator != p.c.Incarnation || c.Clock > p.clock || until <= p.clock {
 		return
 	}
+	f := 1 / float64(c.VMs)
 	if d.fraction == 0 {
 		d.since = p.clock
+		if c.Allowance {
+			p.total.allowed += f
+		}
 	}
-	f := 1 / float64(c.VMs)
 	less := f < d.fraction
 	d.fraction, d.until = f, until
 	p.addFractions()
@@ -449,7 +453,7 @@
 // level, and the time after which another one fits if that is fewer than it needs. elapsed is
 // the time since the VM's previous report.
 func (p *Pool) divide(b *bucket, h *holding, r Report, elapsed time.Duration) (total int, wait time.Duration) {
-	capacity, rate := p.capacity(b.limit), p.c.Rule.income(b.limit, integrals{p.sum, p.boostOf(p.sum, p.steady, 1)})
+	capacity, rate := p.capacity(b.limit), p.c.Rule.income(b.limit, integrals{filled: p.sum, boosted: p.boostOf(p.sum, p.steady, 1)})
 	part := 1.0
 	if b.demand > 0 {
 		part = min(1, h.demand/b.demand)
--- a/internal/query/quota/quota.go
+++ b/internal/query/quota/quota.go
@@ -26,7 +26,16 @@
 // delegated to it for W + T, where W is the rule's window, count for this. In a window in which
 // such a fraction f is used, the fraction had no other coordinator in the T before the window, so
 // that its unused permits were at most f x (burst + M/2) when it began. The other M/2 of the
-// tolerance is for what is added, which is at most f x M/2 in a window.
+// tolerance is for what is added, which is at most f x M/4 in a window.
+//
+// # New coordinators
+//
+// A VM that begins to delegate to another coordinator gives it an allowance once, of f x M/4, with
+// which buckets start instead of 0. It does so only if it did not begin to delegate in the W + 3T
+// before, nor did its process start. A call may be read up to T after it was sent, and a suspended
+// coordinator's bucket may count it up to T later. So there is at most one allowance of a VM in any
+// window, and the fraction had no other coordinator in the T before the window. The allowance is the
+// other M/4 of the M/2 that is not used then.
 //
 // # Calls
 //
@@ -60,7 +69,11 @@
 	// boostShare is the share of the tolerated overage by which buckets may fill faster while VMs
 	// are missing, and boostMargin the share of the margin that this adds in a window at most.
 	boostShare  = 0.5
-	boostMargin = 0.5
+	boostMargin = 0.25
+	// allowanceMargin is the share of the margin with which the buckets of a new coordinator start.
+	allowanceMargin = 0.25
+	// A VM gives an allowance if it has not begun to delegate for a window and allowanceLeases leases.
+	allowanceLeases = 3
 	// minInterval is the time between two calls of a VM, and intervalPerVM times the number of
 	// VMs if that is more, so that a coordinator serves at most 500 calls a second.
 	minInterval   = 400 * time.Millisecond
@@ -106,7 +119,7 @@
 
 // income returns what the integrals of a pool add to an account's bucket.
 func (r Rule) income(l Limit, i integrals) float64 {
-	return l.Rate * (i.filled + r.boost(l)*i.boosted)
+	return l.Rate*(i.filled+r.boost(l)*i.boosted) + allowanceMargin*r.margin(l)*i.allowed
 }
 
 // Key returns the key of an account in messages. Two names of 10,000 have the same key with a
@@ -133,10 +146,11 @@
 	// VMs is the number of VMs, of whose quota the VM delegates its part. It is 0 if the VM
 	// delegates nothing, which also ends an earlier delegation.
 	VMs int
+	// Allowance reports that the delegation begins with an allowance.
+	Allowance bool
 	// Starting is the number of VMs if the VM's fraction does not count yet, as a coordinator
-	// may still hold it of the process before; 0 otherwise. In calls to another VM it is 0 as well
-	// if this VM's own pool cannot be kept empty. It is more than any number of VMs
-	// if that is not known.
+	// may still hold it of the process before; 0 otherwise. It is more than any number of VMs if
+	// that is not known. In calls to another VM it is 0 if this VM's own pool cannot be kept empty.
 	Starting int
 	// Lease is how long the delegation lasts from Clock on, and permits from the reply on.
 	Lease time.Duration
