Quota pool: keep it empty only after calls that count

Cause: a VM that started and first called a coordinator that was lost refused delegations for two leases, though its call could not count as one of a VM that is starting: such calls echo the coordinator's process.

Change: KeepEmpty leaves calls without an echo as they are.

--- a/internal/peer/quotapool/limiter.go
+++ b/internal/peer/quotapool/limiter.go
@@ -327,9 +327,7 @@
 		}
 		return r, nil
 	}
-	if c.Starting > 0 && !l.pool.KeepEmpty(boottime.Now(), c.Lease) {
-		c.Starting = 0
-	}
+	c = l.pool.KeepEmpty(boottime.Now(), c)
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	conn, err := l.c.Conn(ctx, to.Addr)
--- a/internal/query/quota/pool.go
+++ b/internal/query/quota/pool.go
@@ -298,19 +298,25 @@
 	}
 }
 
-// KeepEmpty reports whether nothing is delegated to this pool, and has it refuse delegations for two
-// leases if so. A VM that tells another one that it is starting has to keep its pool empty: the
-// other may free the fractions of all VMs within a lease, and what this pool accepts within a second
-// lease may have been sent by a process that has ended since.
-func (p *Pool) KeepEmpty(now boottime.Instant, lease time.Duration) bool {
+// KeepEmpty returns a call of this VM as it is to be sent to another one. If the call counts as one
+// of a VM that is starting, the pool refuses delegations for two leases from now on, and if
+// something is delegated to it already, the call does not count. The other VM may free the fractions
+// of all VMs within a lease, and what this pool accepts within a second lease may have been sent by
+// a process that has ended since. A call without an echo does not count, so that a VM that has only
+// called one that is lost can coordinate at once.
+func (p *Pool) KeepEmpty(now boottime.Instant, c Call) Call {
+	if c.Starting == 0 || c.Coordinator == 0 {
+		return c
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.advance(now)
 	if p.sum > 0 {
-		return false
+		c.Starting = 0
+		return c
 	}
-	p.emptyUntil = p.clock + 2*lease
-	return true
+	p.emptyUntil = p.clock + 2*c.Lease
+	return c
 }
 
 // clip cuts all buckets to their capacity after the loss of a fraction. Otherwise what they
--- a/internal/query/quota/quota_test.go
+++ b/internal/query/quota/quota_test.go
@@ -95,8 +95,8 @@
 // send sends a call of a machine to its coordinator.
 func (w *world) send(from int, c Call) {
 	m := w.machines[from]
-	if c.Starting > 0 && m.coordinator != from && !m.pool.KeepEmpty(w.at(0), c.Lease) {
-		c.Starting = 0
+	if m.coordinator != from {
+		c = m.pool.KeepEmpty(w.at(0), c)
 	}
 	w.messages = append(w.messages, message{to: m.coordinator, member: m.member, call: c})
 }
--- a/internal/query/quota/sim_test.go
+++ b/internal/query/quota/sim_test.go
@@ -177,8 +177,8 @@
 	}
 	v.coordinator = to
 	c := v.member.Begin(s.clock(), to.Addr)
-	if c.Starting > 0 && to.ID != v.ID && !v.pool.KeepEmpty(s.clock(), c.Lease) {
-		c.Starting = 0
+	if to.ID != v.ID {
+		c = v.pool.KeepEmpty(s.clock(), c)
 	}
 	v.calling = true
 	s.calls++
--- a/internal/query/quota/start_test.go
+++ b/internal/query/quota/start_test.go
@@ -97,10 +97,14 @@
 			}
 			now = now.Add(10 * time.Millisecond)
 		}
+		starting := Call{Coordinator: 2, Starting: 2, Lease: minLease}
+		if p.KeepEmpty(now, Call{Starting: 2, Lease: minLease}).Starting == 0 {
+			t.Error("a call without an echo does not say that the VM is starting")
+		}
 		want := 0.5
 		if first {
 			want = 0
-			if !p.KeepEmpty(now, minLease) {
+			if p.KeepEmpty(now, starting).Starting == 0 {
 				t.Error("an empty pool cannot be kept empty")
 			}
 		}
@@ -109,8 +113,8 @@
 		if f := p.Fraction(now); f != want {
 			t.Errorf("kept empty %t: fraction %g, want %g", first, f, want)
 		}
-		if p.KeepEmpty(now, minLease) != first {
-			t.Errorf("kept empty %t: then %t", first, !first)
+		if got := p.KeepEmpty(now, starting).Starting > 0; got != first {
+			t.Errorf("kept empty %t: says later that the VM is starting: %t", first, got)
 		}
 		now = now.Add(2 * minLease)
 		call()
