--- a/internal/peer/quotapool/limiter.go
+++ b/internal/peer/quotapool/limiter.go
@@ -108,7 +108,7 @@
 	}
 	now := boottime.Now()
 	l := &Limiter{c: c, chooser: quota.NewChooser(c.Self), called: make(chan struct{})}
-	l.member = quota.NewMember(quota.MemberConfig{VM: c.Self.ID, Session: rand.Uint64(), Start: now})
+	l.member = quota.NewMember(quota.MemberConfig{VM: c.Self.ID, Session: rand.Uint64(), Start: now, Window: c.Rule.Window})
 	l.pool = quota.NewPool(quota.PoolConfig{Incarnation: rand.Uint64() | 1, Rule: c.Rule, Start: now, Limit: l.limit})
 	l.ctx, l.stop = context.WithCancel(context.Background())
 	return l
@@ -337,9 +337,7 @@
 		}
 		return r, nil
 	}
-	if c.Starting > 0 && !l.pool.KeepEmpty(boottime.Now(), c.Lease) {
-		c.Starting = 0
-	}
+	c = l.pool.KeepEmpty(boottime.Now(), c)
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	conn, err := l.c.Conn(ctx, to.Addr)
