Quota: one place for the wait for a permit

Cause: forward and caller each had the limit of 20 ms and the share of a quarter for the wait for a permit from another VM, and the same computation. Change: quota.MaxWait. Waits are the same; a route without an objective takes that of 1 s, which gives 20 ms as before. The usage of package quota names the window of a member, without which an allowance would not wait for one.

--- a/internal/front/caller/account.go
+++ b/internal/front/caller/account.go
@@ -10,16 +10,10 @@
 	"egrethaven/internal/front/problemdetail"
 	"egrethaven/internal/observe/event"
 	"egrethaven/internal/query/outcome"
+	"egrethaven/internal/query/quota"
 	"egrethaven/internal/state/account"
 )
 
-const (
-	// maxQuotaWait limits the wait for a permit from another VM, and quotaWaitShare is the share
-	// of the time to the deadline that it may take.
-	maxQuotaWait   = 20 * time.Millisecond
-	quotaWaitShare = 0.25
-)
-
 // challenge is the WWW-Authenticate header of a response with status 401.
 const challenge = `ApiKey realm="egrethaven"`
 
@@ -69,8 +63,7 @@
 		return true
 	}
 	now := time.Now()
-	wait := min(maxQuotaWait, time.Duration(quotaWaitShare*float64(deadline.Sub(now))))
-	ok, retryAfter := h.c.Quota.Take(ctx, a, now.Add(wait))
+	ok, retryAfter := h.c.Quota.Take(ctx, a, now.Add(quota.MaxWait(deadline.Sub(now))))
 	if ok {
 		return true
 	}
--- a/internal/query/forward/client.go
+++ b/internal/query/forward/client.go
@@ -7,20 +7,15 @@
 	"time"
 
 	"egrethaven/internal/back/instance"
+	"egrethaven/internal/query/quota"
 	"egrethaven/internal/state/account"
 	"egrethaven/internal/state/region"
 	"egrethaven/internal/state/routing"
 )
 
-const (
-	// maxQuotaWait limits the wait for a permit from another VM, and quotaWaitShare is the
-	// share of the latency objective that it may take.
-	maxQuotaWait   = 20 * time.Millisecond
-	quotaWaitShare = 0.25
-	// retryAfterOutdated is the Retry-After while the copy of the store is too old to check
-	// keys by. It is about the time of one call to another relay or the store.
-	retryAfterOutdated = time.Second
-)
+// retryAfterOutdated is the Retry-After while the copy of the store is too old to check keys by.
+// It is about the time of one call to another relay or the store.
+const retryAfterOutdated = time.Second
 
 // client is who sent a request.
 type client struct {
@@ -176,10 +171,11 @@
 
 // quotaWait returns how long the request may wait for a permit from another VM.
 func (x *dispatch) quotaWait() time.Duration {
-	if o := x.route.LatencyObjective; o > 0 {
-		return min(maxQuotaWait, time.Duration(quotaWaitShare*float64(o)))
+	o := x.route.LatencyObjective
+	if o <= 0 {
+		o = defaultObjective
 	}
-	return maxQuotaWait
+	return quota.MaxWait(o)
 }
 
 // overQuota returns the answer to a request for which there is no permit.
--- a/internal/query/quota/quota.go
+++ b/internal/query/quota/quota.go
@@ -46,7 +46,7 @@
 // # Usage
 //
 //	p := quota.NewPool(quota.PoolConfig{Incarnation: id, Rule: rule, Start: now, Limit: limit})
-//	m := quota.NewMember(quota.MemberConfig{VM: "front-1", Session: id, Start: now})
+//	m := quota.NewMember(quota.MemberConfig{VM: "front-1", Session: id, Start: now, Window: rule.Window})
 //	m.SetVMs(68)
 //	ok, retryAfter := m.Take(now, account, limit)
 //	c := m.Begin(now, "10.1.0.39:7740") // when m.Next says so
@@ -74,6 +74,10 @@
 	allowanceMargin = 0.25
 	// A VM gives an allowance if it has not begun to delegate for a window and allowanceLeases leases.
 	allowanceLeases = 3
+	// maxPermitWait limits the wait of a request for a permit from another VM, and permitWaitShare
+	// is the share of the request's time that it may take.
+	maxPermitWait   = 20 * time.Millisecond
+	permitWaitShare = 0.25
 	// minInterval is the time between two calls of a VM, and intervalPerVM times the number of
 	// VMs if that is more, so that a coordinator serves at most 500 calls a second.
 	minInterval   = 400 * time.Millisecond
@@ -126,6 +130,12 @@
 // probability of 3e-12; their accounts would then share a bucket.
 func Key(name string) uint64 { return xxhash.Sum64String(name) }
 
+// MaxWait returns how long a request may wait for a permit from another VM, of the time in which
+// it should be answered.
+func MaxWait(left time.Duration) time.Duration {
+	return min(maxPermitWait, time.Duration(permitWaitShare*float64(left)))
+}
+
 // Interval returns the time between two calls of a VM of a deployment of n VMs.
 func Interval(n int) time.Duration { return max(minInterval, time.Duration(n)*intervalPerVM) }
 
