--- a/internal/query/explain/report.go
+++ b/internal/query/explain/report.go
@@ -59,8 +59,8 @@
 	RetryAfterMS float64 `json:"retry_after_ms,omitempty"`
 	Why          string  `json:"why"`
 	// Fingerprint is the hash by which the request is known in logs; empty if its body is not
-	// known. Suspicion is what is known of it; empty if that was not looked up. TrialRunning reports whether a suspect has
-	// to wait for another one like it.
+	// known. Suspicion is what is known of it; empty if that was not looked up. TrialRunning
+	// reports whether a suspect has to wait for another one like it.
 	Fingerprint  string    `json:"fingerprint,omitempty"`
 	Suspicion    Suspicion `json:"suspicion,omitempty"`
 	TrialRunning bool      `json:"trial_running,omitempty"`
--- a/internal/query/quota/pool.go
+++ b/internal/query/quota/pool.go
@@ -91,8 +91,8 @@
 	since, until time.Duration
 	lease        time.Duration
 	// starting is set while the VM's own fraction does not count yet, as it said after this process
-	// had started, and ended once a later
-	// process of the VM has taken its fraction back. free is set when all VMs were starting.
+	// had started, and ended once a later process of the VM has taken its fraction back. free is
+	// set when all VMs were starting.
 	starting, ended, free bool
 	// accounts holds the accounts of which the VM may hold permits.
 	accounts map[uint64]*holding
