Review case 7: cut watches keep a searcher that is gone in use

The store cuts watches that wait. A gateway takes each cut for an outage and prolongs the grace period of entries that are missing, so that a searcher whose entry was removed gets requests for seconds after drain_ms (DRAIN).

--- a/review/_stand2/cutwatch.go
+++ b/review/_stand2/cutwatch.go
@@ -14,7 +14,7 @@
 
 const (
 	// cutInterval is the time between two moments at which the store cuts the watches that wait.
-	cutInterval = 700 * time.Millisecond
+	cutInterval = 600 * time.Millisecond
 	drainTime   = 3 * time.Second
 	// cutBefore and cutAfter are how long the store cuts watches before and after the entry of a
 	// searcher is removed.
@@ -112,7 +112,7 @@
 		"routes": []map[string]any{{"name": "r-xmibw6k", "host": host, "prefix": prefix, "kind": "non_idempotent", "timeout_ms": 4000,
 			"latency_goal_ms": 250, "priority": 2, "service": "return-intake", "max_attempts": 2}}})
 	w := newWatchCutter(d.store.Addr())
-	for n := range gatewayCount {
+	for n := range len(zones) {
 		d.addGateway(zones[n%len(zones)], w.addr, nil)
 	}
 	d.awaitReady()
--- a/review/_stand2/deployment.go
+++ b/review/_stand2/deployment.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -14,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"egrethaven/internal/standin/freeport"
 	"egrethaven/platform/standin"
 )
 
@@ -99,14 +99,16 @@
 	processes = nil
 }
 
+// ports are below the range of outgoing connections.
+var ports freeport.Allocator
+
 // freeAddr returns an unused address on loopback.
 func freeAddr() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := ports.Addr()
 	if err != nil {
 		unable(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return addr
 }
 
 // newDeployment starts the store.
