Connections: each carries a client attempt once

Cause: all sends of an attempt carry the client's attempt ID, and an answer is accepted by that ID alone. A searcher that is the last one left gets a request again after it has rejected it, on the same connection. Ruled out: a searcher that runs what it rejects (no run before the resend), and bytes left in the buffer (the copy follows the resend).

A connection now remembers the attempts that it has carried until their deadlines (expiryset), and carries none twice, whichever request sends it: retries after any number of attempts, and requests that another VM hands over again. If all idle connections have carried an attempt, another one is opened, at the maximum after closing the least recently used one; if the searcher accepts none, the send fails unsent. As the attempt ID is forwarded unchanged, the connection is the only thing that can tell two sends apart.

The fixture of the tests gave all requests the same attempt ID, which no client does; they have their own now.

--- a/internal/back/conn/conn.go
+++ b/internal/back/conn/conn.go
@@ -34,6 +34,7 @@
 	"github.com/juju/errors"
 
 	"egrethaven/internal/back/reply"
+	"egrethaven/internal/infra/expiryset"
 	"egrethaven/internal/infra/readbudget"
 	"egrethaven/internal/infra/readlimit"
 	"egrethaven/internal/infra/tcpdial"
@@ -99,6 +100,10 @@
 
 // Request is one exchange.
 type Request struct {
+	// Attempt identifies the client's attempt, which all answers to it name; 0 for none.
+	// Until is when it is sent for the last time.
+	Attempt uint64
+	Until   time.Time
 	// Method determines whether the answer has a body.
 	Method string
 	// Bytes is the complete encoded request.
@@ -161,6 +166,8 @@
 	// searcher may close it; zero if it announced no idle timeout.
 	idleUntil time.Time
 	exchanges int
+	// carried holds the attempts that were sent on the connection.
+	carried expiryset.Set[uint64]
 	// idleSince is when the last exchange ended, or the connection was opened.
 	idleSince time.Time
 }
@@ -210,6 +217,9 @@
 	k.writing = true
 	k.writes.Add(1)
 	k.exchanges++
+	if q.Attempt != 0 {
+		k.carried.Add(q.Attempt, x.startedAt, q.Until)
+	}
 	k.mu.Unlock()
 	n, err := writeAvailable(k.conn, q.Bytes)
 	if err != nil || n == len(q.Bytes) {
@@ -299,6 +309,15 @@
 	return Usable
 }
 
+// HasCarried reports whether an attempt was sent on the connection before. A second send must
+// not follow: a searcher may send the answer to the first once more, late, and nothing tells it
+// from the answer to the second.
+func (k *Conn) HasCarried(attempt uint64, now time.Time) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return attempt != 0 && k.carried.Has(attempt, now)
+}
+
 // Exchanges returns the number of exchanges started.
 func (k *Conn) Exchanges() int {
 	k.mu.Lock()
--- a/internal/back/instance/connections.go
+++ b/internal/back/instance/connections.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hash/maphash"
 	"slices"
 	"time"
 
@@ -10,23 +11,75 @@
 	"egrethaven/internal/platform/pause"
 )
 
-// takeIdleConn removes and returns the most recently used idle connection, so
-// that surplus connections stay idle, or returns nil. The caller holds the lock.
-func (i *Instance) takeIdleConn(now time.Time) *conn.Conn {
+// attemptSeed is the seed of the hashes of attempt IDs.
+var attemptSeed = maphash.MakeSeed()
+
+// hashAttempt returns a hash of an attempt ID, which is as long as the client likes; 0 for none.
+func hashAttempt(id string) uint64 {
+	if id == "" {
+		return 0
+	}
+	return max(maphash.String(attemptSeed, id), 1)
+}
+
+// takeIdleConn removes and returns the most recently used idle connection that has not
+// carried the call's attempt, so that surplus connections stay idle, or returns nil. The
+// caller holds the lock.
+func (i *Instance) takeIdleConn(now time.Time, x *Call) *conn.Conn {
 	for n := len(i.idle) - 1; n >= 0; n-- {
-		k := i.idle[n]
-		switch k.Readiness(now) {
-		case conn.Usable:
+		if k := i.idle[n]; k.Readiness(now) == conn.Usable && !k.HasCarried(x.attempt, now) {
 			i.idle = slices.Delete(i.idle, n, n+1)
 			return k
-		case conn.Unusable:
-			i.closeIdleConn(k)
-		case conn.Busy:
 		}
 	}
 	return nil
 }
 
+// dropUnusable closes the idle connections that can carry nothing more. The caller holds the
+// lock.
+func (i *Instance) dropUnusable(now time.Time) {
+	for n := len(i.idle) - 1; n >= 0; n-- {
+		if k := i.idle[n]; k.Readiness(now) == conn.Unusable {
+			i.closeIdleConn(k)
+		}
+	}
+}
+
+// isBlocked reports whether all idle connections have carried the call's attempt. The caller
+// holds the lock.
+func (i *Instance) isBlocked(now time.Time, x *Call) bool {
+	return len(i.idle) > 0 && !slices.ContainsFunc(i.idle, func(k *conn.Conn) bool { return !k.HasCarried(x.attempt, now) })
+}
+
+// replaceConn makes room for a connection that has not carried the attempts in the queue: if
+// as many are open as may be, it closes the idle one that was used least recently. The caller
+// holds the lock.
+func (i *Instance) replaceConn(now time.Time) {
+	if i.dialing || i.replacing || len(i.idle) == 0 {
+		return
+	}
+	if i.openConns >= max(i.c.Conns.MaxOpen, 1) {
+		i.replacing = true
+		i.closeIdleConn(i.idle[0])
+		return
+	}
+	i.openMissingConn(now)
+}
+
+// takeBlocked removes and returns the queued calls that no idle connection can carry. The
+// caller holds the lock.
+func (i *Instance) takeBlocked(now time.Time) []*Call {
+	var blocked []*Call
+	i.queue = slices.DeleteFunc(i.queue, func(x *Call) bool {
+		if !i.isBlocked(now, x) {
+			return false
+		}
+		blocked = append(blocked, x)
+		return true
+	})
+	return blocked
+}
+
 // closeIdleConn closes an idle connection. The caller holds the lock.
 func (i *Instance) closeIdleConn(k *conn.Conn) {
 	if n := slices.Index(i.idle, k); n >= 0 {
@@ -86,7 +139,11 @@
 func (i *Instance) openMissingConn(now time.Time) {
 	busy := len(i.calls) - len(i.queue)
 	kept, _ := i.minOpen(now)
-	want := min(max(kept, busy+len(i.queue)), max(i.c.Conns.MaxOpen, 1))
+	want := max(kept, busy+len(i.queue))
+	if slices.ContainsFunc(i.queue, func(x *Call) bool { return i.isBlocked(now, x) }) {
+		want += len(i.idle)
+	}
+	want = min(want, max(i.c.Conns.MaxOpen, 1))
 	if i.draining || i.dialing || i.openConns >= want {
 		return
 	}
@@ -119,7 +176,7 @@
 	k, err := conn.Dial(i.ctx, conn.Config{Addr: i.c.Searcher.Addr, Dial: i.c.Dial, Budget: i.c.Budget, OnReady: i.dispatchQueued, OnClosed: i.connClosed})
 	if err != nil {
 		i.mu.Lock()
-		i.dialing = false
+		i.dialing, i.replacing = false, false
 		r := i.recordRefusal(time.Now(), err.Error())
 		i.mu.Unlock()
 		i.report(r)
@@ -129,13 +186,13 @@
 	i.mu.Lock()
 	i.recordContact(time.Now())
 	i.openConns++
-	mayReset := i.redialBackoff > 0 || i.c.AtConnLimit(time.Now())
+	mayReset := i.redialBackoff > 0 || i.replacing || time.Since(i.refusedAt) < refusalWindow || i.c.AtConnLimit(time.Now())
 	i.mu.Unlock()
 	if mayReset {
 		pause.Sleep(i.ctx, newConnDelay)
 	}
 	i.mu.Lock()
-	i.dialing = false
+	i.dialing, i.replacing = false, false
 	now := time.Now()
 	switch {
 	case k.Readiness(now) == conn.Unusable:
@@ -152,7 +209,7 @@
 
 // refusal is the result of a refused connection.
 type refusal struct {
-	// queued are the calls to fail, as no connection is open.
+	// queued are the calls to fail, as no connection for them is open.
 	queued []*Call
 	// ended is set if the searcher's process seems to have ended.
 	ended bool
@@ -167,11 +224,14 @@
 	}
 	i.redialBackoff = min(max(2*i.redialBackoff, minRedialBackoff), maxRedialBackoff)
 	i.redialAt = now.Add(i.redialBackoff)
+	i.refusedAt = now
 	var r refusal
 	if i.openConns == 0 {
 		i.stats.dialFailed = true
 		r.queued, i.queue = i.queue, nil
 		r.ended, i.lostCall = i.lostCall, false
+	} else {
+		r.queued = i.takeBlocked(now)
 	}
 	i.openMissingConn(now)
 	return r
--- a/internal/back/instance/instance.go
+++ b/internal/back/instance/instance.go
@@ -91,7 +91,8 @@
 	// request on it would be lost.
 	newConnDelay = 8 * time.Millisecond
 	// refusalWindow is the age below which closing a connection that carried no
-	// request counts as a refusal; an older one was closed by the idle timeout.
+	// request counts as a refusal; an older one was closed by the idle timeout. For as long
+	// after a refusal, new connections wait for newConnDelay.
 	refusalWindow = time.Second
 	// maxQueuedPerConn limits the queued requests, as a multiple of
 	// ConnLimits.MaxOpen.
@@ -162,7 +163,12 @@
 
 // Request describes a request to a searcher.
 type Request struct {
-	Method string
+	// ID is the attempt ID, with which the searcher answers; empty if it has none. No
+	// connection carries two requests with the same ID before Deadline, after which none of
+	// them is sent.
+	ID       string
+	Deadline time.Time
+	Method   string
 	// Build returns the bytes to send. It is called just before sending, and
 	// returns nil if the request's deadline no longer allows it.
 	Build func() []byte
@@ -183,6 +189,8 @@
 type Call struct {
 	i   *Instance
 	req Request
+	// attempt is a hash of the request's ID; 0 if it has none.
+	attempt uint64
 	// conn is nil while the call is queued.
 	conn      *conn.Conn
 	startedAt time.Time
@@ -207,12 +215,18 @@
 	// openConns does not include a connection that is being opened.
 	openConns int
 	dialing   bool
+	// replacing is set from when a connection is closed to make room for one that has not
+	// carried a queued attempt until the next one was opened, or failed to open.
+	replacing bool
 	// mayOpen is set once Config.OpenDelay has passed.
 	mayOpen bool
 	// cleanupScheduled is set while a run of closeSurplusConns is scheduled.
 	cleanupScheduled bool
 	redialBackoff    time.Duration
 	redialAt         time.Time
+	// refusedAt is when a connection could last not be opened, or was closed before its first
+	// request.
+	refusedAt time.Time
 	// atLimitUntil is when a searcher that refused a connection is no longer taken
 	// to be at its connection limit.
 	atLimitUntil time.Time
--- a/internal/back/instance/send.go
+++ b/internal/back/instance/send.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -17,7 +18,7 @@
 // neither, it calls q.Done with an error before it returns.
 func (i *Instance) Send(q Request) *Call {
 	now := time.Now()
-	x := &Call{i: i, req: q, startedAt: now}
+	x := &Call{i: i, req: q, attempt: hashAttempt(q.ID), startedAt: now}
 	i.mu.Lock()
 	if err := i.rejects(now, q.Shed.Standing); err != nil {
 		if err == ErrUnreachable {
@@ -121,22 +122,58 @@
 			i.mu.Unlock()
 			return
 		}
-		k := i.takeIdleConn(now)
+		x, k := i.takeNext(now)
 		if k == nil {
 			i.openMissingConn(now)
 			i.mu.Unlock()
 			return
 		}
 		i.takePermit(now)
-		n := i.picker.Next(now, len(i.queue), i.queuedAt)
-		x := i.queue[n]
-		i.queue = slices.Delete(i.queue, n, n+1)
 		x.conn, x.startedAt = k, now
 		i.mu.Unlock()
 		x.start()
 	}
 }
 
+// takeNext removes and returns the queued call that is sent next, and the connection for it; nil
+// if none can be sent. The caller holds the lock.
+func (i *Instance) takeNext(now time.Time) (*Call, *conn.Conn) {
+	i.dropUnusable(now)
+	if !slices.ContainsFunc(i.idle, func(k *conn.Conn) bool { return k.Readiness(now) == conn.Usable }) {
+		return nil, nil
+	}
+	n := i.picker.Next(now, len(i.queue), i.queuedAt)
+	k := i.takeIdleConn(now, i.queue[n])
+	if k == nil {
+		i.replaceConn(now)
+		n, k = i.takeAny(now)
+	}
+	if k == nil {
+		return nil, nil
+	}
+	x := i.queue[n]
+	i.queue = slices.Delete(i.queue, n, n+1)
+	return x, k
+}
+
+// takeAny returns the index of the queued call of the highest value that has an idle connection,
+// and takes that. The caller holds the lock.
+func (i *Instance) takeAny(now time.Time) (int, *conn.Conn) {
+	order := make([]int, len(i.queue))
+	for n := range order {
+		order[n] = n
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		return cmp.Compare(i.queue[b].req.Shed.Value(now), i.queue[a].req.Shed.Value(now))
+	})
+	for _, n := range order {
+		if k := i.takeIdleConn(now, i.queue[n]); k != nil {
+			return n, k
+		}
+	}
+	return 0, nil
+}
+
 // queuedAt describes the n-th request of the queue. The caller holds the lock.
 func (i *Instance) queuedAt(n int) shedding.Request { return i.queue[n].req.Shed }
 
@@ -167,7 +204,7 @@
 		x.fail(context.DeadlineExceeded)
 		return
 	}
-	ok := x.conn.Start(conn.Request{Method: x.req.Method, Bytes: b, Matches: x.req.Matches, Check: x.req.Check, Done: x.finish})
+	ok := x.conn.Start(conn.Request{Attempt: x.attempt, Until: x.req.Deadline, Method: x.req.Method, Bytes: b, Matches: x.req.Matches, Check: x.req.Check, Done: x.finish})
 	if ok {
 		return
 	}
--- a/internal/query/forward/fake_test.go
+++ b/internal/query/forward/fake_test.go
@@ -86,6 +86,8 @@
 	wait    time.Duration
 	// raw replaces the status line, and the length and the body if it does not end there.
 	raw string
+	// copied sends the answer once more when the next request on its connection has come.
+	copied bool
 }
 
 // fakeSearcher is a searcher served over in-memory connections.
@@ -151,12 +153,17 @@
 func (s *fakeSearcher) serve(c net.Conn) {
 	defer c.Close()
 	b := bufio.NewReader(c)
+	late := ""
 	for {
 		q, err := http.ReadRequest(b)
 		if err != nil {
 			return
 		}
 		_, _ = io.Copy(io.Discard, q.Body)
+		if _, err := io.WriteString(c, late); err != nil {
+			return
+		}
+		late = ""
 		s.mu.Lock()
 		s.received = append(s.received, q)
 		s.receivedAt = append(s.receivedAt, time.Now())
@@ -207,7 +214,11 @@
 		if a.wait > 0 {
 			out += fmt.Sprintf("Wait: %s\r\n", a.wait)
 		}
-		if _, err := io.WriteString(c, out+"\r\n"+a.body); err != nil {
+		out += "\r\n" + a.body
+		if a.copied {
+			late = out
+		}
+		if _, err := io.WriteString(c, out); err != nil {
 			s.mu.Lock()
 			s.unreadAnswers++
 			s.mu.Unlock()
@@ -302,7 +313,10 @@
 		WeightedServices: []routing.WeightedService{{Service: "s", Weight: 1}}}
 }
 
+// attempts numbers the requests, as each attempt of a client has an ID of its own.
+var attempts atomic.Int64
+
 // newRequest returns a request with the given timeout.
 func newRequest(timeout time.Duration) Request {
-	return Request{ID: "a1", Method: http.MethodGet, Target: "/x", Host: "h", Arrived: time.Now(), Timeout: timeout}
+	return Request{ID: fmt.Sprint("a", attempts.Add(1)), Method: http.MethodGet, Target: "/x", Host: "h", Arrived: time.Now(), Timeout: timeout}
 }
--- a/internal/query/forward/subrequest.go
+++ b/internal/query/forward/subrequest.go
@@ -227,7 +227,7 @@
 	}
 	f := &attempt{subrequest: p, searcher: i, startedAt: now, trial: p.dispatch.onTrial(p)}
 	p.attempts = append(p.attempts, f)
-	f.send = i.Send(instance.Request{Method: p.dispatch.req.Method, Shed: p.dispatch.shed, Build: f.buildRequest, Matches: f.matches, Check: p.dispatch.engine.c.Dialect.CheckReply, Done: f.onDone})
+	f.send = i.Send(instance.Request{ID: p.dispatch.req.ID, Deadline: p.dispatch.deadline, Method: p.dispatch.req.Method, Shed: p.dispatch.shed, Build: f.buildRequest, Matches: f.matches, Check: p.dispatch.engine.c.Dialect.CheckReply, Done: f.onDone})
 }
 
 // candidate returns the state of a searcher as input for placement. While this VM is cut
