Parts of queries: attempt IDs of their own

A VM that holds two parts of a query numbered the calls of both from 0, so that calls for different key ranges had the same attempt ID: 4 IDs for 12 calls in TestAttemptIDsOfParts, which failed before. A refusal is accepted by its ID alone, so a late one of the first part could pass for that of the second, which then left out a range that a searcher had answered. Each part that a VM runs now has a number in its attempt IDs.

A write gave all searchers to which it was sent in turn one attempt ID. They have their own connections, so no fault was shown; each send has its own ID now, so that the same rule holds on all paths (TestOneDispatch failed before).

--- a/internal/query/register/registrar.go
+++ b/internal/query/register/registrar.go
@@ -118,13 +118,12 @@
 // other than not_run is received.
 func (g *Registrar) dispatch(ctx context.Context, w write.Request, claim idempotency.Claim, ws []Writer) write.Result {
 	r := notRun(outcome.NoReplica)
-	attempt := uuid.NewString()
 	for _, p := range ws {
 		if time.Until(w.Deadline) < minDispatchTime || ctx.Err() != nil {
 			r = notRun(outcome.DeadlinePast)
 			break
 		}
-		rep := p.Write(ctx, searcher.Write{AttemptID: attempt, IdempotencyKey: w.IdempotencyKey, Record: w.Record})
+		rep := p.Write(ctx, searcher.Write{AttemptID: uuid.NewString(), IdempotencyKey: w.IdempotencyKey, Record: w.Record})
 		r = result(rep)
 		if r.Outcome.Kind != outcome.KindNotRun {
 			g.c.Claims.Record(claim, idempotency.Record{Outcome: r.Outcome, Revision: r.Revision, Detail: r.Detail})
--- a/internal/query/register/registrar_test.go
+++ b/internal/query/register/registrar_test.go
@@ -38,13 +38,16 @@
 	outcome outcome.Outcome
 	rejects bool
 	calls   int
+	// attempt is the attempt ID of the last call.
+	attempt string
 }
 
 func (f *fakeWriter) ID() string                   { return string(f.domain) }
 func (f *fakeWriter) Domain() failuredomain.Domain { return f.domain }
 func (f *fakeWriter) State() backend.State         { return backend.State{Usable: true} }
-func (f *fakeWriter) Write(context.Context, searcher.Write) backend.WriteReply {
+func (f *fakeWriter) Write(_ context.Context, w searcher.Write) backend.WriteReply {
 	f.calls++
+	f.attempt = w.AttemptID
 	return backend.WriteReply{Outcome: f.outcome, Answer: searcher.WriteAnswer{Accepted: !f.rejects, Revision: 3}}
 }
 
@@ -84,6 +87,9 @@
 		if r.Outcome != c.want || [2]int{c.local.calls, c.remote.calls} != c.calls {
 			t.Errorf("%s: %v after %d local and %d remote calls", c.name, r.Outcome, c.local.calls, c.remote.calls)
 		}
+		if c.local.calls+c.remote.calls == 2 && c.local.attempt == c.remote.attempt {
+			t.Errorf("%s: both writers got the attempt ID %s", c.name, c.local.attempt)
+		}
 		if len(claims.recorded) != c.recorded || claims.abandoned != 1-c.recorded {
 			t.Errorf("%s: recorded %v, abandoned %d", c.name, claims.recorded, claims.abandoned)
 		}
--- a/internal/query/scatter/call.go
+++ b/internal/query/scatter/call.go
@@ -73,7 +73,12 @@
 
 // searcherQuery returns the message for the next call of shard i.
 func (r *run) searcherQuery(i int, s *shardState) searcher.Query {
-	attempt := r.query.QueryID + "." + strconv.Itoa(r.restarts) + "." + strconv.Itoa(i) + "." + strconv.Itoa(s.attempts)
+	id := r.query.QueryID
+	if r.isPart {
+		// This node may hold several parts of the query, and get one of them again.
+		id += ".p" + strconv.FormatInt(r.partNumber, 10)
+	}
+	attempt := id + "." + strconv.Itoa(r.restarts) + "." + strconv.Itoa(i) + "." + strconv.Itoa(s.attempts)
 	return searcher.Query{
 		QueryID:        r.query.QueryID,
 		AttemptID:      attempt,
--- a/internal/query/scatter/delegate_test.go
+++ b/internal/query/scatter/delegate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -70,6 +71,31 @@
 	})
 }
 
+// TestAttemptIDsOfParts: two parts of a query that one node holds had the same attempt IDs, so
+// that a refusal of one passed for that of the other.
+func TestAttemptIDsOfParts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var mu sync.Mutex
+		calls, ids := 0, map[string]bool{}
+		x, e := newDelegatedIndex(t, &fakeHolder{id: "h"})
+		for _, s := range x.shards {
+			for _, k := range s.Replicas {
+				k.(*fakeReplica).respond = func(q searcher.Query) behaviour {
+					mu.Lock()
+					defer mu.Unlock()
+					calls++
+					ids[q.AttemptID] = true
+					return ok(ms)
+				}
+			}
+		}
+		checkComplete(t, e.Ask(context.Background(), testQuery(false)), 12)
+		if len(ids) != calls {
+			t.Errorf("%d attempt IDs for %d calls", len(ids), calls)
+		}
+	})
+}
+
 func TestLostHolderIsReplaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		lost := &fakeHolder{id: "gone", fail: outcome.NotRun(outcome.ConnectionRefused)}
--- a/internal/query/scatter/engine.go
+++ b/internal/query/scatter/engine.go
@@ -45,7 +45,9 @@
 	c        Config
 	searches searchStates
 	queries  atomic.Uint64
-	workers  *worker.Pool
+	// parts counts the parts that were run for coordinators.
+	parts   atomic.Int64
+	workers *worker.Pool
 }
 
 // New returns an engine.
--- a/internal/query/scatter/run.go
+++ b/internal/query/scatter/run.go
@@ -62,8 +62,10 @@
 	fannedOut, restartDue bool
 	restartRounds         int
 	// isPart is set when this node runs a part as a holder for a coordinator.
-	isPart   bool
-	partHits [][]ask.Hit
+	// partNumber tells the parts that this node has run apart.
+	isPart     bool
+	partNumber int64
+	partHits   [][]ask.Hit
 
 	candidates []choice.Candidate
 
