--- a/internal/query/forward/handover_test.go
+++ b/internal/query/forward/handover_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,8 +14,11 @@
 // recordHandovers makes the engine hand requests over to a VM that answers 200, and
 // returns those that it got.
 func (fx *fixture) recordHandovers() *[]Handover {
+	var mu sync.Mutex
 	var got []Handover
 	fx.engine.c.HandOver = func(_ context.Context, h Handover) (Answer, bool) {
+		mu.Lock()
+		defer mu.Unlock()
 		got = append(got, h)
 		return Answer{Status: http.StatusOK, AnsweredBy: "vm-1"}, true
 	}
