Callers: one account bounds all memory that they hold

Cause: each path had a bound of its own, and none counted what it left behind. With 375 connections short of a byte at 40 MB, the collector's trace showed a live heap of 12 to 15 MB under a limit of 16 MB, 1,284 collections in 4 s and 59 % of the processor; what could not be collected in time was on top. Bodies grew in buffers that were copied again and again, and did not count any more once they gave way; bodies up to 64 KB, the copy of a body for each searcher, connections, and answers on their way to clients did not count at all.

Now one readbudget.Budget, 0.45 of the soft memory limit, counts all that callers hold: 20 KB for each connection, heads, bodies until they are garbage, and answers until clients have read them. What is largest times oldest gives way: a body is refused with 503 and Retry-After, the connection of an unread answer is closed. Bodies are read into pages that are used again (pagepool, requestbody), also on the own interface, and long answers of searchers too. All sends of a request share a body above 4 KB instead of copying it. memory_mb bounds clients' connections besides max_fds (1,526 at 184 MB).

--- a/internal/back/conn/conn.go
+++ b/internal/back/conn/conn.go
@@ -19,7 +19,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"io"
 	"net"
@@ -35,6 +34,7 @@
 
 	"egrethaven/internal/back/reply"
 	"egrethaven/internal/infra/expiryset"
+	"egrethaven/internal/infra/pagepool"
 	"egrethaven/internal/infra/readbudget"
 	"egrethaven/internal/infra/readlimit"
 	"egrethaven/internal/infra/tcpdial"
@@ -49,9 +49,13 @@
 	// header, interim answers included, and of what a chunked body adds to its
 	// content.
 	maxHeadSize = 64 << 10
-	// bodyBufferSize is the initial buffer, in bytes, for a body. A longer one
-	// gets memory only as its bytes arrive, whatever length it announces.
-	bodyBufferSize = 64 << 10
+	// maxDirectSize is the size in bytes up to which a body with a length is read into a buffer
+	// of that size. A longer one gets memory only as its bytes arrive, whatever length it
+	// announces.
+	maxDirectSize = 64 << 10
+	// pageSize and maxIdlePages are for the pages of longer bodies.
+	pageSize     = 32 << 10
+	maxIdlePages = 16
 	// maxMismatched is the maximum number of answers to other requests that are
 	// discarded before an exchange fails.
 	maxMismatched = 4
@@ -106,8 +110,10 @@
 	Until   time.Time
 	// Method determines whether the answer has a body.
 	Method string
-	// Bytes is the complete encoded request.
+	// Bytes is the encoded request, up to Body if that is not empty. Body must not change until
+	// the request has been written, which may be after the exchange.
 	Bytes []byte
+	Body  []byte
 	// Matches reports whether an answer with this header belongs to the exchange.
 	Matches func(http.Header) bool
 	// Check returns an error if an answer with this header contradicts itself, so that the
@@ -212,7 +218,7 @@
 	}
 	x := &exchange{Request: q, startedAt: time.Now()}
 	// The encoded request is not kept until the answer: a fan-out has one for each shard.
-	x.Bytes = nil
+	x.Bytes, x.Body = nil, nil
 	k.inFlight = x
 	k.writing = true
 	k.writes.Add(1)
@@ -221,14 +227,28 @@
 		k.carried.Add(q.Attempt, x.startedAt, q.Until)
 	}
 	k.mu.Unlock()
-	n, err := writeAvailable(k.conn, q.Bytes)
-	if err != nil || n == len(q.Bytes) {
+	unwritten := net.Buffers{q.Bytes}
+	if len(q.Body) > 0 {
+		unwritten = append(unwritten, q.Body)
+	}
+	n, err := 0, error(nil)
+	for err == nil && len(unwritten) > 0 {
+		var m int
+		m, err = writeAvailable(k.conn, unwritten[0])
+		n += m
+		if m < len(unwritten[0]) {
+			unwritten[0] = unwritten[0][m:]
+			break
+		}
+		unwritten = unwritten[1:]
+	}
+	if err != nil || len(unwritten) == 0 {
 		k.endWrite(x, n, err)
 		return true
 	}
 	go func() {
-		more, err := k.conn.Write(q.Bytes[n:])
-		k.endWrite(x, n+more, err)
+		more, err := unwritten.WriteTo(k.conn)
+		k.endWrite(x, n+int(more), err)
 	}()
 	return true
 }
@@ -433,13 +453,16 @@
 	return time.Time{}
 }
 
+// pages hold the long bodies that have not arrived whole.
+var pages = pagepool.New(pagepool.Config{PageSize: pageSize, MaxIdle: maxIdlePages})
+
 // readBody reads an answer's body, or returns ErrTooLarge. cover accounts for the memory of
 // a body of a known size.
 func readBody(p *reply.Reply, cover func(n int) error) ([]byte, error) {
 	if p.Length > maxBodySize {
 		return nil, ErrTooLarge
 	}
-	if p.Length >= 0 && p.Length <= bodyBufferSize {
+	if p.Length >= 0 && p.Length <= maxDirectSize {
 		if err := cover(int(p.Length)); err != nil {
 			return nil, err
 		}
@@ -447,12 +470,12 @@
 		_, err := io.ReadFull(p.Body, b)
 		return b, err
 	}
-	var b bytes.Buffer
-	n, err := b.ReadFrom(io.LimitReader(p.Body, maxBodySize+1))
-	if err == nil && n > maxBodySize {
+	// The limit of the connection accounts for this memory.
+	b, err := pages.ReadAll(io.LimitReader(p.Body, maxBodySize+1), func(int64) error { return nil })
+	if err == nil && len(b) > maxBodySize {
 		err = ErrTooLarge
 	}
-	return b.Bytes(), err
+	return b, err
 }
 
 // currentOrRetire returns the exchange in progress, or nil. If the connection has ended, or
--- a/internal/back/conn/endless_test.go
+++ b/internal/back/conn/endless_test.go
@@ -90,7 +90,7 @@
 			}
 		}
 	}).AllocedBytesPerOp()
-	if allocated > bodyBufferSize {
+	if allocated > maxDirectSize {
 		t.Errorf("%d bytes allocated for five bytes of a body", allocated)
 	}
 }
--- a/internal/back/instance/instance.go
+++ b/internal/back/instance/instance.go
@@ -169,9 +169,11 @@
 	ID       string
 	Deadline time.Time
 	Method   string
-	// Build returns the bytes to send. It is called just before sending, and
-	// returns nil if the request's deadline no longer allows it.
+	// Build returns the bytes to send, up to Body if that is not empty. It is called just
+	// before sending, and returns nil if the request's deadline no longer allows it. Body
+	// must not change.
 	Build func() []byte
+	Body  []byte
 	// Matches reports whether an answer with this header belongs to the request.
 	Matches func(http.Header) bool
 	// Check returns an error if an answer with this header contradicts itself; nil accepts
--- a/internal/back/instance/send.go
+++ b/internal/back/instance/send.go
@@ -204,7 +204,7 @@
 		x.fail(context.DeadlineExceeded)
 		return
 	}
-	ok := x.conn.Start(conn.Request{Attempt: x.attempt, Until: x.req.Deadline, Method: x.req.Method, Bytes: b, Matches: x.req.Matches, Check: x.req.Check, Done: x.finish})
+	ok := x.conn.Start(conn.Request{Attempt: x.attempt, Until: x.req.Deadline, Method: x.req.Method, Bytes: b, Body: x.req.Body, Matches: x.req.Matches, Check: x.req.Check, Done: x.finish})
 	if ok {
 		return
 	}
--- a/internal/cli/command/cmd_gateway.go
+++ b/internal/cli/command/cmd_gateway.go
@@ -21,25 +21,8 @@
 	"egrethaven/platform/store"
 )
 
-// memoryLimitRatio is the fraction of the process's memory that is set as the
-// Go runtime's soft memory limit. Stacks and kernel buffers need the rest.
-const memoryLimitRatio = 0.6
-
-// programMB is the memory in MB that the pages of the program itself take, rounded up from 22.
-// It bounds the limit of small processes, which had 41 to 43 MB of 40 with the ratio alone.
-const programMB = 24
-
-// minMemoryLimitRatio keeps the limit of the smallest processes above what an idle gateway
-// uses, 4 MB.
-const minMemoryLimitRatio = 0.25
-
-// responseMemoryRatio is the fraction of the process's memory that responses of searchers,
-// the store and other VMs, and bodies of clients' requests, may take at a time.
-const responseMemoryRatio = 0.125
-
-// headMemoryRatio is the same for heads of requests. They have a budget of their own, so that
-// clients that send heads without an end do not end responses of searchers.
-const headMemoryRatio = 1. / 16
+// minKeptBytes is the size in bytes above which what callers hold counts until it is garbage.
+const minKeptBytes = 4 << 10
 
 // gatewayCommand is the name of the command that handles SIGHUP.
 const gatewayCommand = "gateway"
@@ -72,15 +55,15 @@
 		return problemsError(problems)
 	}
 	runtime.GOMAXPROCS(v.Cores)
-	debug.SetMemoryLimit(memoryLimit(v.MemoryMB))
+	debug.SetMemoryLimit(v.SoftMemoryLimit())
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	budget := readbudget.New(readbudget.Config{Limit: int64(responseMemoryRatio * float64(v.MemoryMB) * (1 << 20))})
-	heads := readbudget.New(readbudget.Config{Limit: int64(headMemoryRatio * float64(v.MemoryMB) * (1 << 20)), ByAge: true})
+	budget := readbudget.New(readbudget.Config{Limit: v.ResponseMemory()})
+	callers := readbudget.New(readbudget.Config{Limit: v.CallerMemory(), ByAge: true, MinKept: minKeptBytes})
 	st := store.New(store.Config{Addr: v.StoreAddr, Budget: budget, MaxValueBytes: maxValueBytes})
 	defer st.Close()
 	g, err := gateway.New(gateway.Config{
-		Settings: v, Store: st, Budget: budget, HeadBudget: heads, Dialect: dialect.Dialect{}, ReadyPath: dialect.ReadyPath, LogOutput: s.out, Version: Version(),
+		Settings: v, Store: st, Budget: budget, CallerBudget: callers, Dialect: dialect.Dialect{}, ReadyPath: dialect.ReadyPath, LogOutput: s.out, Version: Version(),
 		Decode: gateway.Decoder{ConfigKey: decode.ConfigKey, SearcherPrefix: decode.SearcherPrefix, VMPrefix: decode.VMPrefix, RumorPrefix: decode.RumorPrefix, EvacuationPrefix: decode.EvacuationPrefix,
 			Config: decode.Config, Searcher: decode.Searcher},
 	})
@@ -102,13 +85,6 @@
 	return nil
 }
 
-// memoryLimit returns the Go runtime's soft memory limit in bytes for a process that may use
-// the given memory.
-func memoryLimit(memoryMB int) int64 {
-	mb := float64(memoryMB)
-	return int64(max(minMemoryLimitRatio*mb, min(memoryLimitRatio*mb, mb-programMB)) * (1 << 20))
-}
-
 // maxValueBytes returns the size of the longest value that is read of a key of the store.
 // Entries of searchers and gateways are short; configurations may be as long as the store
 // permits.
--- a/internal/front/caller/caller.go
+++ b/internal/front/caller/caller.go
@@ -20,6 +20,8 @@
 
 	"egrethaven/internal/front/problemdetail"
 	"egrethaven/internal/front/readiness"
+	"egrethaven/internal/front/requestbody"
+	"egrethaven/internal/infra/readbudget"
 	"egrethaven/internal/observe/event"
 	"egrethaven/internal/observe/health"
 	"egrethaven/internal/observe/metric"
@@ -64,14 +66,18 @@
 	Gate *readiness.Gate
 	// MaxBodyBytes is the maximum size of a request body, in bytes.
 	MaxBodyBytes int64
-	Events       event.Sink
+	// Budget bounds the memory for the bodies of all requests, beside what else it is used for;
+	// nil means no bound.
+	Budget *readbudget.Budget
+	Events event.Sink
 	// Metrics counts requests and serves /metrics; nil disables both.
 	Metrics *metric.Metrics
 }
 
 // handler serves the routes of the API.
 type handler struct {
-	c Config
+	c      Config
+	bodies *requestbody.Reader
 }
 
 // New returns the handler of the API.
@@ -79,7 +85,7 @@
 	if c.Events == nil {
 		c.Events = event.Discard{}
 	}
-	h := &handler{c: c}
+	h := &handler{c: c, bodies: requestbody.New(requestbody.Config{Budget: c.Budget})}
 	r := mux.NewRouter()
 	r.Use(h.instrument)
 	r.HandleFunc("/v1/searches", h.authenticate(h.list)).Methods(http.MethodGet)
--- a/internal/front/caller/decode.go
+++ b/internal/front/caller/decode.go
@@ -14,6 +14,7 @@
 	"github.com/juju/errors"
 
 	"egrethaven/internal/front/problemdetail"
+	"egrethaven/internal/infra/readbudget"
 	"egrethaven/internal/query/ask"
 	"egrethaven/internal/query/outcome"
 	"egrethaven/internal/query/record"
@@ -162,13 +163,18 @@
 	return nil
 }
 
-// readBody reads a JSON body of at most limit bytes.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *problemdetail.Detail) {
+// readBody reads a JSON body of at most Config.MaxBodyBytes.
+func (h *handler) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *problemdetail.Detail) {
 	if m, _, err := mime.ParseMediaType(r.Header.Get("Content-Type")); err != nil || m != "application/json" {
 		p := badRequest("the Content-Type is %q; allowed: application/json", truncate(r.Header.Get("Content-Type"))).WithStatus(http.StatusUnsupportedMediaType)
 		return nil, &p
 	}
-	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	limit := h.c.MaxBodyBytes
+	b, err := h.bodies.Read(w, r, limit)
+	if errors.Is(err, readbudget.ErrExhausted) {
+		p := problemdetail.New(outcome.NotRun(outcome.Shed), "too much memory is in use for bodies of requests; nothing was run, try again")
+		return nil, &p
+	}
 	if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
 		p := badRequest("the body is too large; allowed: at most %d bytes", limit).WithStatus(http.StatusRequestEntityTooLarge)
 		return nil, &p
--- a/internal/front/caller/query.go
+++ b/internal/front/caller/query.go
@@ -89,7 +89,7 @@
 	if !ok {
 		return ask.Query{}, badRequest("the X-Caller header is not a name; allowed: 1 to 63 of a-z 0-9 _ . -")
 	}
-	b, p := readBody(w, r, h.c.MaxBodyBytes)
+	b, p := h.readBody(w, r)
 	if p != nil {
 		return ask.Query{}, p
 	}
--- a/internal/front/caller/record.go
+++ b/internal/front/caller/record.go
@@ -50,7 +50,7 @@
 	if !ok {
 		return write.Request{}, badRequest("the X-Caller header is not a valid name; allowed: 1 to 63 of a-z 0-9 _ . -")
 	}
-	b, p := readBody(w, r, h.c.MaxBodyBytes)
+	b, p := h.readBody(w, r)
 	if p != nil {
 		return write.Request{}, p
 	}
--- a/internal/front/headlimit/conn.go
+++ b/internal/front/headlimit/conn.go
@@ -63,7 +63,9 @@
 	entry *connlimit.Entry
 	// reading is the memory of buf, parsed that of the head of the request under way.
 	reading, parsed *readbudget.Claim
-	closed          atomic.Bool
+	// base is the memory that the connection itself takes.
+	base   *readbudget.Claim
+	closed atomic.Bool
 	// busy is set from the end of a request's head to the end of the request.
 	busy atomic.Bool
 	// writeDeadline is that of the connection, in nanoseconds since the Unix epoch.
@@ -524,6 +526,7 @@
 	c.interrupted()
 	c.reading.Release()
 	c.parsed.Release()
+	c.base.Release()
 	c.entry.Remove()
 	return err
 }
--- a/internal/front/headlimit/listener.go
+++ b/internal/front/headlimit/listener.go
@@ -57,8 +57,10 @@
 	Listener net.Listener
 	// Limits returns the limits in force; nil means the defaults.
 	Limits func() Limits
-	// Budget bounds the memory for heads; nil means no bound.
-	Budget *readbudget.Budget
+	// Budget bounds the memory for heads; nil means no bound. Each connection takes ConnBytes
+	// of it.
+	Budget    *readbudget.Budget
+	ConnBytes int64
 	// MaxConns is the maximum number of open connections; 0 means no limit.
 	MaxConns int
 	// OnRefuse is called for each connection that is refused; nil for none.
@@ -105,6 +107,8 @@
 		}
 		var ok bool
 		if c.entry, ok = l.conns.Add(func() { _ = n.Close() }); ok {
+			c.base = l.c.Budget.Open(nil)
+			c.base.Force(l.c.ConnBytes)
 			return c, nil
 		}
 		l.c.OnRefuse(n.RemoteAddr().String(), errConns)
@@ -125,6 +129,15 @@
 	return framing.Limits{Bytes: v.Bytes, Lines: v.Lines}, v.HeadTimeout
 }
 
+// Abort closes a connection whose memory others need. Unlike Close it does not use the budget,
+// which may call it.
+func Abort(n net.Conn) {
+	if c, ok := n.(*Conn); ok {
+		n = c.Conn
+	}
+	_ = n.Close()
+}
+
 // ConnState has to be called for each change of the state of a connection.
 func ConnState(n net.Conn, s http.ConnState) {
 	if c, ok := n.(*Conn); ok && s == http.StateIdle {
--- a/internal/front/httpserver/server.go
+++ b/internal/front/httpserver/server.go
@@ -47,8 +47,10 @@
 	Addr    string
 	Handler http.Handler
 	Events  event.Sink
-	// HeadBudget bounds the memory for heads of requests; nil means no bound.
+	// HeadBudget bounds the memory for heads of requests; nil means no bound. Each connection
+	// takes ConnBytes of it.
 	HeadBudget *readbudget.Budget
+	ConnBytes  int64
 	// MaxConns is the maximum number of open connections; 0 means 1024.
 	MaxConns int
 }
@@ -73,7 +75,7 @@
 	if err != nil {
 		return nil, err
 	}
-	limited := headlimit.New(headlimit.Config{Listener: l, Budget: c.HeadBudget, MaxConns: c.MaxConns, OnRefuse: RefusalLog(c.Events),
+	limited := headlimit.New(headlimit.Config{Listener: l, Budget: c.HeadBudget, ConnBytes: c.ConnBytes, MaxConns: c.MaxConns, OnRefuse: RefusalLog(c.Events),
 		Limits: func() headlimit.Limits {
 			return headlimit.Limits{Bytes: maxHeaderBytes, HeadTimeout: headerTimeout}
 		}})
--- a/internal/front/ingress/ingress.go
+++ b/internal/front/ingress/ingress.go
@@ -14,8 +14,6 @@
 
 import (
 	"context"
-	"io"
-	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -27,10 +25,11 @@
 	"github.com/juju/errors"
 
 	"egrethaven/internal/back/reply"
+	"egrethaven/internal/front/framing"
 	"egrethaven/internal/front/headlimit"
 	"egrethaven/internal/front/httpserver"
+	"egrethaven/internal/front/requestbody"
 	"egrethaven/internal/infra/readbudget"
-	"egrethaven/internal/infra/readlimit"
 	"egrethaven/internal/infra/tcprtt"
 	"egrethaven/internal/observe/event"
 	"egrethaven/internal/query/forward"
@@ -49,6 +48,11 @@
 	retryAfterNoMemory = 100 * time.Millisecond
 )
 
+var (
+	errBodyMemory   = &framing.Fault{Status: http.StatusServiceUnavailable, Reason: "too much memory is in use for bodies"}
+	errAnswerMemory = &framing.Fault{Reason: "the client did not read its response, whose memory is needed"}
+)
+
 // Dialect parses the headers of clients.
 type Dialect interface {
 	// ExtractAttempt returns the attempt ID and the client's timeout, 0 if
@@ -69,11 +73,13 @@
 	// CloseConns reports whether each answer closes its connection, so that
 	// clients connect anew through the balancer; nil means never.
 	CloseConns func() bool
-	// Budget bounds the memory for the bodies of all requests, beside responses; nil means
-	// no bound.
-	Budget *readbudget.Budget
-	// HeadBudget bounds the memory for the heads of all requests; nil means no bound.
-	HeadBudget *readbudget.Budget
+	// Budget bounds the memory that all clients hold: ConnBytes for each connection, heads and
+	// bodies of requests, and responses until they have read them; nil means no bound.
+	Budget    *readbudget.Budget
+	ConnBytes int64
+	// Responses is the budget for reading responses. A response counts there until it is
+	// written to the client; nil means none.
+	Responses *readbudget.Budget
 	// MaxHeaderLines is the maximum number of header lines of a request; 0 means the default
 	// of headlimit.
 	MaxHeaderLines int
@@ -87,8 +93,11 @@
 	c        Config
 	listener net.Listener
 	srv      *http.Server
-	wg       sync.WaitGroup
-	done     chan struct{}
+	bodies   *requestbody.Reader
+	// logRefusal logs a client that is refused, or whose connection is closed for its memory.
+	logRefusal func(client string, f *framing.Fault)
+	wg         sync.WaitGroup
+	done       chan struct{}
 
 	stopping atomic.Bool
 
@@ -124,8 +133,8 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	s := &Server{c: c, done: make(chan struct{}), conns: map[net.Conn]*connState{}}
-	s.listener = headlimit.New(headlimit.Config{Listener: l, Limits: s.headLimits, Budget: c.HeadBudget, MaxConns: c.MaxConns, OnRefuse: httpserver.RefusalLog(c.Events)})
+	s := &Server{c: c, done: make(chan struct{}), conns: map[net.Conn]*connState{}, bodies: requestbody.New(requestbody.Config{Budget: c.Budget}), logRefusal: httpserver.RefusalLog(c.Events)}
+	s.listener = headlimit.New(headlimit.Config{Listener: l, Limits: s.headLimits, Budget: c.Budget, ConnBytes: c.ConnBytes, MaxConns: c.MaxConns, OnRefuse: s.logRefusal})
 	s.srv = &http.Server{
 		Handler: http.HandlerFunc(s.handle), ConnState: s.onConnState,
 		ConnContext:    func(ctx context.Context, k net.Conn) context.Context { return context.WithValue(ctx, connKey{}, k) },
@@ -274,9 +283,27 @@
 		// net/http panics below 100, and sends what no client expects above 599.
 		a = forward.Answer{Status: http.StatusBadGateway}
 	}
+	defer s.holdAnswer(r, a.Body)()
 	writeAnswer(w, a)
 }
 
+// holdAnswer counts the memory of an answer until the client has read it. If others need that
+// memory, the connection is closed. The returned function ends the count.
+func (s *Server) holdAnswer(r *http.Request, body []byte) (done func()) {
+	conn, ok := r.Context().Value(connKey{}).(net.Conn)
+	if len(body) <= requestbody.SmallBytes || !ok {
+		return func() {}
+	}
+	k := s.c.Budget.Open(func() { headlimit.Abort(conn) })
+	s.c.Responses.Disown(body)
+	k.Force(int64(cap(body)))
+	return func() {
+		if k.Discard(body) {
+			s.logRefusal(r.RemoteAddr, errAnswerMemory)
+		}
+	}
+}
+
 // IsBodyTooLarge reports whether a body of n bytes exceeds the limit.
 func IsBodyTooLarge(l routing.Limits, n int64) bool { return l.MaxBodyBytes > 0 && n > l.MaxBodyBytes }
 
@@ -328,17 +355,11 @@
 	if err := c.SetReadDeadline(time.Now().Add(timeout)); err == nil {
 		defer func() { _ = c.SetReadDeadline(time.Time{}) }()
 	}
-	body := r.Body
-	if limits.MaxBodyBytes > 0 {
-		body = http.MaxBytesReader(w, r.Body, limits.MaxBodyBytes)
-	}
-	l := readlimit.New(body)
-	l.Account(s.c.Budget.Open(func() { _ = c.SetReadDeadline(time.Now()) }))
-	l.Allow(math.MaxInt, readlimit.BodyCost)
-	b, err := io.ReadAll(l)
+	b, err := s.bodies.Read(w, r, limits.MaxBodyBytes)
 	var large *http.MaxBytesError
-	switch aborted := l.Keep(b); {
-	case aborted, errors.Is(err, readbudget.ErrExhausted):
+	switch {
+	case errors.Is(err, readbudget.ErrExhausted):
+		s.logRefusal(r.RemoteAddr, errBodyMemory)
 		return nil, http.StatusServiceUnavailable
 	case errors.As(err, &large):
 		return nil, http.StatusRequestEntityTooLarge
--- a/internal/infra/readbudget/readbudget.go
+++ b/internal/infra/readbudget/readbudget.go
@@ -17,6 +17,7 @@
 	"runtime"
 	"sync"
 	"time"
+	"unsafe"
 
 	"github.com/juju/errors"
 )
@@ -25,9 +26,8 @@
 	// maxWait bounds the time for which Grow waits for memory of aborted responses. Their
 	// readers release it as soon as they run.
 	maxWait = time.Second
-	// minKept is the size in bytes above which a response that was read whole counts until
-	// it is garbage. Smaller ones are held for as long as a request takes.
-	minKept = 64 << 10
+	// defaultMinKept is the default of Config.MinKept.
+	defaultMinKept = 64 << 10
 	// collectInterval is the minimum time between two runs of the garbage collector for the
 	// memory of such responses.
 	collectInterval = 100 * time.Millisecond
@@ -43,6 +43,9 @@
 	// ByAge has the claim give way whose size times its age is largest, instead of the
 	// largest one. It is for what should arrive at once, such as heads of requests.
 	ByAge bool
+	// MinKept is the size in bytes above which a response that was read whole counts until
+	// it is garbage; 0 for 64 KB. Smaller ones are held for as long as a request takes.
+	MinKept int
 }
 
 // Budget is the memory for responses. It is safe for concurrent use. A nil Budget has no
@@ -54,16 +57,32 @@
 	onAbort func(size int64)
 	// used is the sum of all claims and of kept, which is the memory of responses that were
 	// read whole and are not garbage yet.
-	used, kept  int64
-	claims      map[*Claim]struct{}
+	used, kept int64
+	// garbage is the part of kept that nobody uses any more.
+	garbage int64
+	claims  map[*Claim]struct{}
+	// bodies holds the responses that kept counts, by the address of their first byte.
+	bodies      map[uintptr]*keptBody
 	collectedAt time.Time
 	// changed is closed when memory is released or a claim is aborted; nil while nobody waits.
 	changed chan struct{}
 }
 
+// keptBody is a response that counts until it is garbage.
+type keptBody struct {
+	addr    uintptr
+	size    int64
+	cleanup runtime.Cleanup
+	// garbage is set if nobody uses it any more, and dropped once it does not count.
+	garbage, dropped bool
+}
+
 // New returns a budget of which nothing is used.
 func New(c Config) *Budget {
-	return &Budget{c: c, claims: map[*Claim]struct{}{}, onAbort: func(int64) {}}
+	if c.MinKept == 0 {
+		c.MinKept = defaultMinKept
+	}
+	return &Budget{c: c, claims: map[*Claim]struct{}{}, bodies: map[uintptr]*keptBody{}, onAbort: func(int64) {}}
 }
 
 // OnAbort sets a function that is called with the size in bytes of each response that gives
@@ -155,6 +174,59 @@
 	}
 }
 
+// Force adds n bytes without waiting, for memory that is in use already or that is small. It
+// aborts others that are larger, or older with Config.ByAge, until their memory makes room for
+// it; if that does not suffice, more than the limit is in use. It does nothing on an aborted
+// claim.
+func (c *Claim) Force(n int64) {
+	if c == nil {
+		return
+	}
+	b := c.b
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c.aborted {
+		return
+	}
+	now := time.Now()
+	b.add(c, n)
+	if b.used > b.c.Limit && b.garbage > 0 {
+		b.collect()
+	}
+	for {
+		pending, victim := b.victim(now)
+		if b.used-pending <= b.c.Limit || victim == nil || victim == c {
+			return
+		}
+		b.abort(victim)
+	}
+}
+
+// add adds n bytes to a claim. The lock is held.
+func (b *Budget) add(c *Claim, n int64) {
+	if b.c.ByAge && c.size == 0 {
+		c.since = time.Now()
+	}
+	b.used += n
+	c.size += n
+	b.claims[c] = struct{}{}
+}
+
+// victim returns the memory that is about to become free, and the claim that has to give way
+// next; nil if none does. The lock is held.
+func (b *Budget) victim(now time.Time) (pending int64, victim *Claim) {
+	pending = b.garbage
+	most := 0.0
+	for o := range b.claims {
+		if o.aborted {
+			pending += o.size
+		} else if w := o.weight(o.size, now); w > most {
+			victim, most = o, w
+		}
+	}
+	return pending, victim
+}
+
 // grow adds n bytes to a claim if there is room. Otherwise it makes room and reports whether
 // to wait for it. The lock is held.
 func (b *Budget) grow(c *Claim, n int64) (granted, wait bool) {
@@ -163,20 +235,15 @@
 	}
 	c.offered = false
 	if b.used+n <= b.c.Limit {
-		if b.c.ByAge && c.size == 0 {
-			c.since = time.Now()
-		}
-		b.used += n
-		c.size += n
-		b.claims[c] = struct{}{}
+		b.add(c, n)
 		return true, false
 	}
 	var now time.Time
 	if b.c.ByAge {
 		now = time.Now()
 	}
-	// fixed is what does not give way.
-	pending, fixed, largest, most := int64(0), int64(0), (*Claim)(nil), 0.0
+	// pending is about to become free, and fixed does not give way.
+	pending, fixed, largest, most := b.garbage, int64(0), (*Claim)(nil), 0.0
 	for o := range b.claims {
 		switch w := o.weight(o.size, now); {
 		case o.aborted:
@@ -187,6 +254,9 @@
 			largest, most = o, w
 		}
 	}
+	if b.garbage > 0 {
+		b.collect()
+	}
 	switch {
 	case b.used-pending+n <= b.c.Limit:
 	case fixed+n > b.c.Limit:
@@ -194,7 +264,10 @@
 		return false, false
 	case largest != nil && largest != c && most > c.weight(c.size+n, now):
 		b.abort(largest)
-	case b.kept > 0 && b.used-pending-b.kept+n <= b.c.Limit:
+		if b.kept > 0 {
+			b.collect()
+		}
+	case b.kept > 0 && b.used-pending-(b.kept-b.garbage)+n <= b.c.Limit:
 		b.collect()
 	default:
 		b.abort(c)
@@ -321,7 +394,7 @@
 }
 
 // Keep is like Release for a response that was read whole. Its body counts until nobody uses
-// it any more, unless the response was aborted.
+// it any more.
 func (c *Claim) Keep(body []byte) (aborted bool) {
 	if c == nil {
 		return false
@@ -329,18 +402,74 @@
 	b := c.b
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if aborted = c.release(); aborted || len(body) <= minKept {
-		return aborted
+	if aborted = c.release(); len(body) > b.c.MinKept {
+		b.keep(body, false)
 	}
-	n := int64(cap(body))
-	b.used += n
-	b.kept += n
-	runtime.AddCleanup(&body[0], func(n int64) {
+	return aborted
+}
+
+// Discard is like Keep for a body that nobody uses any more. Others wait until the garbage
+// collector has removed it, rather than have more claims give way.
+func (c *Claim) Discard(body []byte) (aborted bool) {
+	if c == nil {
+		return false
+	}
+	b := c.b
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if aborted = c.release(); len(body) > b.c.MinKept {
+		b.keep(body, true)
+	}
+	return aborted
+}
+
+// keep counts a body until the garbage collector has removed it. The lock is held.
+func (b *Budget) keep(body []byte, garbage bool) {
+	k := &keptBody{addr: address(body), size: int64(cap(body)), garbage: garbage}
+	b.used += k.size
+	b.kept += k.size
+	if garbage {
+		b.garbage += k.size
+	}
+	b.bodies[k.addr] = k
+	k.cleanup = runtime.AddCleanup(&body[0], func(k *keptBody) {
 		b.mu.Lock()
 		defer b.mu.Unlock()
-		b.used -= n
-		b.kept -= n
-		b.notify()
-	}, n)
-	return aborted
+		b.drop(k)
+	}, k)
+}
+
+// address returns the address of the first byte of a body.
+func address(body []byte) uintptr { return uintptr(unsafe.Pointer(unsafe.SliceData(body))) }
+
+// drop ends the count of a body that was kept. The lock is held.
+func (b *Budget) drop(k *keptBody) {
+	if k.dropped {
+		return
+	}
+	k.dropped = true
+	// Another body may have the address by now.
+	if b.bodies[k.addr] == k {
+		delete(b.bodies, k.addr)
+	}
+	b.used -= k.size
+	b.kept -= k.size
+	if k.garbage {
+		b.garbage -= k.size
+	}
+	b.notify()
+}
+
+// Disown ends the count of a body that Keep was called with, as another budget counts it from
+// now on. It does nothing if the body is not counted.
+func (b *Budget) Disown(body []byte) {
+	if b == nil || len(body) == 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if k := b.bodies[address(body)]; k != nil {
+		k.cleanup.Stop()
+		b.drop(k)
+	}
 }
--- a/internal/node/entry/apis.go
+++ b/internal/node/entry/apis.go
@@ -16,7 +16,9 @@
 // bindAPIs binds the ports of the caller and the operator API.
 func (n *Node) bindAPIs() error {
 	s := n.c.Settings
+	callers := n.callerBudget()
 	c := caller.Config{
+		Budget:       callers,
 		Engine:       n,
 		Snapshot:     n.configs.Current,
 		Gate:         n.gate,
@@ -30,14 +32,13 @@
 		c.Accounts, c.TakeKey, c.Quota = n.accounts.Current, dialect.Dialect{}.TakeKey, n.quota
 	}
 	api := caller.New(c)
-	heads := n.headBudget()
 	var err error
-	n.callerServer, err = httpserver.New(httpserver.Config{Addr: s.Listen.Caller, Handler: api, Events: n.log, HeadBudget: heads,
+	n.callerServer, err = httpserver.New(httpserver.Config{Addr: s.Listen.Caller, Handler: api, Events: n.log, HeadBudget: callers,
 		MaxConns: max(minCallerConns, connsPerRequest*s.Limits.MaxInFlight)})
 	if err != nil {
 		return errors.Annotate(err, "caller port")
 	}
-	n.operatorServer, err = httpserver.New(httpserver.Config{Addr: s.Listen.Operator, Events: n.log, HeadBudget: heads, Handler: operator.New(operator.Config{
+	n.operatorServer, err = httpserver.New(httpserver.Config{Addr: s.Listen.Operator, Events: n.log, HeadBudget: callers, Handler: operator.New(operator.Config{
 		Node:      s.Node.ID,
 		Version:   n.c.Version,
 		Token:     s.Operator.Token,
@@ -55,18 +56,18 @@
 	// connsPerRequest that for each request which may run at a time: as many without one.
 	minCallerConns  = 1024
 	connsPerRequest = 2
-	// headShare is the share of the memory for responses that heads of requests may take
-	// beside it.
-	headShare = 0.25
+	// callerShare is the share of the memory for responses that heads and bodies of requests
+	// may take beside it.
+	callerShare = 0.25
 )
 
-// headBudget returns the budget for heads of requests; nil without a limit.
-func (n *Node) headBudget() *readbudget.Budget {
+// callerBudget returns the budget for heads and bodies of requests; nil without a limit.
+func (n *Node) callerBudget() *readbudget.Budget {
 	mb := n.c.Settings.Limits.ResponseMemoryMB
 	if mb <= 0 {
 		return nil
 	}
-	return readbudget.New(readbudget.Config{Limit: int64(headShare * float64(mb<<20)), ByAge: true})
+	return readbudget.New(readbudget.Config{Limit: int64(callerShare * float64(mb<<20)), ByAge: true})
 }
 
 // fetchHealth fetches the health report of another node.
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -87,8 +87,9 @@
 	Dialect  Dialect
 	// Budget bounds the memory for what searchers and other VMs send; nil means no bound.
 	Budget *readbudget.Budget
-	// HeadBudget bounds the memory for heads of requests; nil means no bound.
-	HeadBudget *readbudget.Budget
+	// CallerBudget bounds the memory that callers hold: connections, heads and bodies of
+	// requests, and responses that they have not read; nil means no bound.
+	CallerBudget *readbudget.Budget
 	// ReadyPath is the path of the readiness check.
 	ReadyPath string
 	// LogOutput receives the structured log; nil disables it.
@@ -177,9 +178,9 @@
 	})
 	g.engine.SetMaxKeyAge(s.MaxKeyAge())
 	if g.ingress, err = ingress.New(ingress.Config{
-		Addr: s.ClientAddr, Dialect: g.c.Dialect, Do: g.engine.Do, Limits: g.clientLimits, Budget: g.c.Budget, Events: g.log,
+		Addr: s.ClientAddr, Dialect: g.c.Dialect, Do: g.engine.Do, Limits: g.clientLimits, Budget: g.c.CallerBudget, Responses: g.c.Budget, Events: g.log,
 		CloseConns: g.isolation.isolated.Load,
-		HeadBudget: g.c.HeadBudget, MaxHeaderLines: s.MaxHeaderLines, MaxConns: s.MaxClientConns(),
+		ConnBytes:  gatewaysettings.ConnBytes, MaxHeaderLines: s.MaxHeaderLines, MaxConns: s.MaxClientConns(),
 	}); err != nil {
 		return errors.Trace(err)
 	}
@@ -194,7 +195,7 @@
 	pages.Handle("/metrics", g.metrics)
 	pages.HandleFunc("POST "+explainPath, g.handleExplain)
 	for addr, h := range map[string]http.Handler{s.ReadyAddr: ready, s.MetricsAddr: pages} {
-		srv, err := httpserver.New(httpserver.Config{Addr: addr, Handler: h, Events: g.log, HeadBudget: g.c.HeadBudget, MaxConns: s.MaxOtherConns()})
+		srv, err := httpserver.New(httpserver.Config{Addr: addr, Handler: h, Events: g.log, HeadBudget: g.c.CallerBudget, ConnBytes: gatewaysettings.ConnBytes, MaxConns: s.MaxOtherConns()})
 		if err != nil {
 			return errors.Trace(err)
 		}
@@ -222,7 +223,8 @@
 		{"egrethaven_requests_quarantined", "{request}", "requests that are refused because they crash searchers", g.quarantinedCount},
 		{"egrethaven_vms", "{vm}", "VMs of the tier that are counted", g.storeView.registeredVMs},
 		{"egrethaven_response_memory", "By", "memory in use for responses that are being read, and for long ones until they are passed on", g.responseMemory},
-		{"egrethaven_head_memory", "By", "memory in use for heads of requests that are not ordinary: unfinished ones above 4 KB, finished ones above 8 KB once parsed", g.headMemory},
+		{"egrethaven_caller_memory", "By", "memory that callers hold: connections, large heads, bodies, and responses above 4 KB that they have not read", g.callerMemory},
+		{"egrethaven_head_memory", "By", "the same as egrethaven_caller_memory, under its earlier name", g.callerMemory},
 		{"egrethaven_log_lines_dropped", "{line}", "log lines that found no room", g.droppedLogLines},
 	} {
 		if err := g.metrics.RegisterGauge(v.name, v.unit, v.help, v.read); err != nil {
@@ -271,8 +273,8 @@
 // responseMemory returns the memory in use for responses, in bytes.
 func (g *Gateway) responseMemory() float64 { return float64(g.c.Budget.Used()) }
 
-// headMemory returns the memory in use for heads of requests, in bytes.
-func (g *Gateway) headMemory() float64 { return float64(g.c.HeadBudget.Used()) }
+// callerMemory returns the memory that callers hold, in bytes.
+func (g *Gateway) callerMemory() float64 { return float64(g.c.CallerBudget.Used()) }
 
 // droppedLogLines returns the number of log lines dropped from a full buffer.
 func (g *Gateway) droppedLogLines() float64 {
--- a/internal/state/gatewaysettings/settings.go
+++ b/internal/state/gatewaysettings/settings.go
@@ -119,8 +119,9 @@
 	otherConnShare  = 1. / 32
 )
 
-// MaxClientConns returns the maximum number of open connections of clients.
-func (s Settings) MaxClientConns() int { return s.conns(clientConnShare) }
+// MaxClientConns returns the maximum number of open connections of clients, for which there are
+// descriptors and memory.
+func (s Settings) MaxClientConns() int { return min(s.conns(clientConnShare), s.connsInMemory()) }
 
 // MaxOtherConns returns the maximum number of open connections at each other listener.
 func (s Settings) MaxOtherConns() int { return s.conns(otherConnShare) }
