Store: a cut watch is no outage

Cause: each failed call counts as an outage, which keeps missing entries in use for two seconds from then on; the next cut begins these anew. Ruled out: a removal that is not seen.

A watch whose connection ends after it has waited for at least 100 ms is now followed at once by one of a millisecond. If that succeeds, there is no outage. What fails sooner counts as before, so that an outage costs no more calls.

--- a/internal/peer/upstream/upstream.go
+++ b/internal/peer/upstream/upstream.go
@@ -45,6 +45,8 @@
 	// minWatchWait is the wait of a watch that is to show soon whether the store can be
 	// reached, as after a switch to the store or a call without an answer.
 	minWatchWait = 100 * time.Millisecond
+	// checkWait is the wait of a watch after one that waited and was cut.
+	checkWait = time.Millisecond
 	// maxWatchShare is the share of the time to apply a change for which a watch waits.
 	// The rest is for the attempts after one that was swallowed.
 	maxWatchShare = 0.4
--- a/internal/peer/upstream/watch.go
+++ b/internal/peer/upstream/watch.go
@@ -140,6 +140,12 @@
 		r := changelog.Update{KnownAt: boottime.Now()}
 		var err error
 		r.Changes, r.Position, err = u.c.Store.Watch(ctx, prefix, after, wait)
+		if errors.Is(err, follow.ErrCut) && r.KnownAt.Age() >= minWatchWait {
+			// The store may cut a watch that waits. Whether it is reachable shows at once.
+			wait = checkWait
+			r.KnownAt = boottime.Now()
+			r.Changes, r.Position, err = u.c.Store.Watch(ctx, prefix, after, wait)
+		}
 		if len(r.Changes) == 0 && r.KnownAt.Age() >= wait {
 			// The store had no change to report during the whole wait.
 			r.KnownAt = r.KnownAt.Add(wait)
--- a/internal/state/follow/follow.go
+++ b/internal/state/follow/follow.go
@@ -52,6 +52,9 @@
 	ErrRefused = errors.ConstError("the store refused the call")
 	// ErrNotSent means that the store was not reached; the call had no effect.
 	ErrNotSent = errors.ConstError("the store was not reached")
+	// ErrCut means that the connection ended before the answer. The store may do so to a watch
+	// that waits, also when nothing is wrong with it.
+	ErrCut = errors.ConstError("the store closed the connection before it answered")
 )
 
 // Change is a written entry, or the deletion of an entry.
