--- a/internal/back/conn/conn.go
+++ b/internal/back/conn/conn.go
@@ -231,17 +231,7 @@
 	if len(q.Body) > 0 {
 		unwritten = append(unwritten, q.Body)
 	}
-	n, err := 0, error(nil)
-	for err == nil && len(unwritten) > 0 {
-		var m int
-		m, err = writeAvailable(k.conn, unwritten[0])
-		n += m
-		if m < len(unwritten[0]) {
-			unwritten[0] = unwritten[0][m:]
-			break
-		}
-		unwritten = unwritten[1:]
-	}
+	n, err := writeFitting(k.conn, &unwritten)
 	if err != nil || len(unwritten) == 0 {
 		k.endWrite(x, n, err)
 		return true
@@ -253,6 +243,22 @@
 	return true
 }
 
+// writeFitting writes as much of the buffers as fits into the connection's send buffer, and
+// removes it from them. It returns the number of bytes.
+func writeFitting(c net.Conn, unwritten *net.Buffers) (n int, err error) {
+	for len(*unwritten) > 0 {
+		first := &(*unwritten)[0]
+		m, err := writeAvailable(c, *first)
+		n += m
+		if err != nil || m < len(*first) {
+			*first = (*first)[m:]
+			return n, err
+		}
+		*unwritten = (*unwritten)[1:]
+	}
+	return n, nil
+}
+
 // writeAvailable writes as much of b as fits into the connection's send buffer, and returns
 // the number of bytes. If it cannot tell, it writes nothing.
 func writeAvailable(c net.Conn, b []byte) (n int, err error) {
--- a/internal/infra/readbudget/readbudget.go
+++ b/internal/infra/readbudget/readbudget.go
@@ -5,12 +5,22 @@
 // aborted, and its memory is used for the others. A response that would become the largest
 // itself fails. So small responses go on being read, however many large ones there are.
 //
+// The same holds for what clients send and have not read yet; there, what is oldest and largest
+// gives way (Config.ByAge). What was read whole counts until the garbage collector has removed
+// it, because a limit on memory that was only given back would not bound the process.
+//
 // # Usage
 //
 //	b := readbudget.New(readbudget.Config{Limit: 32 << 20})
 //	c := b.Open(func() { _ = conn.Close() })
 //	if err := c.Grow(64 << 10); err != nil { ... } // before these bytes are read
 //	aborted := c.Keep(body)                        // or c.Release()
+//
+// For memory that is in use already, such as a response that another budget has counted so far:
+//
+//	other.Disown(body)
+//	c.Force(int64(cap(body)))
+//	aborted := c.Discard(body) // when nobody uses it any more
 package readbudget
 
 import (
