Budget: a released claim of no bytes is forgotten

Found when the change was read once more. On the own interface a connection counts no memory, so that each took a claim of 0 bytes. release returned before it removed such a claim, so that the budget kept one for each connection that there had been, and looked at all of them whenever memory ran out.

release removes the claim first, whatever its size, rather than each caller leaving out empty ones. TestReleasedClaimsAreForgotten failed before with 10 claims left after 10 connections, and passes now.

--- a/internal/infra/readbudget/readbudget.go
+++ b/internal/infra/readbudget/readbudget.go
@@ -393,12 +393,12 @@
 func (c *Claim) release() (aborted bool) {
 	aborted = c.aborted
 	c.pinned, c.offered = false, false
+	delete(c.b.claims, c)
 	if c.size == 0 && !aborted {
 		return false
 	}
 	c.b.used -= c.size
 	c.size, c.aborted = 0, false
-	delete(c.b.claims, c)
 	c.b.notify()
 	return aborted
 }
