Budget: one scan of the claims, one way to keep a body

Grow and Force each had a loop over all claims for what is pending and who gives way, and Keep and Discard differed in one flag. Both pairs share their code now. The size from which what callers hold counts until it is garbage is the one up to which requestbody reads whatever memory is left, and no longer a second constant. readlimit.Reader.Keep had lost its last caller and is part of End.

No change of behaviour; the tests of readbudget, readlimit, requestbody, ingress and conn pass as they are.

--- a/internal/cli/command/cmd_gateway.go
+++ b/internal/cli/command/cmd_gateway.go
@@ -11,6 +11,7 @@
 
 	"github.com/spf13/cobra"
 
+	"egrethaven/internal/front/requestbody"
 	"egrethaven/internal/infra/hangup"
 	"egrethaven/internal/infra/readbudget"
 	"egrethaven/internal/node/gateway"
@@ -21,9 +22,6 @@
 	"egrethaven/platform/store"
 )
 
-// minKeptBytes is the size in bytes above which what callers hold counts until it is garbage.
-const minKeptBytes = 4 << 10
-
 // gatewayCommand is the name of the command that handles SIGHUP.
 const gatewayCommand = "gateway"
 
@@ -59,7 +57,7 @@
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	budget := readbudget.New(readbudget.Config{Limit: v.ResponseMemory()})
-	callers := readbudget.New(readbudget.Config{Limit: v.CallerMemory(), ByAge: true, MinKept: minKeptBytes})
+	callers := readbudget.New(readbudget.Config{Limit: v.CallerMemory(), ByAge: true, MinKept: requestbody.SmallBytes})
 	st := store.New(store.Config{Addr: v.StoreAddr, Budget: budget, MaxValueBytes: maxValueBytes})
 	defer st.Close()
 	g, err := gateway.New(gateway.Config{
--- a/internal/front/requestbody/reader.go
+++ b/internal/front/requestbody/reader.go
@@ -23,7 +23,7 @@
 
 const (
 	// SmallBytes is the size in bytes up to which a body with a length is read whatever memory
-	// is left.
+	// is left, and does not count any more once it was read.
 	SmallBytes = 4 << 10
 	// overheadBytes is the memory in bytes that a request takes while its body arrives, beside
 	// the body.
--- a/internal/infra/readbudget/readbudget.go
+++ b/internal/infra/readbudget/readbudget.go
@@ -204,11 +204,11 @@
 		b.collect()
 	}
 	for {
-		pending, victim := b.victim(now)
-		if b.used-pending <= b.c.Limit || victim == nil || victim == c {
+		v := b.scan(now)
+		if b.used-v.pending <= b.c.Limit || v.victim == nil || v.victim == c {
 			return
 		}
-		b.abort(victim)
+		b.abort(v.victim)
 	}
 }
 
@@ -222,19 +222,29 @@
 	b.claims[c] = struct{}{}
 }
 
-// victim returns the memory that is about to become free, and the claim that has to give way
-// next; nil if none does. The lock is held.
-func (b *Budget) victim(now time.Time) (pending int64, victim *Claim) {
-	pending = b.garbage
-	most := 0.0
-	for o := range b.claims {
-		if o.aborted {
-			pending += o.size
-		} else if w := o.weight(o.size, now); w > most {
-			victim, most = o, w
+// usage is what a budget's memory is used for.
+type usage struct {
+	// pending is about to become free, and fixed does not give way.
+	pending, fixed int64
+	// victim is the claim that has to give way next, nil if none does, and weight its weight.
+	victim *Claim
+	weight float64
+}
+
+// scan returns what the memory is used for. The lock is held.
+func (b *Budget) scan(now time.Time) usage {
+	v := usage{pending: b.garbage}
+	for c := range b.claims {
+		switch w := c.weight(c.size, now); {
+		case c.aborted:
+			v.pending += c.size
+		case c.isFixed():
+			v.fixed += c.size
+		case w > v.weight:
+			v.victim, v.weight = c, w
 		}
 	}
-	return pending, victim
+	return v
 }
 
 // grow adds n bytes to a claim if there is room. Otherwise it makes room and reports whether
@@ -248,36 +258,22 @@
 		b.add(c, n)
 		return true, false
 	}
-	var now time.Time
-	if b.c.ByAge {
-		now = time.Now()
-	}
-	// pending is about to become free, and fixed does not give way.
-	pending, fixed, largest, most := b.garbage, int64(0), (*Claim)(nil), 0.0
-	for o := range b.claims {
-		switch w := o.weight(o.size, now); {
-		case o.aborted:
-			pending += o.size
-		case o.isFixed():
-			fixed += o.size
-		case w > most:
-			largest, most = o, w
-		}
-	}
+	now := time.Now()
+	v := b.scan(now)
 	if b.garbage > 0 {
 		b.collect()
 	}
 	switch {
-	case b.used-pending+n <= b.c.Limit:
-	case fixed+n > b.c.Limit:
+	case b.used-v.pending+n <= b.c.Limit:
+	case v.fixed+n > b.c.Limit:
 		b.abort(c)
 		return false, false
-	case largest != nil && largest != c && most > c.weight(c.size+n, now):
-		b.abort(largest)
+	case v.victim != nil && v.victim != c && v.weight > c.weight(c.size+n, now):
+		b.abort(v.victim)
 		if b.kept > 0 {
 			b.collect()
 		}
-	case b.kept > 0 && b.used-pending-(b.kept-b.garbage)+n <= b.c.Limit:
+	case b.kept > 0 && b.used-v.pending-(b.kept-b.garbage)+n <= b.c.Limit:
 		b.collect()
 	default:
 		b.abort(c)
@@ -405,36 +401,24 @@
 
 // Keep is like Release for a response that was read whole. Its body counts until nobody uses
 // it any more.
-func (c *Claim) Keep(body []byte) (aborted bool) {
-	if c == nil {
-		return false
-	}
-	b := c.b
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if aborted = c.release(); len(body) > b.c.MinKept {
-		b.keep(body, false)
-	}
-	return aborted
-}
+func (c *Claim) Keep(body []byte) (aborted bool) { return c.keep(body, false) }
 
 // Discard is like Keep for a body that nobody uses any more. Others wait until the garbage
 // collector has removed it, rather than have more claims give way.
-func (c *Claim) Discard(body []byte) (aborted bool) {
+func (c *Claim) Discard(body []byte) (aborted bool) { return c.keep(body, true) }
+
+// keep releases the claim, and counts a body that is not small until the garbage collector has
+// removed it.
+func (c *Claim) keep(body []byte, garbage bool) (aborted bool) {
 	if c == nil {
 		return false
 	}
 	b := c.b
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if aborted = c.release(); len(body) > b.c.MinKept {
-		b.keep(body, true)
+	if aborted = c.release(); len(body) <= b.c.MinKept {
+		return aborted
 	}
-	return aborted
-}
-
-// keep counts a body until the garbage collector has removed it. The lock is held.
-func (b *Budget) keep(body []byte, garbage bool) {
 	k := &keptBody{addr: address(body), size: int64(cap(body)), garbage: garbage}
 	b.used += k.size
 	b.kept += k.size
@@ -447,6 +431,7 @@
 		defer b.mu.Unlock()
 		b.drop(k)
 	}, k)
+	return aborted
 }
 
 // address returns the address of the first byte of a body.
--- a/internal/infra/readlimit/readlimit.go
+++ b/internal/infra/readlimit/readlimit.go
@@ -94,17 +94,12 @@
 	return nil
 }
 
-// Keep ends a message that was read whole, whose body may stay in use, or nil. It reports
-// whether the connection was aborted meanwhile to make room for others.
-func (l *Reader) Keep(body []byte) (aborted bool) {
-	l.covered = FreeBytes
-	return l.claim.Keep(body)
-}
-
-// End is Keep for the answer to a call, of which body was read, or which failed with err. It
-// reports whether the connection was aborted, which is then the reason of the failure.
+// End ends a message, of which body was read, which may stay in use, or which failed with err.
+// It reports whether the connection was aborted meanwhile to make room for others, which is
+// then the reason of the failure.
 func (l *Reader) End(body []byte, err error) (aborted bool, _ error) {
-	aborted = l.Keep(body)
+	l.covered = FreeBytes
+	aborted = l.claim.Keep(body)
 	if aborted && err != nil {
 		err = errors.Annotate(readbudget.ErrExhausted, "reading the answer")
 	}
