Parts of queries: numbered by the counter that the engine had

The engine counts its runs for their random sources already; a run keeps that number and a part's attempt IDs use it. Ask's are as before, so are the random sources.

--- a/internal/query/scatter/call.go
+++ b/internal/query/scatter/call.go
@@ -76,7 +76,7 @@
 	id := r.query.QueryID
 	if r.isPart {
 		// This node may hold several parts of the query, and get one of them again.
-		id += ".p" + strconv.FormatInt(r.partNumber, 10)
+		id += ".p" + strconv.FormatUint(r.number, 10)
 	}
 	attempt := id + "." + strconv.Itoa(r.restarts) + "." + strconv.Itoa(i) + "." + strconv.Itoa(s.attempts)
 	return searcher.Query{
--- a/internal/query/scatter/engine.go
+++ b/internal/query/scatter/engine.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -44,9 +43,8 @@
 type Engine struct {
 	c        Config
 	searches searchStates
-	queries  atomic.Uint64
-	// parts counts the parts that were run for coordinators.
-	parts   atomic.Int64
+	// runs counts the queries and the parts that were run.
+	runs    atomic.Uint64
 	workers *worker.Pool
 }
 
@@ -122,11 +120,6 @@
 	return ans
 }
 
-// random returns a new random source for one query.
-func (e *Engine) random() *rand.Rand {
-	return rand.New(rand.NewPCG(e.c.Seed, e.queries.Add(1)))
-}
-
 // refusedAnswer returns the answer to a query that did not run.
 func refusedAnswer(q ask.Query, r outcome.Reason, revision uint64, start time.Time) ask.Answer {
 	return ask.Answer{
--- a/internal/query/scatter/part.go
+++ b/internal/query/scatter/part.go
@@ -24,7 +24,7 @@
 		return PartReply{Outcome: outcome.NotRun(outcome.Quarantined)}
 	}
 	r.hedgeDelay = r.search.hedgeDelay()
-	r.isPart, r.partNumber = true, e.parts.Add(1)
+	r.isPart = true
 	r.pinPart(p)
 	c, cancel := context.WithDeadline(ctx, p.Query.Deadline)
 	defer cancel()
--- a/internal/query/scatter/run.go
+++ b/internal/query/scatter/run.go
@@ -32,7 +32,9 @@
 // run is the state of one running query. Only the goroutine that called answer
 // accesses its fields.
 type run struct {
-	e           *Engine
+	e *Engine
+	// number tells the runs of an engine apart.
+	number      uint64
 	search      *searchState
 	def         search.Definition
 	query       ask.Query
@@ -62,10 +64,8 @@
 	fannedOut, restartDue bool
 	restartRounds         int
 	// isPart is set when this node runs a part as a holder for a coordinator.
-	// partNumber tells the parts that this node has run apart.
-	isPart     bool
-	partNumber int64
-	partHits   [][]ask.Hit
+	isPart   bool
+	partHits [][]ask.Hit
 
 	candidates []choice.Candidate
 
@@ -93,7 +93,8 @@
 
 // newRun returns the initial state of a query.
 func newRun(e *Engine, st *searchState, d search.Definition, q ask.Query, start time.Time) *run {
-	return &run{e: e, search: st, def: d, query: q, fingerprint: quarantine.Fingerprint(q.Search, q.Text, q.Filters, q.Limit), start: start, rand: e.random(), defaultGap: outcome.IncompleteCoverage}
+	n := e.runs.Add(1)
+	return &run{e: e, number: n, search: st, def: d, query: q, fingerprint: quarantine.Fingerprint(q.Search, q.Text, q.Filters, q.Limit), start: start, rand: rand.New(rand.NewPCG(e.c.Seed, n)), defaultGap: outcome.IncompleteCoverage}
 }
 
 // answer runs the query and returns its answer.
