--- a/internal/back/instance/connections.go
+++ b/internal/back/instance/connections.go
@@ -35,14 +35,19 @@
 	return nil
 }
 
-// dropUnusable closes the idle connections that can carry nothing more. The caller holds the
-// lock.
-func (i *Instance) dropUnusable(now time.Time) {
+// dropUnusable closes the idle connections that can carry nothing more, and reports whether one
+// can carry a call now. The caller holds the lock.
+func (i *Instance) dropUnusable(now time.Time) (usable bool) {
 	for n := len(i.idle) - 1; n >= 0; n-- {
-		if k := i.idle[n]; k.Readiness(now) == conn.Unusable {
+		switch k := i.idle[n]; k.Readiness(now) {
+		case conn.Usable:
+			usable = true
+		case conn.Unusable:
 			i.closeIdleConn(k)
+		case conn.Busy:
 		}
 	}
+	return usable
 }
 
 // isBlocked reports whether all idle connections have carried the call's attempt. The caller
--- a/internal/back/instance/send.go
+++ b/internal/back/instance/send.go
@@ -138,8 +138,7 @@
 // takeNext removes and returns the queued call that is sent next, and the connection for it; nil
 // if none can be sent. The caller holds the lock.
 func (i *Instance) takeNext(now time.Time) (*Call, *conn.Conn) {
-	i.dropUnusable(now)
-	if !slices.ContainsFunc(i.idle, func(k *conn.Conn) bool { return k.Readiness(now) == conn.Usable }) {
+	if !i.dropUnusable(now) {
 		return nil, nil
 	}
 	n := i.picker.Next(now, len(i.queue), i.queuedAt)
--- a/internal/front/requestbody/reader.go
+++ b/internal/front/requestbody/reader.go
@@ -55,9 +55,6 @@
 // an *http.MaxBytesError above the limit, readbudget.ErrExhausted if there is no memory, and
 // otherwise that of the connection.
 func (r *Reader) Read(w http.ResponseWriter, q *http.Request, limit int64) ([]byte, error) {
-	if q.Body == nil || q.Body == http.NoBody || q.ContentLength == 0 {
-		return nil, nil
-	}
 	body := q.Body
 	if limit > 0 {
 		body = http.MaxBytesReader(w, q.Body, limit)
--- a/internal/query/forward/subrequest.go
+++ b/internal/query/forward/subrequest.go
@@ -228,7 +228,7 @@
 	f := &attempt{subrequest: p, searcher: i, startedAt: now, trial: p.dispatch.onTrial(p)}
 	p.attempts = append(p.attempts, f)
 	f.send = i.Send(instance.Request{ID: p.dispatch.req.ID, Deadline: p.dispatch.deadline, Method: p.dispatch.req.Method, Shed: p.dispatch.shed,
-		Build: f.buildRequest, Body: p.dispatch.separateBody(), Matches: f.matches, Check: p.dispatch.engine.c.Dialect.CheckReply, Done: f.onDone})
+		Build: f.buildRequest, Body: p.dispatch.sharedBody(), Matches: f.matches, Check: p.dispatch.engine.c.Dialect.CheckReply, Done: f.onDone})
 }
 
 // candidate returns the state of a searcher as input for placement. While this VM is cut
@@ -265,26 +265,23 @@
 // write sends both. All sends share a longer one.
 const maxCopiedBody = 4 << 10
 
-// separateBody returns the body if it is sent apart from the head, otherwise nil.
-func (x *dispatch) separateBody() []byte {
+// sharedBody returns the body if all sends share it, and nil if each has a copy behind its head.
+func (x *dispatch) sharedBody() []byte {
 	if len(x.req.Body) <= maxCopiedBody {
 		return nil
 	}
 	return x.req.Body
 }
 
-// buildRequest encodes the HTTP request, up to separateBody. It returns nil if the deadline
-// has passed.
+// buildRequest encodes the HTTP request, up to sharedBody. It returns nil if the deadline has
+// passed.
 func (f *attempt) buildRequest() []byte {
 	x := f.subrequest.dispatch
 	left := time.Until(x.deadline).Truncate(time.Millisecond)
 	if left <= 0 || !x.stillPermitted() {
 		return nil
 	}
-	copied := x.req.Body
-	if len(copied) > maxCopiedBody {
-		copied = nil
-	}
+	copied := x.req.Body[len(x.sharedBody()):]
 	b := make([]byte, 0, len(x.requestHead)+len(copied)+sendCapacity)
 	b = append(b, x.requestHead...)
 	b = x.engine.c.Dialect.AppendSendHeader(b, SendHeader{ID: x.req.ID, Timeout: left, ExpectedSearcher: f.searcher.Searcher().ID, Account: x.client.name()})
